lib: shared types, rings, duty loop, timer service, log, counters, spans

One thread a duty, woken by an eventfd on its bounded ring; no thread spins.

lib_test passes (7 tests, 1 program).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,100 @@
+# Run "make help" for the targets.
+CC = gcc
+CFLAGS ?= -O2 -g
+BUILD = build
+PKGS = apr-1 apr-util-1 libmicrohttpd libtirpc jansson libxxhash openssl \
+	cunit libcurl inih
+ALL_CFLAGS = -std=gnu11 -Wall -Wextra -Werror -Wno-unused-parameter -pthread \
+	-I. $(shell pkg-config --cflags $(PKGS)) $(CFLAGS)
+LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -pthread
+
+SLICES = lib front route ticket cell health upstream peer member conf admin
+NOT_LIBRARY = %_test.c %_measure.c %_main.c
+SRC = $(filter-out $(NOT_LIBRARY),$(wildcard $(addsuffix /*.c,$(SLICES))))
+OBJ = $(SRC:%.c=$(BUILD)/%.o)
+TESTS = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_test.c))
+MEASURES = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_measure.c))
+PROGRAMS = $(patsubst %_main.c,$(BUILD)/%_main,$(wildcard fake/*_main.c \
+	fault/*_main.c)) $(patsubst cmd/%,$(BUILD)/bin/%,$(wildcard cmd/*))
+FILES = $(wildcard */*.c */*.h cmd/*/*.c)
+
+all: $(PROGRAMS) $(TESTS) $(MEASURES)
+
+help:
+	@echo "make           build everything"
+	@echo "make setup     install the packages that the build needs"
+	@echo "make demo      start a small fleet, send reads and payments through it"
+	@echo "make check     run every test program"
+	@echo "make faults    process-level failure tests"
+	@echo "make models    check the Promela models and their broken variants"
+	@echo "make measure   measurements in model time, 'name value unit' lines"
+	@echo "make slopes    memory, processor and traffic slopes for docs/CAPACITY.md"
+	@echo "make bench     added latency and cost of one, two and three daemons"
+	@echo "make format lint   formatter and linter, in check mode"
+
+-include $(OBJ:.o=.d)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/libaz.a: $(OBJ)
+	@rm -f $@
+	ar rcs $@ $(OBJ)
+
+$(BUILD)/%_test: $(BUILD)/%_test.o $(BUILD)/libaz.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(BUILD)/%_measure: $(BUILD)/%_measure.o $(BUILD)/libaz.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(BUILD)/%_main: $(BUILD)/%_main.o $(BUILD)/libaz.a
+	$(CC) -o $@ $^ $(LIBS)
+
+define program
+$(BUILD)/bin/$(1): $(patsubst %.c,$(BUILD)/%.o,$(wildcard cmd/$(1)/*.c)) $(BUILD)/libaz.a
+	@mkdir -p $(BUILD)/bin
+	$(CC) -o $$@ $$^ $(LIBS)
+endef
+$(foreach p,$(notdir $(wildcard cmd/*)),$(eval $(call program,$(p))))
+
+setup:
+	sh .ci/setup
+
+check: all
+	sh .ci/check $(TESTS)
+
+demo: setup
+	$(MAKE) all
+	sh fake/demo.sh
+
+faults: all
+	sh fault/run.sh
+
+models:
+	sh spec/run.sh
+
+measure: all
+	@for m in $(MEASURES); do $$m || exit 1; done
+
+slopes: all
+	sh fault/slopes.sh
+
+bench: all
+	sh fault/bench.sh
+
+format:
+	clang-format --dry-run -Werror $(FILES)
+
+reformat:
+	clang-format -i $(FILES)
+
+lint:
+	@printf '%s\n' $(filter %.c,$(FILES)) | xargs -P 8 -n 3 sh .ci/lint $(ALL_CFLAGS)
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all help setup check demo faults models measure slopes bench format \
+	reformat lint clean
+.SECONDARY:
--- /dev/null
+++ b/lib/lib_test.c
@@ -0,0 +1,222 @@
+#include <stdlib.h>
+#include <string.h>
+#include <sched.h>
+#include <CUnit/Basic.h>
+#include <apr_general.h>
+
+#include "lib/az.h"
+
+static apr_pool_t *pool;
+
+struct numbered {
+	struct msg msg;
+	int32_t number;
+};
+
+struct receiver {
+	struct duty duty;
+	int32_t next;
+	int32_t out_of_order;
+	int32_t ticks;
+};
+
+static int32_t dropped;
+
+static void numbered_run(struct msg *m, struct duty *to)
+{
+	struct numbered *n = az_container_of(m, struct numbered, msg);
+	struct receiver *r = az_container_of(to, struct receiver, duty);
+
+	if (n->number != r->next)
+		r->out_of_order++;
+	__atomic_store_n(&r->next, n->number + 1, __ATOMIC_RELEASE);
+	free(n);
+}
+
+static void numbered_drop(struct msg *m)
+{
+	dropped++;
+	free(az_container_of(m, struct numbered, msg));
+}
+
+static const struct msg_ops numbered_ops = { "numbered", numbered_run,
+					     numbered_drop };
+
+static struct msg *numbered_new(int32_t number)
+{
+	struct numbered *n = calloc(1, sizeof(*n));
+
+	n->msg.ops = &numbered_ops;
+	n->number = number;
+	return &n->msg;
+}
+
+/* Guards against a ring that grows or overwrites instead of refusing. */
+static void test_ring_refuses_when_full(void)
+{
+	struct ring *r = ring_create(2, pool);
+	struct msg *a = numbered_new(0);
+	struct msg *b = numbered_new(1);
+	struct msg *c = numbered_new(2);
+
+	CU_ASSERT_EQUAL(ring_push(r, a), AZ_OK);
+	CU_ASSERT_EQUAL(ring_push(r, b), AZ_OK);
+	CU_ASSERT_EQUAL(ring_push(r, c), AZ_FULL);
+	CU_ASSERT_PTR_EQUAL(ring_pop(r), a);
+	CU_ASSERT_PTR_EQUAL(ring_pop(r), b);
+	CU_ASSERT_PTR_NULL(ring_pop(r));
+	free(a);
+	free(b);
+	free(c);
+}
+
+static void on_timer(struct duty *d, int64_t now_us)
+{
+	struct receiver *r = az_container_of(d, struct receiver, duty);
+
+	(void)now_us;
+	__atomic_add_fetch(&r->ticks, 1, __ATOMIC_RELEASE);
+}
+
+static const struct duty_ops receiver_ops = { "receiver", on_timer, NULL };
+
+/* Guards against lost wake-ups and reordering between a sender and a duty. */
+static void test_duty_runs_all_messages_in_order(void)
+{
+	struct receiver *r = calloc(1, sizeof(*r));
+	const int32_t total = 50000;
+
+	CU_ASSERT_EQUAL(duty_init(&r->duty, &receiver_ops, 128, NULL), AZ_OK);
+	CU_ASSERT_EQUAL(duty_start(&r->duty), AZ_OK);
+	for (int32_t i = 0; i < total; i++) {
+		struct msg *m = numbered_new(i);
+
+		while (ring_push(r->duty.ring, m) != AZ_OK)
+			sched_yield();
+	}
+	while (__atomic_load_n(&r->next, __ATOMIC_ACQUIRE) < total)
+		sched_yield();
+	duty_stop(&r->duty);
+	CU_ASSERT_EQUAL(r->out_of_order, 0);
+	duty_destroy(&r->duty);
+	free(r);
+}
+
+/* Guards against messages leaked or left unanswered by a stopped duty. */
+static void test_duty_drops_what_is_left(void)
+{
+	struct receiver *r = calloc(1, sizeof(*r));
+
+	duty_init(&r->duty, &receiver_ops, 1, NULL);
+	dropped = 0;
+	duty_send(&r->duty, numbered_new(0));
+	duty_send(&r->duty, numbered_new(1));
+	CU_ASSERT_EQUAL(dropped, 1);
+	duty_stop(&r->duty);
+	CU_ASSERT_EQUAL(dropped, 2);
+	duty_destroy(&r->duty);
+	free(r);
+}
+
+/* Guards against a subscriber whose armed time never comes. */
+static void test_timer_tells_subscriber(void)
+{
+	struct timer_service *t = timer_service_create(pool);
+	struct receiver *r = calloc(1, sizeof(*r));
+
+	duty_init(&r->duty, &receiver_ops, 16, t);
+	timer_service_start(t);
+	duty_start(&r->duty);
+	for (int32_t i = 1; i <= 3; i++) {
+		duty_arm(&r->duty, clock_now_us() + US_PER_MS);
+		while (__atomic_load_n(&r->ticks, __ATOMIC_ACQUIRE) < i)
+			sched_yield();
+	}
+	timer_service_stop(t);
+	duty_stop(&r->duty);
+	CU_ASSERT_EQUAL(r->ticks, 3);
+	duty_destroy(&r->duty);
+	free(r);
+}
+
+static const char *kind_name(uint32_t k)
+{
+	const char *name = error_info((enum error_kind)k)->name;
+
+	return name ? name : "";
+}
+
+/* Guards against a kind without a row, or "not-run" on a kind that cannot
+ * prove it. */
+static void test_error_table_is_complete(void)
+{
+	static const enum error_kind unproved[] = {
+		ERR_TICKET_EXPIRED,   ERR_ISSUER_GONE, ERR_ISSUER_UNREACHABLE,
+		ERR_DEADLINE_UNKNOWN, ERR_ANSWER_LOST, ERR_ANSWER_TRUNCATED,
+		ERR_ANSWER_TOO_LARGE, ERR_INTERNAL,
+	};
+
+	for (uint32_t k = 0; k < ERR_KIND_COUNT; k++) {
+		CU_ASSERT_FATAL(kind_name(k)[0] != '\0');
+		for (uint32_t j = 0; j < k; j++)
+			CU_ASSERT(strcmp(kind_name(k), kind_name(j)) != 0);
+	}
+	for (uint32_t i = 0; i < sizeof(unproved) / sizeof(unproved[0]); i++)
+		CU_ASSERT_EQUAL(error_info(unproved[i])->outcome,
+				OUTCOME_UNKNOWN);
+}
+
+/* Guards against a trace that is cut at a hop, and bad input accepted. */
+static void test_span_keeps_trace(void)
+{
+	const char *in =
+		"00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+	struct span s;
+	struct span child;
+	char out[56];
+
+	span_start(&s, in);
+	span_child(&child, &s);
+	span_format(&child, out);
+	CU_ASSERT_NSTRING_EQUAL(out, in, 36);
+	CU_ASSERT_EQUAL(child.parent_id, s.span_id);
+	CU_ASSERT(child.sampled);
+	span_start(&s,
+		   "00-0af7651916cd43dd8448eb211c80319c-b7ad6b71692033 1-01");
+	CU_ASSERT(!s.sampled);
+	CU_ASSERT_EQUAL(s.parent_id, 0);
+}
+
+static void test_copies_are_whole(void)
+{
+	struct request *r = request_new("POST", "/pay", "countinghouse");
+	struct request *c;
+
+	buf_append(&r->body, "twelve bytes", 12);
+	buf_printf(&r->headers, "A: %d\r\n", 7);
+	c = request_copy(r);
+	request_free(r);
+	CU_ASSERT_STRING_EQUAL(c->path, "/pay");
+	CU_ASSERT_EQUAL(c->body.len_bytes, 12);
+	CU_ASSERT(!memcmp(c->headers.data, "A: 7\r\n", 6));
+	request_free(c);
+}
+
+int main(void)
+{
+	CU_pSuite s;
+
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("lib", NULL, NULL);
+	CU_add_test(s, "ring full", test_ring_refuses_when_full);
+	CU_add_test(s, "duty order", test_duty_runs_all_messages_in_order);
+	CU_add_test(s, "duty drop", test_duty_drops_what_is_left);
+	CU_add_test(s, "timer", test_timer_tells_subscriber);
+	CU_add_test(s, "error table", test_error_table_is_complete);
+	CU_add_test(s, "span", test_span_keeps_trace);
+	CU_add_test(s, "copies", test_copies_are_whole);
+	CU_basic_run_tests();
+	return CU_get_number_of_failures() != 0;
+}
--- /dev/null
+++ b/lib/request.c
@@ -0,0 +1,85 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/az.h"
+
+static void *alloc(size_t n)
+{
+	void *p = calloc(1, n);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+static char *dup_string(const char *s)
+{
+	return strcpy(alloc(strlen(s) + 1), s);
+}
+
+struct request *request_new(const char *method, const char *path,
+			    const char *service)
+{
+	struct request *r = alloc(sizeof(*r));
+
+	strncpy(r->method, method, sizeof(r->method) - 1);
+	r->path = dup_string(path);
+	r->service = dup_string(service);
+	return r;
+}
+
+struct request *request_copy(const struct request *r)
+{
+	struct request *c = alloc(sizeof(*c));
+
+	*c = *r;
+	c->path = dup_string(r->path);
+	c->service = dup_string(r->service);
+	memset(&c->headers, 0, sizeof(c->headers));
+	memset(&c->body, 0, sizeof(c->body));
+	buf_append(&c->headers, r->headers.data, r->headers.len_bytes);
+	buf_append(&c->body, r->body.data, r->body.len_bytes);
+	return c;
+}
+
+void request_free(struct request *r)
+{
+	if (!r)
+		return;
+	free(r->path);
+	free(r->service);
+	buf_free(&r->headers);
+	buf_free(&r->body);
+	free(r);
+}
+
+struct answer *answer_new(enum error_kind k)
+{
+	struct answer *a = alloc(sizeof(*a));
+
+	a->kind = k;
+	a->outcome = error_info(k)->outcome;
+	a->http_status = error_info(k)->http_status;
+	return a;
+}
+
+struct answer *answer_copy(const struct answer *a)
+{
+	struct answer *c = alloc(sizeof(*c));
+
+	*c = *a;
+	memset(&c->headers, 0, sizeof(c->headers));
+	memset(&c->body, 0, sizeof(c->body));
+	buf_append(&c->headers, a->headers.data, a->headers.len_bytes);
+	buf_append(&c->body, a->body.data, a->body.len_bytes);
+	return c;
+}
+
+void answer_free(struct answer *a)
+{
+	if (!a)
+		return;
+	buf_free(&a->headers);
+	buf_free(&a->body);
+	free(a);
+}
