--- /dev/null
+++ b/cell/cell.h
@@ -0,0 +1,138 @@
+/**
+ * @file
+ * The home of a cell: admits forwarded calls once, queues them by rank, binds
+ * each to a worker at the last moment, and answers queries about them.
+ */
+#ifndef CELL_CELL_H
+#define CELL_CELL_H
+
+#include "lib/az.h"
+#include "conf/conf.h"
+#include "health/health.h"
+#include "member/member.h"
+
+struct upstream;
+
+/** Names one forward; never used for a second. */
+struct call_id {
+	uint64_t sender; /**< member id */
+	uint64_t incarnation; /**< of the sender */
+	uint64_t sequence;
+};
+
+/** A request on its way to a home. */
+struct forward {
+	struct call_id id;
+	uint64_t home_incarnation;
+	uint64_t cell;
+	uint16_t excluded; /**< bit i: not to worker i of the cell */
+	struct request *request; /**< owned */
+};
+
+void forward_free(struct forward *f);
+
+/* ---- rank queue (queue.c): plain state, time passed in ---- */
+
+struct queue_item {
+	struct queue_item *next;
+	enum rank rank;
+	int64_t enqueued_us;
+	int64_t deadline_us;
+};
+
+struct queue_settings {
+	uint32_t limit[RANK_COUNT];
+	uint8_t share_percent[RANK_COUNT];
+};
+
+struct rank_queue {
+	struct queue_settings settings;
+	struct queue_item *head[RANK_COUNT];
+	struct queue_item *tail[RANK_COUNT];
+	uint32_t depth[RANK_COUNT];
+	int64_t credit[RANK_COUNT]; /**< of the share, in dispatches x 100 */
+	int64_t service_us; /**< smoothed time between dispatches */
+	int64_t last_dispatch_us;
+};
+
+void rank_queue_init(struct rank_queue *q, const struct queue_settings *s);
+/** ERR_NONE if taken; ERR_OVERLOADED if its rank is full; else
+ * ERR_DEADLINE_NOT_RUN if it cannot be dispatched in time. */
+enum error_kind rank_queue_push(struct rank_queue *q, struct queue_item *i,
+				int64_t now_us);
+/** Next to dispatch, or NULL. Items past their deadline go to `expired`. */
+struct queue_item *rank_queue_pop(struct rank_queue *q, int64_t now_us,
+				  struct queue_item **expired);
+/** Takes one item out wherever it is; false if it is not in the queue. */
+bool rank_queue_remove(struct rank_queue *q, struct queue_item *i);
+uint32_t rank_queue_depth(const struct rank_queue *q);
+
+/* ---- call table (calls.c): plain state, time passed in ---- */
+
+#define CALLS_MAX 65536
+#define CALL_RETENTION_US (120 * US_PER_S)
+
+enum call_state {
+	CALL_NEW, /**< not seen before; now entered as running */
+	CALL_RUNNING,
+	CALL_ANSWERED,
+	CALL_SEALED,
+	CALL_FORGOTTEN, /**< may have been seen and dropped since */
+};
+
+struct call {
+	struct call_id id;
+	enum call_state state;
+	int64_t until_us; /**< kept at least until then, once ended */
+	struct answer *answer; /**< if CALL_ANSWERED */
+	void *running; /**< the home's own, if CALL_RUNNING */
+	struct call *newer;
+	struct call *older;
+};
+
+struct call_table;
+
+struct call_table *call_table_create(void);
+void call_table_destroy(struct call_table *t);
+/** Enters a forward. CALL_NEW: run it. AZ_FULL as CALL_FORGOTTEN: refuse. */
+enum call_state call_table_enter(struct call_table *t, const struct call_id *id,
+				 int64_t now_us, struct call **out);
+/** Answers a query; an unseen call becomes CALL_SEALED, or is
+ * CALL_FORGOTTEN if one as old may have been dropped. */
+enum call_state call_table_query(struct call_table *t, const struct call_id *id,
+				 int64_t now_us, struct call **out);
+/** Ends a running call; takes ownership of `a`. */
+void call_table_end(struct call_table *t, struct call *c, struct answer *a,
+		    int64_t now_us);
+uint32_t call_table_size(const struct call_table *t);
+
+/* ---- the duty ---- */
+
+struct cell_home;
+
+struct cell_settings {
+	uint64_t member_id;
+	uint64_t incarnation;
+	struct conf_current *conf;
+	struct membership *membership;
+	struct upstream *upstream;
+};
+
+struct cell_home *cell_home_create(const struct cell_settings *s,
+				   struct timer_service *timers,
+				   apr_pool_t *pool);
+enum az_status cell_home_start(struct cell_home *h);
+void cell_home_stop(struct cell_home *h);
+/** Takes ownership of `f`. `reply` gets exactly one answer. */
+void cell_home_forward(struct cell_home *h, struct forward *f,
+		       struct reply_to *reply);
+/** `reply` gets the call's answer when there is one, ERR_SEALED if it was not
+ * seen, or an answer with OUTCOME_UNKNOWN. */
+void cell_home_query(struct cell_home *h, const struct call_id *id,
+		     uint64_t home_incarnation, struct reply_to *reply);
+/** Gives up a call that is queued; one at a worker is closed. */
+void cell_home_cancel(struct cell_home *h, const struct call_id *id);
+/** Calls queued or at workers. Any thread. */
+uint32_t cell_home_in_flight(struct cell_home *h);
+
+#endif
--- /dev/null
+++ b/front/front.h
@@ -0,0 +1,98 @@
+/**
+ * @file
+ * Callers' HTTP: classification, limits, tickets, and one answer for each
+ * request.
+ */
+#ifndef FRONT_FRONT_H
+#define FRONT_FRONT_H
+
+#include "lib/az.h"
+#include "conf/conf.h"
+#include "member/member.h"
+#include "ticket/ticket.h"
+
+#define HEADER_TICKET "Azurehold-Ticket"
+#define HEADER_OUTCOME "Azurehold-Outcome"
+#define HEADER_RANK "Azurehold-Rank"
+#define HEADER_DEADLINE "Azurehold-Deadline-Ms"
+#define HEADER_ERROR "Azurehold-Error"
+#define HEADER_ORGANISATION "Azurehold-Organisation"
+#define TICKET_PATH "/.azurehold/ticket/"
+#define HEALTH_PATH "/.azurehold/health"
+#define DEADLINE_MAX_MS 300000
+
+/* ---- classification (classify.c) ---- */
+
+/** What a caller sent, as far as routing needs it; NULL if absent. */
+struct caller_input {
+	const char *method;
+	const char *path;
+	const char *organisation;
+	const char *authorization;
+	const char *rank;
+	const char *deadline_ms;
+	const char *ticket;
+};
+
+enum front_way {
+	FRONT_REFUSE, /**< see `kind` */
+	FRONT_ROUTE, /**< idempotent, or bare */
+	FRONT_TICKET, /**< to the issuer of `ticket` */
+};
+
+struct classification {
+	enum front_way way;
+	enum error_kind kind;
+	const struct conf_route *route;
+	uint64_t organisation;
+	uint32_t requests_per_s;
+	uint32_t burst;
+	enum rank rank;
+	int64_t deadline_us;
+	struct ticket ticket;
+};
+
+struct classification classify(const struct conf *c,
+			       const struct caller_input *in, int64_t now_us);
+/** A refusal by this daemon of a request that carries a ticket proves nothing
+ * about its earlier presentations: the outcome becomes unknown. */
+void refusal_for_ticket(struct answer *a, const struct classification *c);
+
+/* ---- organisation limits (limit.c) ---- */
+
+struct limiter;
+
+struct limiter *limiter_create(uint32_t buckets);
+void limiter_destroy(struct limiter *l);
+/** Takes one request of an organisation's share at this daemon: its fleet-wide
+ * rate divided by the live daemons, at least one burst. */
+bool limiter_take(struct limiter *l, uint64_t organisation,
+		  uint32_t requests_per_s, uint32_t burst, uint32_t daemons,
+		  int64_t now_us);
+
+/* ---- the duty ---- */
+
+struct front;
+struct route;
+struct peer;
+
+struct front_settings {
+	uint32_t ip;
+	uint16_t port;
+	uint64_t incarnation;
+	uint32_t in_flight_max;
+	struct conf_current *conf;
+	struct membership *membership;
+	struct route *route;
+	struct ticket_duty *ticket;
+	struct peer *peer;
+};
+
+struct front *front_create(const struct front_settings *s, apr_pool_t *pool);
+enum az_status front_start(struct front *f);
+/** The balancer's health check answers 503 from now on. */
+void front_set_stopping(struct front *f);
+uint32_t front_in_flight(struct front *f);
+void front_stop(struct front *f);
+
+#endif
--- /dev/null
+++ b/ticket/ticket.h
@@ -0,0 +1,155 @@
+/**
+ * @file
+ * Tickets: the issuer's promise that one non-idempotent request runs at most
+ * once. Issue keeps no state; the ledger holds presented tickets until expiry.
+ */
+#ifndef TICKET_TICKET_H
+#define TICKET_TICKET_H
+
+#include "lib/az.h"
+
+#define TICKET_TEXT_MAX_BYTES 128
+#define TICKET_KEY_BYTES 32
+#define TICKET_MAC_BYTES 16
+#define TICKET_LIFE_US (600 * US_PER_S)
+#define LEDGER_MAX 65536
+
+/** Contents of a ticket; all but the MAC is covered by the MAC. */
+struct ticket {
+	uint32_t ip; /**< issuer's peer address, IPv4, host byte order */
+	uint16_t port;
+	uint8_t rank;
+	uint64_t incarnation; /**< of the issuer */
+	uint64_t sequence;
+	uint64_t organisation;
+	int64_t expiry_us; /**< on the issuer's monotonic clock */
+	uint8_t mac[TICKET_MAC_BYTES];
+};
+
+/* ---- token (token.c) ---- */
+
+void ticket_sign(struct ticket *t, const uint8_t key[TICKET_KEY_BYTES]);
+bool ticket_verify(const struct ticket *t, const uint8_t key[TICKET_KEY_BYTES]);
+/** Text form: base64url without padding. */
+void ticket_format(const struct ticket *t, char out[TICKET_TEXT_MAX_BYTES]);
+/** AZ_INVALID unless `s` is the whole text of one ticket. */
+enum az_status ticket_parse(const char *s, struct ticket *out);
+
+/* ---- ledger (ledger.c): plain state, time passed in ---- */
+
+enum ledger_state {
+	LEDGER_RUNNING,
+	LEDGER_ANSWERED,
+	LEDGER_NOT_RUN,
+	LEDGER_UNKNOWN,
+};
+
+struct ledger_waiter {
+	struct ledger_waiter *next;
+	struct reply_to *reply;
+};
+
+struct ledger_entry {
+	uint64_t sequence;
+	uint64_t binding; /**< hash of organisation, method, path, body */
+	enum ledger_state state;
+	int64_t expiry_us;
+	struct answer *answer; /**< unless LEDGER_RUNNING */
+	struct ledger_waiter *waiters; /**< while LEDGER_RUNNING */
+};
+
+struct ledger;
+
+/** What a presentation leads to. */
+enum ledger_action {
+	LEDGER_RUN, /**< first: let it go ahead; the entry is running */
+	LEDGER_JOIN, /**< running: wait for its answer */
+	LEDGER_REPLY, /**< ended: `entry->answer` */
+	LEDGER_REFUSE, /**< see `kind` */
+};
+
+struct ledger_decision {
+	enum ledger_action action;
+	enum error_kind kind;
+	struct ledger_entry *entry;
+};
+
+struct ledger *ledger_create(uint64_t incarnation,
+			     const uint8_t key[TICKET_KEY_BYTES]);
+void ledger_destroy(struct ledger *l);
+uint64_t ledger_incarnation(const struct ledger *l);
+const uint8_t *ledger_key(const struct ledger *l);
+uint64_t ledger_binding(const struct request *r);
+/** Decides about a presentation; `binding` as of ledger_binding(). */
+struct ledger_decision ledger_present(struct ledger *l, const struct ticket *t,
+				      uint64_t binding, int64_t now_us);
+/** Entry of a ticket, for its status; never makes one. */
+struct ledger_decision ledger_status(struct ledger *l, const struct ticket *t,
+				     int64_t now_us);
+/** Ends a running entry; takes ownership of `a`; returns its waiters. */
+struct ledger_waiter *ledger_end(struct ledger *l, struct ledger_entry *e,
+				 struct answer *a);
+/** Drops expired entries that are not running. */
+void ledger_expire(struct ledger *l, int64_t now_us);
+/** No presentation is taken from now on. */
+void ledger_freeze(struct ledger *l);
+uint32_t ledger_size(const struct ledger *l);
+uint32_t ledger_running(const struct ledger *l);
+
+/** Calls `each` for every entry, for a handover. */
+void ledger_each(const struct ledger *l,
+		 void (*each)(const struct ledger_entry *e, void *arg),
+		 void *arg);
+/** Adds an ended entry to an adopted ledger; takes ownership of `a`.
+ * Expiry in microseconds from now on this clock. */
+enum az_status ledger_adopt(struct ledger *l, uint64_t sequence,
+			    uint64_t binding, enum ledger_state state,
+			    int64_t expiry_us, struct answer *a);
+
+/* ---- the duty ---- */
+
+struct ticket_duty;
+struct route;
+
+struct ticket_settings {
+	uint32_t ip; /**< this daemon's peer address */
+	uint16_t port;
+	uint64_t incarnation;
+	struct route *route;
+};
+
+struct ticket_duty *ticket_create(const struct ticket_settings *s,
+				  struct timer_service *timers,
+				  apr_pool_t *pool);
+enum az_status ticket_start(struct ticket_duty *d);
+void ticket_stop(struct ticket_duty *d);
+
+/** Fresh ticket of this incarnation. Any thread. AZ_DENIED once stopping. */
+enum az_status ticket_issue(struct ticket_duty *d, uint64_t organisation,
+			    enum rank rank, char out[TICKET_TEXT_MAX_BYTES]);
+/** Presents a ticket of this incarnation or an adopted one. Takes ownership of
+ * `r`; `r` NULL asks for the status only. `reply` gets exactly one answer. */
+void ticket_present(struct ticket_duty *d, const struct ticket *t,
+		    struct request *r, struct reply_to *reply);
+/** Issues no more tickets. */
+void ticket_set_stopping(struct ticket_duty *d);
+/** Presentations in flight. Any thread. */
+uint32_t ticket_in_flight(struct ticket_duty *d);
+
+/** A frozen ledger on its way to a successor. */
+struct ledger_image {
+	uint64_t incarnation;
+	uint8_t key[TICKET_KEY_BYTES];
+	int64_t clock_us; /**< the issuer's clock when it froze */
+	uint32_t count;
+	struct ledger_entry *entries; /**< `answer` owned */
+};
+
+void ledger_image_free(struct ledger_image *i);
+/** Freezes all ledgers here and copies them out, blocking until done. The
+ * caller frees the list. */
+uint32_t ticket_freeze(struct ticket_duty *d, struct ledger_image **out);
+/** Serves the image's incarnation from now on. Takes ownership. */
+enum az_status ticket_adopt(struct ticket_duty *d, struct ledger_image *i);
+
+#endif
--- /dev/null
+++ b/upstream/upstream.h
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * HTTP/1.1 to workers: pooled connections, one request on each at a time, and
+ * what is certain about a request that failed.
+ */
+#ifndef UPSTREAM_UPSTREAM_H
+#define UPSTREAM_UPSTREAM_H
+
+#include "lib/az.h"
+
+enum upstream_fault {
+	UPSTREAM_OK, /**< whole answer */
+	UPSTREAM_CONNECT_REFUSED,
+	UPSTREAM_CONNECT_TIMEOUT,
+	UPSTREAM_CLOSED_UNSENT, /**< closed before a byte of it was written */
+	UPSTREAM_CLOSED, /**< closed after a byte of it was written */
+	UPSTREAM_TRUNCATED, /**< closed or malformed inside the answer */
+	UPSTREAM_TIMEOUT,
+	UPSTREAM_TOO_LARGE,
+	UPSTREAM_CANCELLED,
+};
+
+/** True if the worker cannot have seen the request. */
+bool upstream_fault_is_not_run(enum upstream_fault f);
+
+struct upstream_result {
+	uint64_t token; /**< the sender's, as given */
+	enum upstream_fault fault;
+	struct answer *answer; /**< owned by the receiver; NULL unless OK */
+	int64_t connect_us; /**< 0 on a reused connection */
+	int64_t total_us;
+	bool fresh;
+	bool draining; /**< the worker said that it is leaving */
+};
+
+struct upstream_sink;
+
+struct upstream_sink_ops {
+	/** Runs in the upstream thread; must not block. */
+	void (*done)(struct upstream_sink *k, struct upstream_result *r);
+};
+
+struct upstream_sink {
+	const struct upstream_sink_ops *ops;
+};
+
+struct upstream_request {
+	uint64_t token; /**< unique for the sink; names it in a cancel */
+	uint32_t ip; /**< IPv4, host byte order */
+	uint16_t port;
+	uint32_t connect_timeout_ms;
+	int64_t deadline_us;
+	uint32_t idle_max; /**< idle connections kept to this worker */
+	bool fresh; /**< use a new connection */
+	/** Borrowed until `done`; the sender keeps it. */
+	const struct request *request;
+	struct upstream_sink *sink;
+};
+
+struct upstream;
+
+struct upstream *upstream_create(struct timer_service *timers,
+				 apr_pool_t *pool);
+enum az_status upstream_start(struct upstream *u);
+void upstream_stop(struct upstream *u);
+/** Sends once; never repeats a request by itself. `done` is called exactly
+ * once, unless AZ_FULL is returned. */
+enum az_status upstream_send(struct upstream *u,
+			     const struct upstream_request *r);
+/** Closes the connection of a request in flight; `done` still comes. */
+void upstream_cancel(struct upstream *u, uint64_t token);
+
+#endif
