--- a/cell/cell.h
+++ b/cell/cell.h
@@ -40,6 +40,9 @@
 	int64_t deadline_us;
 };
 
+/* Masks of queued requests rarely differ, so a short look ahead is enough. */
+#define QUEUE_SCAN_MAX 16
+
 struct queue_settings {
 	uint32_t limit[RANK_COUNT];
 	uint8_t share_percent[RANK_COUNT];
@@ -60,9 +63,13 @@
  * ERR_DEADLINE_NOT_RUN if it cannot be dispatched in time. */
 enum error_kind rank_queue_push(struct rank_queue *q, struct queue_item *i,
 				int64_t now_us);
-/** Next to dispatch, or NULL. Items past their deadline go to `expired`. */
+/** Next to dispatch among those that `fits` accepts, or NULL. Items past their
+ * deadline are linked to `expired`. At most QUEUE_SCAN_MAX of a rank are
+ * looked at. */
 struct queue_item *rank_queue_pop(struct rank_queue *q, int64_t now_us,
-				  struct queue_item **expired);
+				  bool (*fits)(const struct queue_item *i,
+					       void *arg),
+				  void *arg, struct queue_item **expired);
 /** Takes one item out wherever it is; false if it is not in the queue. */
 bool rank_queue_remove(struct rank_queue *q, struct queue_item *i);
 uint32_t rank_queue_depth(const struct rank_queue *q);
--- a/lib/lib_test.c
+++ b/lib/lib_test.c
@@ -153,7 +153,7 @@
 	static const enum error_kind unproved[] = {
 		ERR_TICKET_EXPIRED,   ERR_ISSUER_GONE, ERR_ISSUER_UNREACHABLE,
 		ERR_DEADLINE_UNKNOWN, ERR_ANSWER_LOST, ERR_ANSWER_TRUNCATED,
-		ERR_ANSWER_TOO_LARGE, ERR_INTERNAL,
+		ERR_ANSWER_TOO_LARGE, ERR_PEER_LOST,   ERR_INTERNAL,
 	};
 
 	for (uint32_t k = 0; k < ERR_KIND_COUNT; k++) {
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -106,7 +106,7 @@
 /*
  * Calls to another daemon. Each is written once, ever. `reply` gets exactly one
  * answer: the daemon's; ERR_PEER_UNREACHABLE if no byte of the call was
- * written; ERR_ANSWER_LOST if the connection broke or `deadline_us` passed.
+ * written; ERR_PEER_LOST if the connection broke or `deadline_us` passed.
  */
 
 /** Takes ownership of `f`. */
--- a/ticket/ticket.h
+++ b/ticket/ticket.h
@@ -47,6 +47,7 @@
 struct ledger_waiter {
 	struct ledger_waiter *next;
 	struct reply_to *reply;
+	int64_t deadline_us;
 };
 
 struct ledger_entry {
@@ -56,6 +57,8 @@
 	int64_t expiry_us;
 	struct answer *answer; /**< unless LEDGER_RUNNING */
 	struct ledger_waiter *waiters; /**< while LEDGER_RUNNING */
+	struct ledger_entry *next; /**< in the list of running entries */
+	struct ledger_entry *prev;
 };
 
 struct ledger;
@@ -77,6 +80,9 @@
 struct ledger *ledger_create(uint64_t incarnation,
 			     const uint8_t key[TICKET_KEY_BYTES]);
 void ledger_destroy(struct ledger *l);
+/** Issuer's clock minus this process's, for an adopted ledger. */
+void ledger_set_clock_offset(struct ledger *l, int64_t offset_us);
+int64_t ledger_clock_offset(const struct ledger *l);
 uint64_t ledger_incarnation(const struct ledger *l);
 const uint8_t *ledger_key(const struct ledger *l);
 uint64_t ledger_binding(const struct request *r);
@@ -89,6 +95,12 @@
 /** Ends a running entry; takes ownership of `a`; returns its waiters. */
 struct ledger_waiter *ledger_end(struct ledger *l, struct ledger_entry *e,
 				 struct answer *a);
+/** Running entry of a sequence, or NULL. */
+struct ledger_entry *ledger_find_running(struct ledger *l, uint64_t sequence);
+/** Takes out the waiters whose deadline has passed; lowers `next_us` to the
+ * earliest deadline that is left. */
+struct ledger_waiter *ledger_due_waiters(struct ledger *l, int64_t now_us,
+					 int64_t *next_us);
 /** Drops expired entries that are not running. */
 void ledger_expire(struct ledger *l, int64_t now_us);
 /** No presentation is taken from now on. */
@@ -101,7 +113,7 @@
 		 void (*each)(const struct ledger_entry *e, void *arg),
 		 void *arg);
 /** Adds an ended entry to an adopted ledger; takes ownership of `a`.
- * Expiry in microseconds from now on this clock. */
+ * `expiry_us` is on the issuer's clock. */
 enum az_status ledger_adopt(struct ledger *l, uint64_t sequence,
 			    uint64_t binding, enum ledger_state state,
 			    int64_t expiry_us, struct answer *a);
@@ -110,12 +122,16 @@
 
 struct ticket_duty;
 struct route;
+struct peer;
+struct membership;
 
 struct ticket_settings {
 	uint32_t ip; /**< this daemon's peer address */
 	uint16_t port;
 	uint64_t incarnation;
 	struct route *route;
+	struct peer *peer;
+	struct membership *membership;
 };
 
 struct ticket_duty *ticket_create(const struct ticket_settings *s,
@@ -127,8 +143,14 @@
 /** Fresh ticket of this incarnation. Any thread. AZ_DENIED once stopping. */
 enum az_status ticket_issue(struct ticket_duty *d, uint64_t organisation,
 			    enum rank rank, char out[TICKET_TEXT_MAX_BYTES]);
-/** Presents a ticket of this incarnation or an adopted one. Takes ownership of
- * `r`; `r` NULL asks for the status only. `reply` gets exactly one answer. */
+/** Presents a ticket to its issuer, here or at another daemon, again and again
+ * until it answers or `deadline_us`. Takes ownership of `r`; `r` NULL asks for
+ * the status only. `reply` gets exactly one answer. */
+void ticket_submit(struct ticket_duty *d, const struct ticket *t,
+		   struct request *r, int64_t deadline_us,
+		   struct reply_to *reply);
+/** Presents a ticket of this incarnation or an adopted one; for calls of other
+ * daemons. Otherwise as ticket_submit(). */
 void ticket_present(struct ticket_duty *d, const struct ticket *t,
 		    struct request *r, struct reply_to *reply);
 /** Issues no more tickets. */
@@ -147,9 +169,11 @@
 
 void ledger_image_free(struct ledger_image *i);
 /** Freezes all ledgers here and copies them out, blocking until done. The
- * caller frees the list. */
-uint32_t ticket_freeze(struct ticket_duty *d, struct ledger_image **out);
-/** Serves the image's incarnation from now on. Takes ownership. */
-enum az_status ticket_adopt(struct ticket_duty *d, struct ledger_image *i);
+ * caller frees the images and the list. */
+uint32_t ticket_freeze(struct ticket_duty *d, struct ledger_image ***out);
+/** Serves the image's incarnation from now on; takes ownership. `reply` gets
+ * ERR_NONE once it does. */
+void ticket_adopt(struct ticket_duty *d, struct ledger_image *i,
+		  struct reply_to *reply);
 
 #endif
--- /dev/null
+++ b/ticket/token.c
@@ -0,0 +1,139 @@
+#include <string.h>
+#include <arpa/inet.h>
+#include <endian.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include "ticket/ticket.h"
+
+#define TOKEN_VERSION 1
+#define BODY_BYTES 40
+#define TOKEN_BYTES (BODY_BYTES + TICKET_MAC_BYTES)
+/* Base64 of 56 bytes: 76 characters, the last of them padding. */
+#define TEXT_BYTES 75
+
+static uint8_t *put(uint8_t *p, const void *v, size_t n)
+{
+	memcpy(p, v, n);
+	return p + n;
+}
+
+static const uint8_t *get(const uint8_t *p, void *v, size_t n)
+{
+	memcpy(v, p, n);
+	return p + n;
+}
+
+static void encode_body(const struct ticket *t, uint8_t out[BODY_BYTES])
+{
+	uint8_t version = TOKEN_VERSION;
+	uint32_t ip = htonl(t->ip);
+	uint16_t port = htons(t->port);
+	uint64_t incarnation = htobe64(t->incarnation);
+	uint64_t sequence = htobe64(t->sequence);
+	uint64_t organisation = htobe64(t->organisation);
+	uint64_t expiry_us = htobe64((uint64_t)t->expiry_us);
+	uint8_t *p = out;
+
+	p = put(p, &version, sizeof(version));
+	p = put(p, &t->rank, sizeof(t->rank));
+	p = put(p, &port, sizeof(port));
+	p = put(p, &ip, sizeof(ip));
+	p = put(p, &incarnation, sizeof(incarnation));
+	p = put(p, &sequence, sizeof(sequence));
+	p = put(p, &organisation, sizeof(organisation));
+	put(p, &expiry_us, sizeof(expiry_us));
+}
+
+static void compute_mac(const struct ticket *t,
+			const uint8_t key[TICKET_KEY_BYTES],
+			uint8_t out[TICKET_MAC_BYTES])
+{
+	uint8_t body[BODY_BYTES];
+	uint8_t md[EVP_MAX_MD_SIZE];
+	unsigned int len = 0;
+
+	encode_body(t, body);
+	HMAC(EVP_sha256(), key, TICKET_KEY_BYTES, body, sizeof(body), md, &len);
+	memcpy(out, md, TICKET_MAC_BYTES);
+}
+
+void ticket_sign(struct ticket *t, const uint8_t key[TICKET_KEY_BYTES])
+{
+	compute_mac(t, key, t->mac);
+}
+
+bool ticket_verify(const struct ticket *t, const uint8_t key[TICKET_KEY_BYTES])
+{
+	uint8_t mac[TICKET_MAC_BYTES];
+
+	compute_mac(t, key, mac);
+	return !CRYPTO_memcmp(mac, t->mac, sizeof(mac));
+}
+
+void ticket_format(const struct ticket *t, char out[TICKET_TEXT_MAX_BYTES])
+{
+	uint8_t bytes[TOKEN_BYTES];
+
+	encode_body(t, bytes);
+	memcpy(bytes + BODY_BYTES, t->mac, TICKET_MAC_BYTES);
+	EVP_EncodeBlock((unsigned char *)out, bytes, sizeof(bytes));
+	out[TEXT_BYTES] = '\0';
+	for (char *c = out; *c; c++)
+		*c = *c == '+' ? '-' : *c == '/' ? '_' : *c;
+}
+
+/* Exactly the alphabet of base64url, so that one ticket has one text. */
+static enum az_status decode_text(const char *s, uint8_t out[TOKEN_BYTES + 1])
+{
+	static const char alphabet[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				       "abcdefghijklmnopqrstuvwxyz"
+				       "0123456789-_";
+	unsigned char text[TEXT_BYTES + 2];
+
+	if (strlen(s) != TEXT_BYTES || strspn(s, alphabet) != TEXT_BYTES)
+		return az_fail(AZ_INVALID,
+			       "a ticket has %d characters of "
+			       "base64url",
+			       TEXT_BYTES);
+	for (uint32_t i = 0; i < TEXT_BYTES; i++)
+		text[i] = s[i] == '-' ? '+' : s[i] == '_' ? '/' : s[i];
+	text[TEXT_BYTES] = '=';
+	text[TEXT_BYTES + 1] = '\0';
+	if (EVP_DecodeBlock(out, text, TEXT_BYTES + 1) != TOKEN_BYTES + 1)
+		return az_fail(AZ_INVALID, "a ticket is not base64url");
+	return AZ_OK;
+}
+
+enum az_status ticket_parse(const char *s, struct ticket *out)
+{
+	uint8_t bytes[TOKEN_BYTES + 1];
+	const uint8_t *p = bytes;
+	uint8_t version;
+	uint64_t expiry_us;
+	enum az_status st = decode_text(s, bytes);
+
+	if (st != AZ_OK)
+		return st;
+	p = get(p, &version, sizeof(version));
+	if (version != TOKEN_VERSION)
+		return az_fail(AZ_INVALID, "ticket version %u", version);
+	p = get(p, &out->rank, sizeof(out->rank));
+	p = get(p, &out->port, sizeof(out->port));
+	p = get(p, &out->ip, sizeof(out->ip));
+	p = get(p, &out->incarnation, sizeof(out->incarnation));
+	p = get(p, &out->sequence, sizeof(out->sequence));
+	p = get(p, &out->organisation, sizeof(out->organisation));
+	p = get(p, &expiry_us, sizeof(expiry_us));
+	memcpy(out->mac, p, TICKET_MAC_BYTES);
+	out->port = ntohs(out->port);
+	out->ip = ntohl(out->ip);
+	out->incarnation = be64toh(out->incarnation);
+	out->sequence = be64toh(out->sequence);
+	out->organisation = be64toh(out->organisation);
+	out->expiry_us = (int64_t)be64toh(expiry_us);
+	if (out->rank >= RANK_COUNT)
+		return az_fail(AZ_INVALID, "ticket with rank %u", out->rank);
+	return AZ_OK;
+}
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -18,6 +18,7 @@
 	UPSTREAM_TIMEOUT,
 	UPSTREAM_TOO_LARGE,
 	UPSTREAM_CANCELLED,
+	UPSTREAM_CANCELLED_UNSENT, /**< before a byte of it was written */
 };
 
 /** True if the worker cannot have seen the request. */
