conf: read INI texts into layered sections

inih cuts section names at 50 bytes, skips empty sections and stops telling line numbers after the first error, so the reader that feeds it takes headings and line numbers from the lines themselves. An overlay is a further layer that replaces single keys; a name given twice within one layer is an error.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -106,6 +106,12 @@
 	struct conf_error list[CONF_ERRORS_MAX];
 };
 
+/** Hash of the name of a data centre or region, as in `dc` and `region`. */
+uint32_t conf_place_id(const char *name);
+/** Records an error; `line` 0 stands for the whole file. */
+void conf_error_add(struct conf_errors *errors, const char *file, int32_t line,
+		    const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
 /** Parses base text, then the site's overlay (NULL: none), which may set or
  * replace single keys of any section. All errors are collected. */
 enum az_status conf_parse(const char *base_name, const char *base,
@@ -135,6 +141,114 @@
 /** Equal digests mean equal object versions. */
 uint64_t conf_digest(const struct conf *c);
 
+/* ---- INI text (ini.c) ---- */
+
+/** Key of a section; an overlay's key replaces the base's. */
+struct ini_key {
+	struct ini_key *next;
+	const char *name;
+	const char *value;
+	const char *file;
+	int32_t line;
+};
+
+/** "[kind name]" with its keys. */
+struct ini_section {
+	struct ini_section *next;
+	const char *kind;
+	const char *name;
+	const char *file;
+	int32_t line;
+	uint32_t layer; /**< of the text that last named it, from 1 */
+	uint32_t first_layer;
+	struct ini_key *keys;
+};
+
+/** Sections of one text, or of a text and the overlays read after it. */
+struct ini_doc {
+	apr_pool_t *pool;
+	struct apr_hash_t *by_heading;
+	struct ini_section *first;
+	struct ini_section *last;
+	uint32_t layers;
+};
+
+struct ini_doc *ini_doc_create(void);
+void ini_doc_destroy(struct ini_doc *d);
+/** Reads a text as the next layer; a name or key that one layer gives twice is
+ * an error. */
+void ini_doc_read(struct ini_doc *d, const char *file, const char *text,
+		  struct conf_errors *errors);
+/** NULL if absent. */
+const struct ini_section *ini_doc_find(const struct ini_doc *d,
+				       const char *kind, const char *name);
+const struct ini_key *ini_section_key(const struct ini_section *s,
+				      const char *name);
+
+/* ---- parts of a snapshot (check.c), shared by reference count ---- */
+
+#define CONF_SHARDS 64
+#define CONF_PATH_MAX_BYTES 512
+#define CONF_PATH_SEGMENTS_MAX 16
+
+struct conf_place {
+	char name[CONF_NAME_MAX_BYTES];
+	uint32_t dc;
+	uint32_t region;
+};
+
+/** Data centres, and what ranks have unless a service says otherwise. */
+struct conf_fleet {
+	int32_t references; /**< atomic */
+	struct conf_rank ranks[RANK_COUNT];
+	uint32_t place_count;
+	struct conf_place places[];
+};
+
+/** A service with its workers, cells and routes. */
+struct conf_part {
+	int32_t references; /**< atomic */
+	struct conf_service service;
+	uint32_t route_count;
+	struct conf_route *routes;
+	struct conf_worker *workers; /**< as service.workers, while building */
+	struct conf_cell *cells; /**< as service.cells */
+};
+
+/** The organisations whose id has one remainder modulo CONF_SHARDS. */
+struct conf_shard {
+	int32_t references; /**< atomic */
+	uint32_t count;
+	uint32_t mask;
+	uint32_t *table; /**< index + 1 by id, linear probing */
+	struct conf_organisation list[];
+};
+
+/** What a snapshot is assembled from; holds a reference to each. */
+struct conf_parts {
+	struct conf_fleet *fleet;
+	uint32_t service_count;
+	struct conf_part **services;
+	struct conf_shard *shards[CONF_SHARDS]; /**< NULL: empty */
+	uint64_t digest;
+};
+
+/** Checks a document and builds its parts. With `fleet` NULL the document's
+ * own data centres and ranks are built, else they are refused. Services that
+ * `operator_text` (NULL: none) names get its decisions. */
+enum az_status conf_build(const struct ini_doc *d, struct conf_fleet *fleet,
+			  uint64_t version, const char *operator_text,
+			  struct conf_parts *out, struct conf_errors *errors);
+void conf_parts_release(struct conf_parts *p);
+void conf_part_release(struct conf_part *p);
+void conf_fleet_release(struct conf_fleet *f);
+void conf_shard_release(struct conf_shard *s);
+uint32_t conf_shard_of(const char *organisation);
+
+/** Checks the parts against each other; retains them. */
+enum az_status conf_assemble(const struct conf_parts *p, struct conf **out,
+			     struct conf_errors *errors);
+
 /** The current snapshot of a daemon, swapped whole; any thread may read. */
 struct conf_current;
 
