--- /dev/null
+++ b/conf/conf.c
@@ -0,0 +1,508 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <apr_thread_mutex.h>
+
+#include "conf/conf.h"
+
+struct conf {
+	int32_t references; /**< atomic */
+	struct conf_parts parts; /**< services sorted by name */
+	uint32_t service_mask;
+	uint32_t *services; /**< index + 1 by id, linear probing */
+	uint32_t route_mask;
+	const struct conf_route **routes; /**< by path, linear probing */
+	uint32_t cell_mask;
+	const struct conf_cell **cells; /**< by id, linear probing */
+};
+
+static void *zeroed(size_t count, size_t size)
+{
+	void *p = calloc(count, size);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+/* Size of a table of `count` entries that stays at most two thirds full. */
+static uint32_t table_mask(uint32_t count)
+{
+	uint32_t size = 2;
+
+	while (size < count + count / 2 + 1)
+		size *= 2;
+	return size - 1;
+}
+
+struct conf *conf_retain(struct conf *c)
+{
+	__atomic_add_fetch(&c->references, 1, __ATOMIC_RELAXED);
+	return c;
+}
+
+void conf_release(struct conf *c)
+{
+	if (!c || __atomic_sub_fetch(&c->references, 1, __ATOMIC_ACQ_REL))
+		return;
+	conf_parts_release(&c->parts);
+	free(c->services);
+	free(c->routes);
+	free(c->cells);
+	free(c);
+}
+
+/* ---- assembly ---- */
+
+static void retain_parts(const struct conf_parts *p, struct conf_parts *out)
+{
+	*out = *p;
+	out->services = zeroed(p->service_count + 1, sizeof(*out->services));
+	for (uint32_t i = 0; i < p->service_count; i++) {
+		out->services[i] = p->services[i];
+		__atomic_add_fetch(&p->services[i]->references, 1,
+				   __ATOMIC_RELAXED);
+	}
+	for (uint32_t i = 0; i < CONF_SHARDS; i++)
+		if (p->shards[i])
+			__atomic_add_fetch(&p->shards[i]->references, 1,
+					   __ATOMIC_RELAXED);
+	if (p->fleet)
+		__atomic_add_fetch(&p->fleet->references, 1, __ATOMIC_RELAXED);
+}
+
+static int by_name(const void *a, const void *b)
+{
+	const struct conf_part *const *x = a;
+	const struct conf_part *const *y = b;
+
+	return strcmp((*x)->service.name, (*y)->service.name);
+}
+
+static void index_service(struct conf *c, uint32_t i,
+			  struct conf_errors *errors)
+{
+	const struct conf_service *s = &c->parts.services[i]->service;
+	uint32_t at = (uint32_t)s->id & c->service_mask;
+
+	for (; c->services[at]; at = (at + 1) & c->service_mask)
+		if (c->parts.services[c->services[at] - 1]->service.id == s->id)
+			conf_error_add(errors, s->name, 0,
+				       "service %s has the name or hash of "
+				       "another",
+				       s->name);
+	c->services[at] = i + 1;
+}
+
+static void index_cell(struct conf *c, const struct conf_cell *cell,
+		       struct conf_errors *errors)
+{
+	uint32_t at = (uint32_t)cell->id & c->cell_mask;
+
+	for (; c->cells[at]; at = (at + 1) & c->cell_mask)
+		if (c->cells[at]->id == cell->id)
+			conf_error_add(errors, cell->service->name, 0,
+				       "a cell of service %s has the hash of "
+				       "another",
+				       cell->service->name);
+	c->cells[at] = cell;
+}
+
+/* True if the comma-separated `methods` has the `len` bytes at `method`. */
+static bool has_method(const char *methods, const char *method, size_t len)
+{
+	const char *p = methods;
+
+	while (*p) {
+		size_t n = strcspn(p, ",");
+
+		if (n == len && !memcmp(p, method, n))
+			return true;
+		p += n + (p[n] == ',');
+	}
+	return false;
+}
+
+static bool methods_overlap(const char *a, const char *b)
+{
+	while (*a) {
+		size_t n = strcspn(a, ",");
+
+		if (has_method(b, a, n))
+			return true;
+		a += n + (a[n] == ',');
+	}
+	return false;
+}
+
+static uint64_t path_hash(const char *path, size_t len)
+{
+	return hash_bytes(path, len, 0);
+}
+
+static void index_route(struct conf *c, const struct conf_route *r,
+			struct conf_errors *errors)
+{
+	uint32_t at =
+		(uint32_t)path_hash(r->path, strlen(r->path)) & c->route_mask;
+
+	for (; c->routes[at]; at = (at + 1) & c->route_mask)
+		if (!strcmp(c->routes[at]->path, r->path) &&
+		    methods_overlap(c->routes[at]->methods, r->methods))
+			conf_error_add(errors, r->service->name, 0,
+				       "routes %s and %s have the same path "
+				       "and method",
+				       c->routes[at]->name, r->name);
+	c->routes[at] = r;
+}
+
+static void make_indexes(struct conf *c, struct conf_errors *errors)
+{
+	uint32_t routes = 0;
+	uint32_t cells = 0;
+
+	for (uint32_t i = 0; i < c->parts.service_count; i++) {
+		routes += c->parts.services[i]->route_count;
+		cells += c->parts.services[i]->service.cell_count;
+	}
+	c->service_mask = table_mask(c->parts.service_count);
+	c->services = zeroed(c->service_mask + 1, sizeof(*c->services));
+	c->route_mask = table_mask(routes);
+	c->routes = zeroed(c->route_mask + 1, sizeof(*c->routes));
+	c->cell_mask = table_mask(cells);
+	c->cells = zeroed(c->cell_mask + 1, sizeof(*c->cells));
+	for (uint32_t i = 0; i < c->parts.service_count; i++) {
+		const struct conf_part *p = c->parts.services[i];
+
+		index_service(c, i, errors);
+		for (uint32_t j = 0; j < p->service.cell_count; j++)
+			index_cell(c, &p->service.cells[j], errors);
+		for (uint32_t j = 0; j < p->route_count; j++)
+			index_route(c, &p->routes[j], errors);
+	}
+}
+
+enum az_status conf_assemble(const struct conf_parts *p, struct conf **out,
+			     struct conf_errors *errors)
+{
+	struct conf *c = zeroed(1, sizeof(*c));
+
+	c->references = 1;
+	retain_parts(p, &c->parts);
+	qsort(c->parts.services, c->parts.service_count,
+	      sizeof(*c->parts.services), by_name);
+	make_indexes(c, errors);
+	*out = errors->count ? NULL : c;
+	if (!errors->count)
+		return AZ_OK;
+	conf_release(c);
+	return az_fail(AZ_INVALID, "%s:%d: %s", errors->list[0].file,
+		       errors->list[0].line, errors->list[0].reason);
+}
+
+struct conf *conf_empty(void)
+{
+	struct conf_parts none = { 0 };
+	struct conf_errors errors = { 0 };
+	struct conf *c;
+
+	conf_assemble(&none, &c, &errors);
+	return c;
+}
+
+enum az_status conf_parse(const char *base_name, const char *base,
+			  const char *overlay_name, const char *overlay,
+			  struct conf **out, struct conf_errors *errors)
+{
+	struct ini_doc *d = ini_doc_create();
+	struct conf_parts parts;
+	enum az_status s;
+
+	*out = NULL;
+	errors->count = 0;
+	ini_doc_read(d, base_name, base, errors);
+	if (overlay)
+		ini_doc_read(d, overlay_name, overlay, errors);
+	s = conf_build(d, NULL, 0, NULL, &parts, errors);
+	ini_doc_destroy(d);
+	if (s != AZ_OK)
+		return s;
+	parts.digest = hash_string(base);
+	if (overlay)
+		parts.digest =
+			hash_bytes(overlay, strlen(overlay), parts.digest);
+	s = conf_assemble(&parts, out, errors);
+	conf_parts_release(&parts);
+	return s;
+}
+
+static char *read_file(const char *path, struct conf_errors *errors)
+{
+	FILE *f = fopen(path, "r");
+	struct buf b = { 0 };
+	char chunk[65536];
+	size_t n;
+
+	if (!f) {
+		conf_error_add(errors, path, 0, "cannot be opened");
+		return NULL;
+	}
+	while ((n = fread(chunk, 1, sizeof(chunk), f)))
+		buf_append(&b, chunk, (uint32_t)n);
+	if (ferror(f))
+		conf_error_add(errors, path, 0, "cannot be read");
+	if (b.data && memchr(b.data, '\0', b.len_bytes))
+		conf_error_add(errors, path, 0, "has a zero byte");
+	fclose(f);
+	buf_append(&b, "", 1);
+	return (char *)b.data;
+}
+
+enum az_status conf_load_files(const char *base_path, const char *overlay_path,
+			       struct conf **out, struct conf_errors *errors)
+{
+	enum az_status s = AZ_IO;
+	char *overlay = NULL;
+	char *base;
+
+	*out = NULL;
+	errors->count = 0;
+	base = read_file(base_path, errors);
+	if (overlay_path)
+		overlay = read_file(overlay_path, errors);
+	if (errors->count)
+		az_fail(s, "%s: %s", errors->list[0].file,
+			errors->list[0].reason);
+	else
+		s = conf_parse(base_path, base, overlay_path, overlay, out,
+			       errors);
+	free(base);
+	free(overlay);
+	return s;
+}
+
+/* ---- lookups ---- */
+
+/** A request's path without its query, as routes are compared with it. */
+struct plain_path {
+	char text[CONF_PATH_MAX_BYTES];
+	uint32_t ends[CONF_PATH_SEGMENTS_MAX + 1]; /**< of each prefix */
+	uint32_t count;
+};
+
+static int32_t hex_digit(char c)
+{
+	if (c >= '0' && c <= '9')
+		return c - '0';
+	c |= 0x20;
+	return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+/* Next character; an escaped one that needs no escape is decoded, as workers
+ * read both forms alike. */
+static char next_char(const char **p)
+{
+	const char *s = *p;
+	int32_t hi = s[0] == '%' ? hex_digit(s[1]) : -1;
+	int32_t lo = hi >= 0 ? hex_digit(s[2]) : -1;
+	char c;
+
+	(*p)++;
+	if (lo < 0)
+		return *s;
+	c = (char)(hi << 4 | lo);
+	if ((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+	    (c >= '0' && c <= '9') || (c && strchr("-._~", c))) {
+		*p += 2;
+		return c;
+	}
+	return '%';
+}
+
+/* False for a path that a worker may read as another one: with an empty
+ * segment, or "." and "..", also behind an escaped '/'. Such a path could pass
+ * as idempotent here and still reach a handler that is not. */
+static bool plain_path_set(struct plain_path *o, const char *path)
+{
+	uint32_t segment = 0;
+	uint32_t dots = 0;
+	uint32_t n = 0;
+	const char *p = path;
+
+	if (*p != '/')
+		return false;
+	o->count = 0;
+	while (*p && *p != '?' && *p != '#') {
+		const char *at = p;
+		char c = next_char(&p);
+		bool slash = c == '/' || c == '\\';
+
+		/* No route's path has a '%', so the rest needs no copy. */
+		if (c == '%' && (!strncasecmp(at, "%2f", 3) ||
+				 !strncasecmp(at, "%5c", 3))) {
+			slash = true;
+			p = at + 3;
+		}
+		if (slash && segment == dots && segment && segment <= 2)
+			return false;
+		if (c == '/' && at != path && !segment)
+			return false;
+		if (c == '/' && o->count <= CONF_PATH_SEGMENTS_MAX &&
+		    n < sizeof(o->text))
+			o->ends[o->count++] = n;
+		segment = slash ? 0 : segment + 1;
+		dots = slash ? 0 : dots + (c == '.');
+		if (n < sizeof(o->text))
+			o->text[n++] = c;
+	}
+	if (segment == dots && segment && segment <= 2)
+		return false;
+	if (segment && o->count <= CONF_PATH_SEGMENTS_MAX &&
+	    n < sizeof(o->text))
+		o->ends[o->count++] = n;
+	return true;
+}
+
+static const struct conf_route *find_exact(const struct conf *c,
+					   const char *path, size_t len,
+					   const char *method, bool *path_found)
+{
+	uint32_t at = (uint32_t)path_hash(path, len) & c->route_mask;
+	size_t n = strlen(method);
+
+	for (; c->routes[at]; at = (at + 1) & c->route_mask) {
+		const struct conf_route *r = c->routes[at];
+
+		if (strncmp(r->path, path, len) != 0 || r->path[len])
+			continue;
+		*path_found = true;
+		if (has_method(r->methods, method, n))
+			return r;
+	}
+	return NULL;
+}
+
+const struct conf_route *conf_find_route(const struct conf *c,
+					 const char *method, const char *path,
+					 enum error_kind *why)
+{
+	const struct conf_route *r;
+	struct plain_path p;
+	bool found = false;
+
+	*why = ERR_UNKNOWN_ROUTE;
+	if (!plain_path_set(&p, path))
+		return NULL;
+	for (uint32_t i = p.count; i-- > 0 && !found;) {
+		/* The first end is that of the root, whose path is "/". */
+		r = find_exact(c, p.text, p.ends[i] ? p.ends[i] : 1, method,
+			       &found);
+		if (r) {
+			*why = ERR_NONE;
+			return r;
+		}
+	}
+	if (found)
+		*why = ERR_METHOD_NOT_ALLOWED;
+	return NULL;
+}
+
+const struct conf_service *conf_find_service(const struct conf *c,
+					     const char *name)
+{
+	uint64_t id = hash_string(name);
+	uint32_t at = (uint32_t)id & c->service_mask;
+
+	for (; c->services[at]; at = (at + 1) & c->service_mask) {
+		const struct conf_service *s =
+			&c->parts.services[c->services[at] - 1]->service;
+
+		if (s->id == id && !strcmp(s->name, name))
+			return s;
+	}
+	return NULL;
+}
+
+const struct conf_organisation *conf_find_organisation(const struct conf *c,
+						       const char *name)
+{
+	const struct conf_shard *s = c->parts.shards[conf_shard_of(name)];
+	uint64_t id = hash_string(name);
+	uint32_t at;
+
+	if (!s)
+		return NULL;
+	at = (uint32_t)(id / CONF_SHARDS) & s->mask;
+	for (; s->table[at]; at = (at + 1) & s->mask) {
+		const struct conf_organisation *o = &s->list[s->table[at] - 1];
+
+		if (o->id == id && !strcmp(o->name, name))
+			return o;
+	}
+	return NULL;
+}
+
+const struct conf_cell *conf_find_cell(const struct conf *c, uint64_t id)
+{
+	uint32_t at = (uint32_t)id & c->cell_mask;
+
+	for (; c->cells[at]; at = (at + 1) & c->cell_mask)
+		if (c->cells[at]->id == id)
+			return c->cells[at];
+	return NULL;
+}
+
+uint32_t conf_service_count(const struct conf *c)
+{
+	return c->parts.service_count;
+}
+
+const struct conf_service *conf_service_at(const struct conf *c, uint32_t i)
+{
+	return i < c->parts.service_count ? &c->parts.services[i]->service :
+					    NULL;
+}
+
+uint64_t conf_digest(const struct conf *c)
+{
+	return c->parts.digest;
+}
+
+/* ---- the current snapshot ---- */
+
+struct conf_current {
+	apr_thread_mutex_t *lock;
+	struct conf *conf;
+};
+
+struct conf_current *conf_current_create(apr_pool_t *pool)
+{
+	struct conf_current *cur = apr_pcalloc(pool, sizeof(*cur));
+
+	if (apr_thread_mutex_create(&cur->lock, APR_THREAD_MUTEX_DEFAULT,
+				    pool) != APR_SUCCESS)
+		abort();
+	cur->conf = conf_empty();
+	return cur;
+}
+
+struct conf *conf_current_get(struct conf_current *cur)
+{
+	struct conf *c;
+
+	apr_thread_mutex_lock(cur->lock);
+	c = conf_retain(cur->conf);
+	apr_thread_mutex_unlock(cur->lock);
+	return c;
+}
+
+void conf_current_set(struct conf_current *cur, struct conf *c)
+{
+	struct conf *old;
+
+	apr_thread_mutex_lock(cur->lock);
+	old = cur->conf;
+	cur->conf = c;
+	apr_thread_mutex_unlock(cur->lock);
+	conf_release(old);
+}
