--- /dev/null
+++ b/member/home.c
@@ -0,0 +1,105 @@
+/**
+ * @file
+ * Rendezvous choices over a view: the home of a cell, the watchers of a data
+ * centre. Only the cells of a member that goes move, and only cells that a new
+ * member wins move to it.
+ */
+#include <string.h>
+#include <xxhash.h>
+
+#include "member/member.h"
+
+#define WATCHERS_MAX 16
+
+static uint64_t weight(uint64_t key, uint64_t id)
+{
+	return XXH3_64bits_withSeed(&id, sizeof(id), key);
+}
+
+enum scope {
+	SCOPE_DC,
+	SCOPE_REGION,
+	SCOPE_FLEET,
+};
+
+static bool in_scope(const struct member *m, enum scope s, uint32_t dc,
+		     uint32_t region)
+{
+	if (m->stopping)
+		return false;
+	if (s == SCOPE_DC)
+		return m->dc == dc;
+	return s == SCOPE_FLEET || m->region == region;
+}
+
+struct best {
+	const struct member *member;
+	uint64_t weight;
+};
+
+static void consider(struct best *b, const struct member *m, uint64_t key)
+{
+	uint64_t w = weight(key, m->id);
+
+	if (b->member &&
+	    (w < b->weight || (w == b->weight && m->id < b->member->id)))
+		return;
+	b->member = m;
+	b->weight = w;
+}
+
+const struct member *member_home(const struct member_view *v, uint64_t cell,
+				 uint32_t dc, uint32_t region)
+{
+	struct best b = { 0 };
+	const uint32_t *list;
+	uint32_t n;
+	enum scope s = SCOPE_DC;
+
+	if (member_view_dc(v, dc, &list, &n)) {
+		for (uint32_t i = 0; i < n; i++)
+			if (!v->members[list[i]].stopping)
+				consider(&b, &v->members[list[i]], cell);
+		s = SCOPE_REGION;
+	}
+	for (; !b.member && s <= SCOPE_FLEET; s++)
+		for (uint32_t i = 0; i < v->member_count; i++)
+			if (in_scope(&v->members[i], s, dc, region))
+				consider(&b, &v->members[i], cell);
+	return b.member;
+}
+
+static void insert_watcher(struct best *list, uint32_t *count, uint32_t n,
+			   const struct member *m, uint64_t key)
+{
+	/* The low bit gives way, so that stopping members come last. */
+	uint64_t w = weight(key, m->id) >> 1;
+	uint32_t i;
+
+	if (!m->stopping)
+		w |= UINT64_C(1) << 63;
+	for (i = 0; i < *count && list[i].weight >= w; i++)
+		;
+	if (i == n)
+		return;
+	if (*count < n)
+		(*count)++;
+	memmove(list + i + 1, list + i, (*count - 1 - i) * sizeof(*list));
+	list[i] = (struct best){ m, w };
+}
+
+uint32_t member_watchers(const struct member_view *v, uint64_t key, uint32_t dc,
+			 uint32_t n, const struct member **out)
+{
+	struct best best[WATCHERS_MAX];
+	uint32_t count = 0;
+
+	if (n > WATCHERS_MAX)
+		n = WATCHERS_MAX;
+	for (uint32_t i = 0; n && i < v->member_count; i++)
+		if (v->members[i].dc == dc)
+			insert_watcher(best, &count, n, &v->members[i], key);
+	for (uint32_t i = 0; i < count; i++)
+		out[i] = best[i].member;
+	return count;
+}
--- a/member/member.h
+++ b/member/member.h
@@ -46,6 +46,8 @@
 	uint8_t severity; /**< 1 to 255, worse is higher */
 };
 
+struct view_index;
+
 /** Immutable; members alive or suspected, sorted by id. */
 struct member_view {
 	int32_t references; /**< atomic */
@@ -57,6 +59,8 @@
 		*departed; /**< left with a successor, kept a while */
 	uint32_t report_count;
 	const struct report *reports; /**< of live members, sorted by subject */
+	/** Members by data centre and incarnation; NULL: lookups scan. */
+	const struct view_index *index;
 };
 
 void member_view_release(const struct member_view *v);
@@ -76,14 +80,34 @@
 const struct member *member_home(const struct member_view *v, uint64_t cell,
 				 uint32_t dc, uint32_t region);
 
+/** Chooses at most `n` members of the data centre by rendezvous on `key`, best
+ * first; returns how many. Stopping members are chosen last. */
+uint32_t member_watchers(const struct member_view *v, uint64_t key, uint32_t dc,
+			 uint32_t n, const struct member **out);
+
+/* ---- views (view.c) ---- */
+
+/** Copies of `members` (sorted by id) and the rest, with an index; one
+ * reference. */
+struct member_view *
+member_view_new(uint64_t version, const struct member *members,
+		uint32_t member_count, const struct member *departed,
+		uint32_t departed_count, const struct report *reports,
+		uint32_t report_count);
+const struct member_view *member_view_retain(const struct member_view *v);
+/** Indexes into `members` of one data centre; false if there is no index. */
+bool member_view_dc(const struct member_view *v, uint32_t dc,
+		    const uint32_t **list, uint32_t *count);
+
 struct membership;
 
 struct member_settings {
 	struct member self;
 	const char *const *seeds; /**< "ip:port" of member sockets */
 	uint32_t seed_count;
-	uint32_t period_ms; /**< protocol period; default 1000 */
-	/** Signs a datagram in place; see peer_auth in peer/peer.h. */
+	uint32_t period_ms; /**< protocol period; 0: SWIM_PERIOD_MS */
+	/** Sign and check datagrams; see peer/peer.h. NULL: no MAC, for tests
+	 * only. */
 	const struct fleet_keys *keys;
 };
 
@@ -117,6 +141,11 @@
 	const struct digest_listener_ops *ops;
 };
 
+/** Keys to sign and check by from now on. Any thread. */
+void membership_set_keys(struct membership *m, const struct fleet_keys *keys);
+/** Further "ip:port" addresses to contact until they are known. Any thread. */
+void membership_add_seeds(struct membership *m, const char *const *seeds,
+			  uint32_t count);
 void membership_listen_digest(struct membership *m, struct digest_listener *l);
 
 /** Ids of VMs on the platform's list: "live" seeds, "gone" vetoes. */
