--- /dev/null
+++ b/front/classify.c
@@ -0,0 +1,125 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "front/front.h"
+
+static struct classification refusal(enum error_kind k)
+{
+	return (struct classification){ .way = FRONT_REFUSE, .kind = k };
+}
+
+static bool has_token(const struct conf_organisation *o,
+		      const char *authorization)
+{
+	static const char scheme[] = "Bearer ";
+
+	if (!o->token_hash)
+		return true;
+	if (!authorization || strncmp(authorization, scheme, strlen(scheme)))
+		return false;
+	return hash_string(authorization + strlen(scheme)) == o->token_hash;
+}
+
+static enum error_kind check_organisation(const struct conf *c,
+					  const struct caller_input *in,
+					  struct classification *out)
+{
+	const struct conf_organisation *o;
+
+	if (!in->organisation)
+		return ERR_UNKNOWN_ORGANISATION;
+	o = conf_find_organisation(c, in->organisation);
+	if (!o || !has_token(o, in->authorization))
+		return ERR_UNKNOWN_ORGANISATION;
+	out->organisation = o->id;
+	out->requests_per_s = o->requests_per_s;
+	out->burst = o->burst;
+	return ERR_NONE;
+}
+
+/* The route's rank, or a lower one that the caller asks for. */
+static enum error_kind check_rank(const struct caller_input *in,
+				  struct classification *out)
+{
+	enum rank asked;
+
+	out->rank = out->route->rank;
+	if (!in->rank)
+		return ERR_NONE;
+	if (rank_parse(in->rank, &asked) != AZ_OK)
+		return ERR_BAD_REQUEST;
+	if (asked > out->rank)
+		out->rank = asked;
+	return ERR_NONE;
+}
+
+static enum error_kind check_deadline(const struct caller_input *in,
+				      int64_t now_us,
+				      struct classification *out)
+{
+	int64_t ms = out->route->deadline_ms;
+	char *end;
+
+	if (!ms)
+		ms = out->route->service->ranks[out->rank].deadline_ms;
+	if (in->deadline_ms) {
+		ms = strtoll(in->deadline_ms, &end, 10);
+		if (end == in->deadline_ms || *end || ms < 1 ||
+		    ms > DEADLINE_MAX_MS)
+			return az_fail(AZ_INVALID,
+				       HEADER_DEADLINE " is 1 to %d",
+				       DEADLINE_MAX_MS),
+			       ERR_BAD_REQUEST;
+	}
+	out->deadline_us = now_us + ms * US_PER_MS;
+	return ERR_NONE;
+}
+
+static enum error_kind choose_way(const struct caller_input *in,
+				  struct classification *out)
+{
+	if (out->route->idempotent) {
+		out->way = FRONT_ROUTE;
+		return ERR_NONE;
+	}
+	if (!in->ticket) {
+		out->way = FRONT_ROUTE;
+		return out->route->service->bare ? ERR_NONE :
+						   ERR_TICKET_REQUIRED;
+	}
+	out->way = FRONT_TICKET;
+	if (ticket_parse(in->ticket, &out->ticket) != AZ_OK)
+		return ERR_TICKET_MALFORMED;
+	return ERR_NONE;
+}
+
+struct classification classify(const struct conf *c,
+			       const struct caller_input *in, int64_t now_us)
+{
+	struct classification out = { .kind = ERR_NONE };
+	enum error_kind k = ERR_NONE;
+
+	out.route = conf_find_route(c, in->method, in->path, &k);
+	if (!out.route)
+		return refusal(k);
+	k = check_organisation(c, in, &out);
+	if (k == ERR_NONE)
+		k = check_rank(in, &out);
+	if (k == ERR_NONE)
+		k = check_deadline(in, now_us, &out);
+	if (k == ERR_NONE)
+		k = choose_way(in, &out);
+	if (k != ERR_NONE) {
+		out.way = FRONT_REFUSE;
+		out.kind = k;
+	}
+	return out;
+}
+
+bool refusal_proves_not_run(enum error_kind k, bool has_ticket)
+{
+	if (!has_ticket)
+		return error_info(k)->outcome == OUTCOME_NOT_RUN;
+	/* Text that is no ticket was never issued, so nothing ran under it. */
+	return k == ERR_TICKET_MALFORMED;
+}
--- a/front/front.h
+++ b/front/front.h
@@ -54,9 +54,10 @@
 
 struct classification classify(const struct conf *c,
 			       const struct caller_input *in, int64_t now_us);
-/** A refusal by this daemon of a request that carries a ticket proves nothing
- * about its earlier presentations: the outcome becomes unknown. */
-void refusal_for_ticket(struct answer *a, const struct classification *c);
+/** True if a refusal by this daemon, before it passed the request on, proves
+ * that the work did not run. Of a request that carries a ticket it proves
+ * nothing: an earlier presentation through another daemon may have run. */
+bool refusal_proves_not_run(enum error_kind k, bool has_ticket);
 
 /* ---- organisation limits (limit.c) ---- */
 
--- /dev/null
+++ b/front/limit.c
@@ -0,0 +1,85 @@
+#include <stdlib.h>
+
+#include "front/front.h"
+
+#define WAYS 4
+
+/** Token bucket of one organisation. */
+struct bucket {
+	uint64_t organisation; /**< 0: free */
+	int64_t tokens_us; /**< requests saved up, as time at its rate */
+	int64_t filled_us;
+};
+
+/** Set-associative table: an organisation that was not seen for longest gives
+ * its bucket up, which starts full again. */
+struct limiter {
+	uint32_t sets;
+	struct bucket buckets[];
+};
+
+struct limiter *limiter_create(uint32_t buckets)
+{
+	uint32_t sets = buckets / WAYS ? buckets / WAYS : 1;
+	struct limiter *l =
+		calloc(1, sizeof(*l) + sizeof(struct bucket) * sets * WAYS);
+
+	if (!l)
+		abort();
+	l->sets = sets;
+	return l;
+}
+
+void limiter_destroy(struct limiter *l)
+{
+	free(l);
+}
+
+static struct bucket *find(struct limiter *l, uint64_t organisation,
+			   bool *is_new)
+{
+	struct bucket *set = &l->buckets[organisation % l->sets * WAYS];
+	struct bucket *oldest = set;
+
+	*is_new = false;
+	for (uint32_t i = 0; i < WAYS; i++) {
+		if (set[i].organisation == organisation)
+			return &set[i];
+		if (set[i].filled_us < oldest->filled_us)
+			oldest = &set[i];
+	}
+	*is_new = true;
+	oldest->organisation = organisation;
+	return oldest;
+}
+
+bool limiter_take(struct limiter *l, uint64_t organisation,
+		  uint32_t requests_per_s, uint32_t burst, uint32_t daemons,
+		  int64_t now_us)
+{
+	int64_t cost_us;
+	int64_t full_us;
+	bool is_new;
+	struct bucket *b;
+
+	if (!requests_per_s)
+		return true;
+	if (!daemons)
+		daemons = 1;
+	if (!burst)
+		burst = 1;
+	cost_us = US_PER_S * daemons / requests_per_s;
+	full_us = cost_us * burst;
+	b = find(l, organisation, &is_new);
+	if (is_new)
+		b->tokens_us = full_us;
+	else
+		b->tokens_us += now_us - b->filled_us;
+	b->filled_us = now_us;
+	if (b->tokens_us > full_us)
+		b->tokens_us = full_us;
+	if (b->tokens_us < cost_us)
+		return false;
+	b->tokens_us -= cost_us;
+	return true;
+}
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -50,6 +50,78 @@
 bool fleet_verify(const struct fleet_keys *k, uint32_t key_id, const void *data,
 		  size_t len_bytes, const uint8_t mac[FLEET_MAC_BYTES]);
 
+/* ---- records (rpc.c) ---- */
+
+/** State of one connection's authentication; both ends hold the same. */
+struct peer_session {
+	uint64_t client_nonce;
+	uint64_t server_nonce;
+	uint64_t sent; /**< sequence of the last record sent */
+	uint64_t received; /**< of the last accepted; must rise */
+};
+
+/** Header of a received record. */
+struct peer_record {
+	bool is_call;
+	uint32_t xid;
+	uint32_t procedure; /**< of a call */
+	const uint8_t *body; /**< arguments or results, inside the record */
+	uint32_t body_bytes;
+};
+
+struct peer_hello {
+	uint64_t member_id;
+	uint64_t incarnation;
+	uint64_t nonce;
+};
+
+/** Appends a record mark, an RPC call or reply header signed for the session,
+ * and the body. */
+void peer_put_call(struct buf *out, struct peer_session *s,
+		   const struct fleet_keys *k, uint32_t xid,
+		   enum peer_procedure proc, const struct buf *body);
+void peer_put_reply(struct buf *out, struct peer_session *s,
+		    const struct fleet_keys *k, uint32_t xid,
+		    const struct buf *body);
+/** Bytes of the first whole record with its mark in `in`, 0 if it is not whole
+ * yet; AZ_INVALID in `st` if its length is over the limit. */
+uint32_t peer_record_bytes(const uint8_t *in, uint32_t len_bytes,
+			   enum az_status *st);
+/** Parses and verifies one whole record; `from_client` tells its direction.
+ * AZ_DENIED if MAC or sequence is wrong. */
+enum az_status peer_get_record(const uint8_t *in, uint32_t len_bytes,
+			       bool from_client, struct peer_session *s,
+			       const struct fleet_keys *k,
+			       struct peer_record *out);
+
+/* Bodies: put functions append to `out`, get functions return AZ_INVALID on
+ * malformed input and then own nothing. */
+
+void peer_put_hello(struct buf *out, const struct peer_hello *h);
+enum az_status peer_get_hello(const struct peer_record *r,
+			      struct peer_hello *h);
+void peer_put_answer(struct buf *out, const struct answer *a);
+enum az_status peer_get_answer(const struct peer_record *r, struct answer **a);
+void peer_put_forward(struct buf *out, const struct forward *f, int64_t now_us);
+enum az_status peer_get_forward(const struct peer_record *r, int64_t now_us,
+				struct forward **f);
+void peer_put_present(struct buf *out, const struct ticket *t,
+		      const struct request *q, int64_t now_us);
+enum az_status peer_get_present(const struct peer_record *r, int64_t now_us,
+				struct ticket *t, struct request **q);
+void peer_put_query(struct buf *out, const struct call_id *id,
+		    uint64_t home_incarnation);
+enum az_status peer_get_query(const struct peer_record *r, struct call_id *id,
+			      uint64_t *home_incarnation);
+void peer_put_handover(struct buf *out, const struct ledger_image *i);
+enum az_status peer_get_handover(const struct peer_record *r,
+				 struct ledger_image **i);
+void peer_put_reach(struct buf *out, uint32_t ip, uint16_t port);
+enum az_status peer_get_reach(const struct peer_record *r, uint32_t *ip,
+			      uint16_t *port);
+void peer_put_bytes(struct buf *out, const struct buf *body);
+enum az_status peer_get_bytes(const struct peer_record *r, struct buf *body);
+
 /* ---- the duty ---- */
 
 /** Where to call; a daemon of another incarnation refuses the connection. */
--- a/route/route.h
+++ b/route/route.h
@@ -26,8 +26,10 @@
 	int64_t tokens_percent; /**< 100 allow one retry */
 };
 
+void retry_budget_init(struct retry_budget *b);
 void retry_budget_request(struct retry_budget *b, uint8_t percent);
-bool retry_budget_take(struct retry_budget *b);
+bool retry_budget_has(const struct retry_budget *b);
+void retry_budget_take(struct retry_budget *b);
 
 /* ---- pick (pick.c) ---- */
 
@@ -53,6 +55,33 @@
 /** Nearest cell with workers that are not excluded, not busy, not tried. */
 struct pick pick_cell(const struct pick_input *in);
 
+/* ---- what to do with an answer of an attempt (decide.c) ---- */
+
+enum route_action {
+	ROUTE_FINISH, /**< give this answer to the caller */
+	ROUTE_RETRY, /**< a new attempt, with a new call id */
+	ROUTE_QUERY, /**< ask the home what became of the call, or seal it */
+	ROUTE_WAIT, /**< another attempt is still out */
+};
+
+struct route_input {
+	enum error_kind kind;
+	enum outcome outcome;
+	bool idempotent;
+	bool others_out; /**< a hedge of this request is in flight */
+	bool in_time; /**< the caller's deadline has not passed */
+	bool may_resolve; /**< the home still answers, and there is time */
+	uint32_t attempts;
+	bool budget; /**< the retry budget has one left */
+};
+
+#define ATTEMPTS_MAX 4
+
+/** A non-idempotent request is tried again only after a proved not-run. */
+enum route_action route_decide(const struct route_input *in);
+/** True if a retry for this reason takes from the retry budget. */
+bool route_costs_budget(enum error_kind k);
+
 /* ---- the duty ---- */
 
 struct route;
@@ -73,8 +102,11 @@
 			   struct timer_service *timers, apr_pool_t *pool);
 enum az_status route_start(struct route *r);
 void route_stop(struct route *r);
-/** Takes ownership of `q`; `reply` gets exactly one answer by its deadline. */
-void route_submit(struct route *r, struct request *q, struct reply_to *reply);
+/** Takes ownership of `q`; `reply` gets exactly one answer. An idempotent
+ * request is answered by its deadline. For another one the home is asked until
+ * `resolve_until_us`, so that its end becomes known if that can be. */
+void route_submit(struct route *r, struct request *q, int64_t resolve_until_us,
+		  struct reply_to *reply);
 /** Requests not yet answered. Any thread. */
 uint32_t route_in_flight(struct route *r);
 
--- a/ticket/ticket.c
+++ b/ticket/ticket.c
@@ -13,6 +13,8 @@
 #define EXPIRE_EVERY_US (10 * US_PER_S)
 #define REPRESENT_AFTER_US (200 * US_PER_MS)
 #define ADOPTED_MAX 16
+/* A home is asked about a call for this long after the deadline. */
+#define RESOLVE_US (15 * US_PER_S)
 
 /** A ticket presented through this daemon to an issuer elsewhere. */
 struct submission {
@@ -36,6 +38,8 @@
 	struct ledger *ledgers[1 + ADOPTED_MAX]; /**< own first */
 	int64_t adopted_us[1 + ADOPTED_MAX];
 	uint32_t ledger_count;
+	struct ledger *arriving; /**< parts of it are still missing */
+	uint32_t arriving_next;
 	struct submission *submissions;
 	uint64_t next_submission;
 	int64_t armed_us;
@@ -191,7 +195,8 @@
 	r->incarnation = t->incarnation;
 	r->sequence = t->sequence;
 	__atomic_add_fetch(&d->in_flight, 1, __ATOMIC_RELAXED);
-	route_submit(d->settings.route, q, &r->reply);
+	route_submit(d->settings.route, q, q->deadline_us + RESOLVE_US,
+		     &r->reply);
 }
 
 static void wait_for(struct ticket_duty *d, struct ledger_entry *e,
@@ -500,12 +505,44 @@
 	free(i);
 }
 
+/** Parts of all frozen ledgers, in order. */
+struct image_list {
+	struct ledger_image **parts;
+	uint32_t count;
+	uint32_t bytes; /**< of answers in the last part */
+	const struct ledger *ledger;
+	int64_t clock_us;
+};
+
+static struct ledger_image *new_part(struct image_list *list, uint32_t part)
+{
+	struct ledger_image *i = alloc(sizeof(*i));
+
+	i->incarnation = ledger_incarnation(list->ledger);
+	memcpy(i->key, ledger_key(list->ledger), sizeof(i->key));
+	i->clock_us = list->clock_us;
+	i->part = part;
+	i->entries =
+		alloc((ledger_size(list->ledger) + 1) * sizeof(*i->entries));
+	list->parts = realloc(
+		list->parts, (list->count + 1) * sizeof(struct ledger_image *));
+	if (!list->parts)
+		abort();
+	list->parts[list->count++] = i;
+	list->bytes = 0;
+	return i;
+}
+
 /* A run that has not ended may have an effect that this daemon will not see. */
 static void copy_entry(const struct ledger_entry *e, void *arg)
 {
-	struct ledger_image *i = arg;
-	struct ledger_entry *to = &i->entries[i->count++];
+	struct image_list *list = arg;
+	struct ledger_image *i = list->parts[list->count - 1];
+	struct ledger_entry *to;
 
+	if (list->bytes >= IMAGE_PART_BYTES)
+		i = new_part(list, i->part + 1);
+	to = &i->entries[i->count++];
 	to->sequence = e->sequence;
 	to->binding = e->binding;
 	to->expiry_us = e->expiry_us;
@@ -516,16 +553,20 @@
 		to->state = e->state;
 		to->answer = answer_copy(e->answer);
 	}
+	list->bytes += sizeof(*to) + to->answer->headers.len_bytes +
+		       to->answer->body.len_bytes;
 }
 
-static void copy_out(struct ledger *l, int64_t now_us, struct ledger_image *i)
+static void copy_out(struct ledger *l, int64_t now_us, struct image_list *list)
 {
-	memset(i, 0, sizeof(*i));
-	i->incarnation = ledger_incarnation(l);
-	memcpy(i->key, ledger_key(l), sizeof(i->key));
-	i->clock_us = now_us + ledger_clock_offset(l);
-	i->entries = alloc((ledger_size(l) + 1) * sizeof(*i->entries));
-	ledger_each(l, copy_entry, i);
+	uint32_t first = list->count;
+
+	list->ledger = l;
+	list->clock_us = now_us + ledger_clock_offset(l);
+	new_part(list, 0);
+	ledger_each(l, copy_entry, list);
+	for (uint32_t i = first; i < list->count; i++)
+		list->parts[i]->parts = list->count - first;
 }
 
 struct freeze_msg {
@@ -533,8 +574,7 @@
 	pthread_mutex_t lock;
 	pthread_cond_t done_cond;
 	bool done;
-	struct ledger_image *images[1 + ADOPTED_MAX];
-	uint32_t count;
+	struct image_list list;
 };
 
 static void freeze_run(struct msg *m, struct duty *to)
@@ -544,9 +584,8 @@
 
 	pthread_mutex_lock(&f->lock);
 	for (uint32_t i = 0; i < d->ledger_count; i++) {
-		f->images[f->count] = alloc(sizeof(struct ledger_image));
 		ledger_freeze(d->ledgers[i]);
-		copy_out(d->ledgers[i], d->duty.now_us, f->images[f->count++]);
+		copy_out(d->ledgers[i], d->duty.now_us, &f->list);
 	}
 	f->done = true;
 	pthread_cond_signal(&f->done_cond);
@@ -576,9 +615,8 @@
 	while (!f.done)
 		pthread_cond_wait(&f.done_cond, &f.lock);
 	pthread_mutex_unlock(&f.lock);
-	*out = alloc((f.count + 1) * sizeof(**out));
-	memcpy(*out, f.images, f.count * sizeof(**out));
-	return f.count;
+	*out = f.list.parts;
+	return f.list.count;
 }
 
 struct adopt_msg {
@@ -587,18 +625,47 @@
 	struct reply_to *reply;
 };
 
+static void serve(struct ticket_duty *d, struct ledger *l)
+{
+	d->adopted_us[d->ledger_count] = d->duty.now_us;
+	d->ledgers[d->ledger_count++] = l;
+	log_write(LOG_INFO, "ticket",
+		  "ledger adopted incarnation=%016llx entries=%u",
+		  (unsigned long long)ledger_incarnation(l), ledger_size(l));
+}
+
+/* A new first part starts over, as its sender gave up the earlier try. */
+static struct ledger *arriving_ledger(struct ticket_duty *d,
+				      const struct ledger_image *i)
+{
+	if (d->arriving &&
+	    (!i->part || ledger_incarnation(d->arriving) != i->incarnation)) {
+		ledger_destroy(d->arriving);
+		d->arriving = NULL;
+	}
+	if (!i->part && !d->arriving) {
+		d->arriving = ledger_create(i->incarnation, i->key);
+		d->arriving_next = 0;
+		ledger_set_clock_offset(d->arriving,
+					i->clock_us - d->duty.now_us);
+	}
+	return d->arriving;
+}
+
 static enum error_kind adopt(struct ticket_duty *d, struct ledger_image *i)
 {
-	struct ledger *l = ledger_of(d, i->incarnation);
+	struct ledger *l;
 
 	/* A second image of one incarnation changes nothing. */
-	if (l)
+	if (ledger_of(d, i->incarnation))
 		return ERR_NONE;
 	if (d->ledger_count == 1 + ADOPTED_MAX ||
 	    __atomic_load_n(&d->stopping, __ATOMIC_ACQUIRE))
 		return ERR_STOPPING;
-	l = ledger_create(i->incarnation, i->key);
-	ledger_set_clock_offset(l, i->clock_us - d->duty.now_us);
+	l = arriving_ledger(d, i);
+	if (!l || i->part != d->arriving_next)
+		return ERR_BAD_REQUEST;
+	d->arriving_next++;
 	for (uint32_t n = 0; n < i->count; n++) {
 		struct ledger_entry *e = &i->entries[n];
 
@@ -606,11 +673,10 @@
 			     e->answer);
 		e->answer = NULL;
 	}
-	d->adopted_us[d->ledger_count] = d->duty.now_us;
-	d->ledgers[d->ledger_count++] = l;
-	log_write(LOG_INFO, "ticket",
-		  "ledger adopted incarnation=%016llx entries=%u",
-		  (unsigned long long)i->incarnation, i->count);
+	if (d->arriving_next == i->parts) {
+		serve(d, l);
+		d->arriving = NULL;
+	}
 	return ERR_NONE;
 }
 
@@ -737,6 +803,8 @@
 	for (uint32_t i = 0; i < d->ledger_count; i++)
 		ledger_destroy(d->ledgers[i]);
 	d->ledger_count = 0;
+	if (d->arriving)
+		ledger_destroy(d->arriving);
 }
 
 static const struct duty_ops duty_ops = { "ticket", on_timer, on_stop };
--- a/ticket/ticket.h
+++ b/ticket/ticket.h
@@ -158,9 +158,15 @@
 /** Presentations in flight. Any thread. */
 uint32_t ticket_in_flight(struct ticket_duty *d);
 
-/** A frozen ledger on its way to a successor. */
+#define IMAGE_PART_BYTES (1U << 20)
+
+/** Part of a frozen ledger on its way to a successor, which serves the
+ * incarnation only once it has all parts: an entry that is missing would look
+ * like an unused ticket. */
 struct ledger_image {
 	uint64_t incarnation;
+	uint32_t part; /**< from 0, sent in this order */
+	uint32_t parts;
 	uint8_t key[TICKET_KEY_BYTES];
 	int64_t clock_us; /**< the issuer's clock when it froze */
 	uint32_t count;
@@ -169,10 +175,10 @@
 
 void ledger_image_free(struct ledger_image *i);
 /** Freezes all ledgers here and copies them out, blocking until done. The
- * caller frees the images and the list. */
+ * caller frees the parts and the list. */
 uint32_t ticket_freeze(struct ticket_duty *d, struct ledger_image ***out);
-/** Serves the image's incarnation from now on; takes ownership. `reply` gets
- * ERR_NONE once it does. */
+/** Takes one part; takes ownership. `reply` gets ERR_NONE, after the last part
+ * once the incarnation is served here. */
 void ticket_adopt(struct ticket_duty *d, struct ledger_image *i,
 		  struct reply_to *reply);
 
