--- /dev/null
+++ b/fake/faults.h
@@ -0,0 +1,295 @@
+/**
+ * @file
+ * Faults of a stand-in worker as vtables. Does no I/O; time is passed in.
+ */
+#ifndef FAKE_FAULTS_H
+#define FAKE_FAULTS_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake/slots.h"
+
+enum fault_action {
+	FAULT_PASS, /**< as a healthy worker */
+	FAULT_ERROR, /**< 500 */
+	FAULT_SHED, /**< 503, not run */
+	FAULT_HALF, /**< whole Content-Length, half of the body, close */
+	FAULT_SILENT, /**< never answered */
+	FAULT_CLOSE, /**< closed without an answer */
+	FAULT_LATE, /**< answered `ms` later */
+};
+
+/** What a fault can see of a request. */
+struct fault_request {
+	bool post;
+	bool reused; /**< not the first on its connection */
+};
+
+struct fault;
+
+/** What varies between faults. Members may be NULL: no effect. */
+struct fault_ops {
+	const char *name;
+	/** Before the work runs. */
+	enum fault_action (*request)(struct fault *f,
+				     const struct fault_request *r,
+				     int64_t now_us);
+	/** After the work ran. */
+	enum fault_action (*answer)(struct fault *f,
+				    const struct fault_request *r,
+				    int64_t now_us);
+	/** Changes a service time. */
+	int64_t (*service_us)(struct fault *f, int64_t us, int64_t now_us);
+	bool refuses_connections; /**< leaves them in the listen queue */
+	bool silences_open; /**< connections open when it begins go silent */
+	bool draining; /**< answers say so, health is 503 */
+	bool hidden; /**< the health endpoint never tells */
+};
+
+struct fault {
+	const struct fault_ops *ops;
+	uint32_t factor_percent; /**< slow: 1000 is ten times */
+	uint32_t percent; /**< of the requests that are affected */
+	uint32_t every; /**< late: one answer in so many */
+	uint32_t count; /**< late: answers seen */
+	int64_t ms; /**< late: delay */
+	int64_t period_us; /**< flap: on and off for this long each */
+	int64_t began_us;
+	const struct fault_ops *inner; /**< flap: fault while on */
+	struct draw draw;
+};
+
+static inline int64_t slow_service_us(struct fault *f, int64_t us,
+				      int64_t now_us)
+{
+	return us * f->factor_percent / 100;
+}
+
+static inline enum fault_action some(struct fault *f, enum fault_action a)
+{
+	return draw_percent(&f->draw, f->percent) ? a : FAULT_PASS;
+}
+
+static inline enum fault_action
+some_error(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	return some(f, FAULT_ERROR);
+}
+
+static inline enum fault_action
+some_half(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	return some(f, FAULT_HALF);
+}
+
+static inline enum fault_action
+some_silent(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	return some(f, FAULT_SILENT);
+}
+
+static inline enum fault_action
+some_shed(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	return some(f, FAULT_SHED);
+}
+
+static inline enum fault_action close_reused_post(struct fault *f,
+						  const struct fault_request *r,
+						  int64_t now_us)
+{
+	return r->post && r->reused ? some(f, FAULT_CLOSE) : FAULT_PASS;
+}
+
+static inline enum fault_action
+late_answer(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	return ++f->count % f->every ? FAULT_PASS : FAULT_LATE;
+}
+
+static inline bool flap_is_on(const struct fault *f, int64_t now_us)
+{
+	return (now_us - f->began_us) / f->period_us % 2 == 0;
+}
+
+static inline enum fault_action
+flap_request(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	if (!f->inner->request || !flap_is_on(f, now_us))
+		return FAULT_PASS;
+	return f->inner->request(f, r, now_us);
+}
+
+static inline enum fault_action
+flap_answer(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	if (!f->inner->answer || !flap_is_on(f, now_us))
+		return FAULT_PASS;
+	return f->inner->answer(f, r, now_us);
+}
+
+static inline int64_t flap_service_us(struct fault *f, int64_t us,
+				      int64_t now_us)
+{
+	if (!f->inner->service_us || !flap_is_on(f, now_us))
+		return us;
+	return f->inner->service_us(f, us, now_us);
+}
+
+static const struct fault_ops fault_modes[] = {
+	{ .name = "none", .hidden = true },
+	{ .name = "slow", .service_us = slow_service_us },
+	{ .name = "errors", .answer = some_error },
+	{ .name = "half", .answer = some_half },
+	{ .name = "accept-silent", .request = some_silent },
+	{ .name = "no-accept", .refuses_connections = true },
+	{ .name = "one-sided", .answer = some_silent },
+	{ .name = "flap",
+	  .request = flap_request,
+	  .answer = flap_answer,
+	  .service_us = flap_service_us },
+	{ .name = "silent-connections", .silences_open = true, .hidden = true },
+	{ .name = "close-after-read", .answer = close_reused_post },
+	/* Shed load is no ill health. */
+	{ .name = "shed", .request = some_shed, .hidden = true },
+	{ .name = "drain", .draining = true },
+	{ .name = "late", .answer = late_answer },
+	{ .name = "crossed", .answer = late_answer },
+};
+
+#define FAULT_MODES (sizeof(fault_modes) / sizeof(fault_modes[0]))
+
+/** NULL if there is no such mode. */
+static inline const struct fault_ops *fault_find(const char *name)
+{
+	for (uint32_t i = 0; i < FAULT_MODES; i++)
+		if (!strcmp(fault_modes[i].name, name))
+			return &fault_modes[i];
+	return NULL;
+}
+
+/** No fault. */
+static inline void fault_init(struct fault *f, uint64_t seed)
+{
+	memset(f, 0, sizeof(*f));
+	f->ops = fault_find("none");
+	draw_seed(&f->draw, seed);
+}
+
+static inline enum az_status fault_parse_mode(const char *value,
+					      const struct fault_ops **out)
+{
+	char names[256] = "";
+
+	*out = fault_find(value);
+	if (*out)
+		return AZ_OK;
+	for (uint32_t i = 0; i < FAULT_MODES; i++) {
+		strcat(names, " ");
+		strcat(names, fault_modes[i].name);
+	}
+	return az_fail(AZ_INVALID, "unknown mode '%s'; one of:%s", value,
+		       names);
+}
+
+static inline enum az_status fault_parse_field(struct fault *f, const char *key,
+					       const char *value)
+{
+	char *end;
+	double v;
+
+	if (!strcmp(key, "mode"))
+		return fault_parse_mode(value, &f->ops);
+	if (!strcmp(key, "inner"))
+		return fault_parse_mode(value, &f->inner);
+	v = strtod(value, &end);
+	if (end == value || *end || !(v >= 0 && v <= 1e6))
+		return az_fail(AZ_INVALID,
+			       "%s: '%s' is not a number from 0 to 1000000",
+			       key, value);
+	if (!strcmp(key, "factor"))
+		f->factor_percent = (uint32_t)(v * 100);
+	else if (!strcmp(key, "percent"))
+		f->percent = (uint32_t)v;
+	else if (!strcmp(key, "every") && v >= 1)
+		f->every = (uint32_t)v;
+	else if (!strcmp(key, "ms"))
+		f->ms = (int64_t)v;
+	else if (!strcmp(key, "period_ms") && v >= 1)
+		f->period_us = (int64_t)(v * US_PER_MS);
+	else
+		return az_fail(AZ_INVALID, "bad field '%s=%s'", key, value);
+	return AZ_OK;
+}
+
+/** Begins a fault, as "mode=slow&factor=10". Other fields: percent, every, ms,
+ * period_ms, inner (flap). AZ_INVALID leaves `f` as it is. */
+static inline enum az_status fault_parse(struct fault *f, const char *query,
+					 int64_t now_us)
+{
+	struct fault new = { .factor_percent = 1000,
+			     .percent = 100,
+			     .every = 10,
+			     .ms = 500,
+			     .period_us = 2 * US_PER_S,
+			     .began_us = now_us,
+			     .inner = fault_find("errors"),
+			     .draw = f->draw };
+	char copy[256];
+	char *save;
+
+	if (strlen(query) >= sizeof(copy))
+		return az_fail(AZ_INVALID, "query is too long");
+	strcpy(copy, query);
+	for (char *p = strtok_r(copy, "&", &save); p;
+	     p = strtok_r(NULL, "&", &save)) {
+		char *value = strchr(p, '=');
+		enum az_status s;
+
+		if (!value)
+			return az_fail(AZ_INVALID, "'%s' has no value", p);
+		*value++ = 0;
+		s = fault_parse_field(&new, p, value);
+		if (s != AZ_OK)
+			return s;
+	}
+	if (!new.ops)
+		return az_fail(AZ_INVALID, "mode is missing");
+	/* A flap inside a flap would call itself without end. */
+	if (new.inner->request == flap_request)
+		return az_fail(AZ_INVALID, "the inner mode cannot be flap");
+	*f = new;
+	return AZ_OK;
+}
+
+static inline enum fault_action
+fault_on_request(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	return f->ops->request ? f->ops->request(f, r, now_us) : FAULT_PASS;
+}
+
+static inline enum fault_action
+fault_on_answer(struct fault *f, const struct fault_request *r, int64_t now_us)
+{
+	return f->ops->answer ? f->ops->answer(f, r, now_us) : FAULT_PASS;
+}
+
+static inline int64_t fault_service_us(struct fault *f, int64_t us,
+				       int64_t now_us)
+{
+	return f->ops->service_us ? f->ops->service_us(f, us, now_us) : us;
+}
+
+/** What the health endpoint says; it learns of a fault `lag_us` late, but of
+ * draining at once. */
+static inline bool fault_health_ok(const struct fault *f, int64_t lag_us,
+				   int64_t now_us)
+{
+	if (f->ops->draining)
+		return false;
+	return f->ops->hidden || now_us - f->began_us < lag_us;
+}
+
+#endif
