--- /dev/null
+++ b/fake/objects.h
@@ -0,0 +1,332 @@
+/**
+ * @file
+ * State of the stand-in for the platform's store: objects with versions,
+ * conditions, watch decisions, the copy that an old restore serves, and faults.
+ * Does no I/O, HTTP or JSON.
+ */
+#ifndef FAKE_OBJECTS_H
+#define FAKE_OBJECTS_H
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/az.h"
+
+#define OBJECT_MAX_BYTES (1U << 20)
+#define OBJECT_KEY_MAX_BYTES 512
+
+/** One object, or the mark of a deleted one. */
+struct object {
+	char *key;
+	uint64_t version; /**< store-wide revision of its last write */
+	bool deleted;
+	struct buf value;
+};
+
+/** Sorted by key. */
+struct objects {
+	uint64_t revision; /**< rises with each write */
+	uint32_t count;
+	uint32_t room;
+	struct object *list;
+};
+
+enum condition_kind {
+	CONDITION_NONE,
+	CONDITION_VERSION, /**< only at this version */
+	CONDITION_ABSENT, /**< only if there is no such object */
+};
+
+struct condition {
+	enum condition_kind kind;
+	uint64_t version;
+};
+
+/** Condition of If-Match and If-None-Match values; NULL if absent. */
+static inline enum az_status condition_parse(const char *if_match,
+					     const char *if_none_match,
+					     struct condition *out)
+{
+	char *end;
+
+	out->kind = CONDITION_NONE;
+	out->version = 0;
+	if (if_match && if_none_match)
+		return az_fail(AZ_INVALID, "If-Match with If-None-Match");
+	if (if_none_match) {
+		if (strcmp(if_none_match, "*"))
+			return az_fail(AZ_INVALID, "If-None-Match must be *");
+		out->kind = CONDITION_ABSENT;
+	}
+	if (if_match) {
+		out->kind = CONDITION_VERSION;
+		out->version = strtoull(if_match, &end, 10);
+		if (*if_match < '0' || *if_match > '9' || *end)
+			return az_fail(AZ_INVALID,
+				       "If-Match: '%s' is not a "
+				       "version",
+				       if_match);
+	}
+	return AZ_OK;
+}
+
+/** Index of the first object whose key is not below `key`. */
+static inline uint32_t objects_lower_bound(const struct objects *o,
+					   const char *key)
+{
+	uint32_t low = 0;
+	uint32_t high = o->count;
+
+	while (low < high) {
+		uint32_t mid = low + (high - low) / 2;
+
+		if (strcmp(o->list[mid].key, key) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+/** Also finds the mark of a deleted object; NULL if there is none. */
+static inline struct object *objects_find(const struct objects *o,
+					  const char *key)
+{
+	uint32_t i = objects_lower_bound(o, key);
+
+	if (i == o->count || strcmp(o->list[i].key, key))
+		return NULL;
+	return &o->list[i];
+}
+
+/** Live object or NULL. */
+static inline const struct object *objects_get(const struct objects *o,
+					       const char *key)
+{
+	const struct object *x = objects_find(o, key);
+
+	return x && !x->deleted ? x : NULL;
+}
+
+static inline struct object *objects_insert(struct objects *o, const char *key)
+{
+	uint32_t i = objects_lower_bound(o, key);
+
+	if (o->count == o->room) {
+		o->room = o->room ? 2 * o->room : 64;
+		o->list = realloc(o->list, o->room * sizeof(*o->list));
+		if (!o->list)
+			abort();
+	}
+	memmove(&o->list[i + 1], &o->list[i],
+		(o->count - i) * sizeof(*o->list));
+	memset(&o->list[i], 0, sizeof(o->list[i]));
+	o->list[i].key = strdup(key);
+	o->count++;
+	return &o->list[i];
+}
+
+/** AZ_CONFLICT if the condition does not hold for `x` (NULL: absent). */
+static inline enum az_status condition_check(const struct condition *c,
+					     const struct object *x)
+{
+	switch (c->kind) {
+	case CONDITION_VERSION:
+		if (!x || x->version != c->version)
+			return az_fail(AZ_CONFLICT, "version is %llu",
+				       x ? (unsigned long long)x->version : 0);
+		break;
+	case CONDITION_ABSENT:
+		if (x)
+			return az_fail(AZ_CONFLICT, "object exists");
+		break;
+	case CONDITION_NONE:
+		break;
+	}
+	return AZ_OK;
+}
+
+/** Writes if the condition holds. `version` is set to the current version,
+ * also on AZ_CONFLICT (0: absent). AZ_FULL above OBJECT_MAX_BYTES. */
+static inline enum az_status objects_put(struct objects *o, const char *key,
+					 const struct condition *c,
+					 const void *data, uint32_t len_bytes,
+					 uint64_t *version)
+{
+	const struct object *old = objects_get(o, key);
+	struct object *x;
+	enum az_status s;
+
+	*version = old ? old->version : 0;
+	if (len_bytes > OBJECT_MAX_BYTES)
+		return az_fail(AZ_FULL, "value is above 1 MB");
+	if (!*key || strlen(key) >= OBJECT_KEY_MAX_BYTES)
+		return az_fail(AZ_INVALID, "bad key");
+	s = condition_check(c, old);
+	if (s != AZ_OK)
+		return s;
+	x = objects_find(o, key);
+	if (!x)
+		x = objects_insert(o, key);
+	x->value.len_bytes = 0;
+	buf_append(&x->value, data, len_bytes);
+	x->deleted = false;
+	x->version = ++o->revision;
+	*version = x->version;
+	return AZ_OK;
+}
+
+/** Deletes if the condition holds; AZ_NOT_FOUND if there is no object. */
+static inline enum az_status objects_delete(struct objects *o, const char *key,
+					    const struct condition *c,
+					    uint64_t *version)
+{
+	struct object *x = objects_find(o, key);
+	enum az_status s;
+
+	if (x && x->deleted)
+		x = NULL;
+	*version = x ? x->version : 0;
+	s = condition_check(c, x);
+	if (s != AZ_OK)
+		return s;
+	if (!x)
+		return az_fail(AZ_NOT_FOUND, "no such object");
+	buf_free(&x->value);
+	x->deleted = true;
+	x->version = ++o->revision;
+	*version = x->version;
+	return AZ_OK;
+}
+
+/** First object at or after index `from` that is under the prefix and newer
+ * than `after`, or NULL; `from` is moved behind it. Includes deleted ones. */
+static inline const struct object *objects_changed(const struct objects *o,
+						   const char *prefix,
+						   uint64_t after,
+						   uint32_t *from)
+{
+	size_t n = strlen(prefix);
+	uint32_t i = objects_lower_bound(o, prefix);
+
+	if (i < *from)
+		i = *from;
+	for (; i < o->count && !strncmp(o->list[i].key, prefix, n); i++)
+		if (o->list[i].version > after) {
+			*from = i + 1;
+			return &o->list[i];
+		}
+	*from = o->count;
+	return NULL;
+}
+
+/** True if a watch has something to tell. */
+static inline bool objects_watch_ready(const struct objects *o,
+				       const char *prefix, uint64_t after)
+{
+	uint32_t from = 0;
+
+	return objects_changed(o, prefix, after, &from) != NULL;
+}
+
+static inline void objects_free(struct objects *o)
+{
+	for (uint32_t i = 0; i < o->count; i++) {
+		free(o->list[i].key);
+		buf_free(&o->list[i].value);
+	}
+	free(o->list);
+	memset(o, 0, sizeof(*o));
+}
+
+/** Replaces `to` by a copy of `from`. */
+static inline void objects_copy(struct objects *to, const struct objects *from)
+{
+	objects_free(to);
+	for (uint32_t i = 0; i < from->count; i++) {
+		const struct object *x = &from->list[i];
+		struct object *y = objects_insert(to, x->key);
+
+		y->version = x->version;
+		y->deleted = x->deleted;
+		buf_append(&y->value, x->value.data, x->value.len_bytes);
+	}
+	to->revision = from->revision;
+}
+
+/* ---- faults ---- */
+
+/** What the HTTP side does with a call. */
+enum store_action {
+	STORE_SERVE,
+	STORE_DOWN, /**< closed without an answer; no effect */
+	STORE_LOSE_REPLY, /**< takes effect; closed without an answer */
+	STORE_OLD_COPY, /**< served from the snapshot, also writes */
+};
+
+struct store_fault;
+
+struct store_fault_ops {
+	const char *name;
+	enum store_action (*action)(struct store_fault *f, bool write);
+};
+
+struct store_fault {
+	const struct store_fault_ops *ops;
+	int64_t delay_us; /**< slow: before each call is served */
+	uint32_t count; /**< lose-reply: replies still to lose */
+};
+
+static inline enum store_action store_serve(struct store_fault *f, bool write)
+{
+	return STORE_SERVE;
+}
+
+static inline enum store_action store_down(struct store_fault *f, bool write)
+{
+	return STORE_DOWN;
+}
+
+static inline enum store_action store_lose_reply(struct store_fault *f,
+						 bool write)
+{
+	if (!write || !f->count)
+		return STORE_SERVE;
+	f->count--;
+	return STORE_LOSE_REPLY;
+}
+
+static inline enum store_action store_old_copy(struct store_fault *f,
+					       bool write)
+{
+	return STORE_OLD_COPY;
+}
+
+static const struct store_fault_ops store_modes[] = {
+	{ "none", store_serve },	{ "down", store_down },
+	{ "slow", store_serve },	{ "lose-reply", store_lose_reply },
+	{ "old-copy", store_old_copy },
+};
+
+/** AZ_INVALID leaves `f` as it is. `ms` counts for slow, `count` for
+ * lose-reply. */
+static inline enum az_status store_fault_set(struct store_fault *f,
+					     const char *mode, int64_t ms,
+					     uint32_t count)
+{
+	for (uint32_t i = 0; i < sizeof(store_modes) / sizeof(store_modes[0]);
+	     i++) {
+		if (strcmp(store_modes[i].name, mode))
+			continue;
+		f->ops = &store_modes[i];
+		f->delay_us = strcmp(mode, "slow") ? 0 : ms * US_PER_MS;
+		f->count = count;
+		return AZ_OK;
+	}
+	return az_fail(AZ_INVALID,
+		       "unknown mode '%s'; one of: none down slow lose-reply "
+		       "old-copy",
+		       mode);
+}
+
+#endif
