--- /dev/null
+++ b/cmd/azhd/azhd.c
@@ -0,0 +1,371 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <apr_general.h>
+
+#include "cmd/azhd/azhd.h"
+
+const char *argp_program_version = "azhd 0.1";
+
+static char doc[] = "Proxy daemon of an azurehold fleet.\v"
+		    "SIGTERM drains and stops, SIGHUP reads fleet keys, log "
+		    "level and configuration files again, SIGINT stops at "
+		    "once.\n"
+		    "Exit status: 0 after a stop, 1 on a fault, 2 on bad "
+		    "settings.";
+
+static const struct argp_option options[] = {
+	{ "settings", 's', "FILE", 0, "Settings of this daemon", 0 },
+	{ "check", 'c', NULL, 0, "Check settings and configuration, then exit",
+	  0 },
+	{ 0 },
+};
+
+struct arguments {
+	const char *settings;
+	bool check;
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *a = state->input;
+
+	switch (key) {
+	case 's':
+		a->settings = arg;
+		return 0;
+	case 'c':
+		a->check = true;
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->settings)
+			argp_error(state, "--settings is missing");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = { options, parse_option, NULL, doc,
+				  NULL,	   NULL,	 NULL };
+
+static void print_errors(const struct conf_errors *e)
+{
+	uint32_t n = e->count < CONF_ERRORS_MAX ? e->count : CONF_ERRORS_MAX;
+
+	for (uint32_t i = 0; i < n; i++)
+		fprintf(stderr, "%s:%d: %s\n", e->list[i].file, e->list[i].line,
+			e->list[i].reason);
+	if (e->count > n)
+		fprintf(stderr, "and %u more errors\n", e->count - n);
+}
+
+/* ---- calls of other daemons ---- */
+
+static void on_present(struct peer_handler *h, const struct ticket *t,
+		       struct request *r, struct reply_to *reply)
+{
+	struct azhd *d = az_container_of(h, struct azhd, handler);
+
+	ticket_present(d->ticket, t, r, reply);
+}
+
+static void on_forward(struct peer_handler *h, struct forward *f,
+		       struct reply_to *reply)
+{
+	struct azhd *d = az_container_of(h, struct azhd, handler);
+
+	cell_home_forward(d->cell, f, reply);
+}
+
+static void on_query(struct peer_handler *h, const struct call_id *id,
+		     uint64_t home_incarnation, struct reply_to *reply)
+{
+	struct azhd *d = az_container_of(h, struct azhd, handler);
+
+	cell_home_query(d->cell, id, home_incarnation, reply);
+}
+
+static void on_cancel(struct peer_handler *h, const struct call_id *id)
+{
+	struct azhd *d = az_container_of(h, struct azhd, handler);
+
+	cell_home_cancel(d->cell, id);
+}
+
+static void on_handover(struct peer_handler *h, struct ledger_image *i,
+			struct reply_to *reply)
+{
+	struct azhd *d = az_container_of(h, struct azhd, handler);
+
+	ticket_adopt(d->ticket, i, reply);
+}
+
+static void on_reach(struct peer_handler *h, uint32_t ip, uint16_t port,
+		     struct reply_to *reply)
+{
+	(void)h;
+	(void)ip;
+	(void)port;
+	reply->ops->answer(reply, answer_new(ERR_INTERNAL));
+}
+
+static void on_conf(struct peer_handler *h, enum peer_procedure proc,
+		    struct buf *body, struct reply_to *reply)
+{
+	(void)h;
+	(void)proc;
+	(void)body;
+	reply->ops->answer(reply, answer_new(ERR_INTERNAL));
+}
+
+static const struct peer_handler_ops handler_ops = {
+	on_present,  on_forward, on_query, on_cancel,
+	on_handover, on_reach,	 on_conf,
+};
+
+/* ---- parts ---- */
+
+static enum az_status load_conf(struct azhd *d)
+{
+	struct conf_errors errors;
+	struct conf *c;
+	const struct azhd_settings *s = &d->settings;
+
+	if (!s->base[0])
+		return AZ_OK;
+	if (conf_load_files(s->base, s->overlay[0] ? s->overlay : NULL, &c,
+			    &errors) != AZ_OK) {
+		print_errors(&errors);
+		return az_fail(AZ_INVALID, "configuration has %u errors",
+			       errors.count);
+	}
+	conf_current_set(d->conf, c);
+	return AZ_OK;
+}
+
+static struct member self(const struct azhd *d)
+{
+	const struct azhd_settings *s = &d->settings;
+	struct member m = {
+		.id = hash_string(s->name),
+		.incarnation = d->incarnation,
+		.ip = s->peer.ip,
+		.peer_port = s->peer.port,
+		.member_port = s->member.port,
+		.dc = (uint32_t)hash_string(s->data_centre),
+		.region = (uint32_t)hash_string(s->region),
+		.state = MEMBER_ALIVE,
+	};
+
+	snprintf(m.name, sizeof(m.name), "%s", s->name);
+	return m;
+}
+
+static enum az_status create_membership(struct azhd *d)
+{
+	const char *seeds[SEEDS_MAX];
+	struct member_settings ms = {
+		.self = self(d),
+		.seeds = seeds,
+		.seed_count = d->settings.seed_count,
+		.period_ms = d->settings.member_period_ms,
+		.keys = &d->settings.keys,
+	};
+
+	for (uint32_t i = 0; i < ms.seed_count; i++)
+		seeds[i] = d->settings.seeds[i];
+	d->membership = membership_create(&ms, d->timers, d->pool);
+	return d->membership ? AZ_OK : AZ_IO;
+}
+
+static enum az_status create_path(struct azhd *d)
+{
+	const struct azhd_settings *s = &d->settings;
+	struct member me = self(d);
+	struct cell_settings cs = { me.id, d->incarnation, d->conf,
+				    d->membership, d->upstream };
+	struct peer_settings ps = {
+		.ip = s->peer.ip,
+		.port = s->peer.port,
+		.member_id = me.id,
+		.incarnation = d->incarnation,
+		.in_flight_max = s->max_in_flight,
+		.keys = s->keys,
+		.handler = &d->handler,
+	};
+	struct route_settings rs = { me.id,   d->incarnation, me.dc, me.region,
+				     d->conf, d->membership,  NULL,  NULL };
+	struct ticket_settings ts = { s->peer.ip, s->peer.port, d->incarnation,
+				      NULL,	  NULL,		d->membership };
+	struct front_settings fs = {
+		.ip = s->front.ip,
+		.port = s->front.port,
+		.incarnation = d->incarnation,
+		.in_flight_max = s->max_in_flight,
+		.conf = d->conf,
+		.membership = d->membership,
+	};
+
+	d->cell = cell_home_create(&cs, d->timers, d->pool);
+	d->peer = peer_create(&ps, d->timers, d->pool);
+	if (!d->cell || !d->peer)
+		return AZ_IO;
+	rs.cell = d->cell;
+	rs.peer = d->peer;
+	d->route = route_create(&rs, d->timers, d->pool);
+	ts.route = d->route;
+	ts.peer = d->peer;
+	d->ticket = ticket_create(&ts, d->timers, d->pool);
+	fs.route = d->route;
+	fs.ticket = d->ticket;
+	fs.peer = d->peer;
+	d->front = front_create(&fs, d->pool);
+	return d->route && d->ticket && d->front ? AZ_OK : AZ_IO;
+}
+
+static enum az_status create(struct azhd *d)
+{
+	enum az_status st;
+
+	d->handler.ops = &handler_ops;
+	d->incarnation = random_u64();
+	d->timers = timer_service_create(d->pool);
+	d->conf = conf_current_create(d->pool);
+	d->upstream = upstream_create(d->timers, d->pool);
+	if (!d->upstream)
+		return AZ_IO;
+	st = load_conf(d);
+	if (st == AZ_OK)
+		st = create_membership(d);
+	return st == AZ_OK ? create_path(d) : st;
+}
+
+static enum az_status start(struct azhd *d)
+{
+	enum az_status st = timer_service_start(d->timers);
+
+	if (st == AZ_OK)
+		st = upstream_start(d->upstream);
+	if (st == AZ_OK)
+		st = cell_home_start(d->cell);
+	if (st == AZ_OK)
+		st = membership_start(d->membership);
+	if (st == AZ_OK)
+		st = route_start(d->route);
+	if (st == AZ_OK)
+		st = ticket_start(d->ticket);
+	if (st == AZ_OK)
+		st = peer_start(d->peer);
+	if (st == AZ_OK)
+		st = front_start(d->front);
+	return st;
+}
+
+/* From the callers inwards, so that no part sends to one that is gone. */
+static void stop(struct azhd *d)
+{
+	front_stop(d->front);
+	ticket_stop(d->ticket);
+	route_stop(d->route);
+	upstream_stop(d->upstream);
+	cell_home_stop(d->cell);
+	peer_stop(d->peer);
+	membership_stop(d->membership);
+	timer_service_stop(d->timers);
+}
+
+/* ---- signals ---- */
+
+static void reload(struct azhd *d, const char *path)
+{
+	struct azhd_settings s;
+	struct conf_errors errors;
+
+	if (azhd_settings_load(path, &s, &errors) != AZ_OK) {
+		print_errors(&errors);
+		log_write(LOG_ERROR, "azhd", "reload refused: %s",
+			  az_last_message());
+		return;
+	}
+	d->settings.keys = s.keys;
+	peer_set_keys(d->peer, &s.keys);
+	log_set_level(s.log_level);
+	if (load_conf(d) != AZ_OK)
+		log_write(LOG_ERROR, "azhd", "reload refused: %s",
+			  az_last_message());
+	else
+		log_write(LOG_INFO, "azhd", "reloaded");
+}
+
+static sigset_t handled_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	return set;
+}
+
+static void serve(struct azhd *d, const char *path)
+{
+	sigset_t set = handled_signals();
+	int sig;
+
+	for (;;) {
+		if (sigwait(&set, &sig))
+			continue;
+		if (sig == SIGHUP) {
+			reload(d, path);
+			continue;
+		}
+		if (sig == SIGTERM)
+			azhd_drain(d);
+		return;
+	}
+}
+
+static int run(struct azhd *d, const struct arguments *a)
+{
+	if (create(d) != AZ_OK || start(d) != AZ_OK) {
+		log_write(LOG_ERROR, "azhd", "cannot start: %s",
+			  az_last_message());
+		return 1;
+	}
+	log_write(LOG_INFO, "azhd", "started incarnation=%016llx",
+		  (unsigned long long)d->incarnation);
+	serve(d, a->settings);
+	stop(d);
+	log_write(LOG_INFO, "azhd", "stopped");
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	static struct azhd daemon;
+	struct arguments a = { NULL, false };
+	struct conf_errors errors;
+	sigset_t set = handled_signals();
+
+	argp_parse(&argp, argc, argv, 0, NULL, &a);
+	if (azhd_settings_load(a.settings, &daemon.settings, &errors) !=
+	    AZ_OK) {
+		print_errors(&errors);
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	apr_initialize();
+	apr_pool_create(&daemon.pool, NULL);
+	log_set_level(daemon.settings.log_level);
+	log_set_source(daemon.settings.name);
+	if (a.check) {
+		daemon.conf = conf_current_create(daemon.pool);
+		return load_conf(&daemon) == AZ_OK ? 0 : 2;
+	}
+	return run(&daemon, &a);
+}
--- /dev/null
+++ b/cmd/azhd/azhd.h
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * The daemon: its settings, its parts, and its planned stop.
+ */
+#ifndef AZHD_AZHD_H
+#define AZHD_AZHD_H
+
+#include "cell/cell.h"
+#include "conf/conf.h"
+#include "front/front.h"
+#include "lib/az.h"
+#include "member/member.h"
+#include "peer/peer.h"
+#include "route/route.h"
+#include "ticket/ticket.h"
+#include "upstream/upstream.h"
+
+#define SEEDS_MAX 16
+
+/** IPv4 address in host byte order with a port. */
+struct address {
+	uint32_t ip;
+	uint16_t port;
+};
+
+struct azhd_settings {
+	char name[MEMBER_NAME_MAX_BYTES];
+	char data_centre[CONF_NAME_MAX_BYTES];
+	char region[CONF_NAME_MAX_BYTES];
+	char site[CONF_NAME_MAX_BYTES];
+	struct address front;
+	struct address peer;
+	struct address member;
+	struct address admin;
+	char admin_token[128];
+	char base[256]; /**< base file; "" if the store has it */
+	char overlay[256];
+	char store[64]; /**< ip:port of the platform's API, "" for none */
+	char seeds[SEEDS_MAX][32];
+	uint32_t seed_count;
+	struct fleet_keys keys;
+	enum log_level log_level;
+	uint32_t max_in_flight;
+	uint32_t member_period_ms;
+	uint32_t drain_ms; /**< time for the balancer to notice a stop */
+	uint32_t stop_timeout_ms; /**< bound of a planned stop */
+};
+
+/** Reads the daemon's file; all errors are collected. */
+enum az_status azhd_settings_load(const char *path, struct azhd_settings *out,
+				  struct conf_errors *errors);
+
+struct azhd {
+	struct peer_handler handler;
+	struct azhd_settings settings;
+	uint64_t incarnation;
+	apr_pool_t *pool;
+	struct timer_service *timers;
+	struct conf_current *conf;
+	struct membership *membership;
+	struct upstream *upstream;
+	struct cell_home *cell;
+	struct peer *peer;
+	struct route *route;
+	struct ticket_duty *ticket;
+	struct front *front;
+};
+
+/** Drains, hands the ledgers over and leaves the fleet; returns when no request
+ * is left or the bound has passed. Runs in the main thread. */
+void azhd_drain(struct azhd *d);
+
+#endif
--- /dev/null
+++ b/cmd/azhd/settings.c
@@ -0,0 +1,251 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <ini.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd/azhd/azhd.h"
+
+#define MAX_IN_FLIGHT_DEFAULT 4096
+#define MAX_IN_FLIGHT_LIMIT 8192
+#define MEMBER_PERIOD_MS_DEFAULT 1000
+#define DRAIN_MS_DEFAULT 2000
+#define STOP_TIMEOUT_MS_DEFAULT 30000
+
+struct parse {
+	const char *path;
+	FILE *file;
+	int32_t line; /**< read last; inih here does not tell it */
+	struct azhd_settings *out;
+	struct conf_errors *errors;
+};
+
+static void add_error(struct parse *p, int32_t line, const char *reason)
+{
+	uint32_t n = p->errors->count++;
+	struct conf_error *e;
+
+	if (n >= CONF_ERRORS_MAX)
+		return;
+	e = &p->errors->list[n];
+	snprintf(e->file, sizeof(e->file), "%s", p->path);
+	snprintf(e->reason, sizeof(e->reason), "%s", reason);
+	e->line = line;
+}
+
+static enum az_status parse_address(const char *s, struct address *out)
+{
+	char ip[16];
+	size_t n = strcspn(s, ":");
+	char *end;
+	unsigned long port;
+	struct in_addr a;
+
+	if (n >= sizeof(ip) || s[n] != ':')
+		return az_fail(AZ_INVALID, "'%s' is not IP:PORT", s);
+	memcpy(ip, s, n);
+	ip[n] = '\0';
+	port = strtoul(s + n + 1, &end, 10);
+	if (!inet_aton(ip, &a) || end == s + n + 1 || *end || !port ||
+	    port > UINT16_MAX)
+		return az_fail(AZ_INVALID, "'%s' is not IP:PORT", s);
+	out->ip = ntohl(a.s_addr);
+	out->port = (uint16_t)port;
+	return AZ_OK;
+}
+
+static enum az_status parse_number(const char *s, uint32_t low, uint32_t high,
+				   uint32_t *out)
+{
+	char *end;
+	unsigned long v = strtoul(s, &end, 10);
+
+	if (end == s || *end || v < low || v > high)
+		return az_fail(AZ_INVALID, "'%s' is not a number from %u to %u",
+			       s, low, high);
+	*out = (uint32_t)v;
+	return AZ_OK;
+}
+
+static enum az_status parse_text(const char *s, char *out, size_t size)
+{
+	if (strlen(s) >= size)
+		return az_fail(AZ_INVALID, "longer than %zu characters",
+			       size - 1);
+	strcpy(out, s);
+	return AZ_OK;
+}
+
+static enum az_status parse_seeds(const char *s, struct azhd_settings *out)
+{
+	char copy[512];
+	char *save = NULL;
+	struct address a;
+
+	snprintf(copy, sizeof(copy), "%s", s);
+	out->seed_count = 0;
+	for (char *t = strtok_r(copy, ", ", &save); t;
+	     t = strtok_r(NULL, ", ", &save)) {
+		enum az_status st = parse_address(t, &a);
+
+		if (st != AZ_OK)
+			return st;
+		if (out->seed_count == SEEDS_MAX)
+			return az_fail(AZ_INVALID, "more than %d seeds",
+				       SEEDS_MAX);
+		snprintf(out->seeds[out->seed_count++], sizeof(out->seeds[0]),
+			 "%s", t);
+	}
+	return AZ_OK;
+}
+
+static enum az_status set_address(struct azhd_settings *o, const char *key,
+				  const char *v)
+{
+	if (!strcmp(key, "front"))
+		return parse_address(v, &o->front);
+	if (!strcmp(key, "peer"))
+		return parse_address(v, &o->peer);
+	if (!strcmp(key, "member"))
+		return parse_address(v, &o->member);
+	if (!strcmp(key, "admin"))
+		return parse_address(v, &o->admin);
+	return AZ_NOT_FOUND;
+}
+
+static enum az_status set_text(struct azhd_settings *o, const char *key,
+			       const char *v)
+{
+	const struct {
+		const char *key;
+		char *out;
+		size_t size;
+	} fields[] = {
+		{ "name", o->name, sizeof(o->name) },
+		{ "data_centre", o->data_centre, sizeof(o->data_centre) },
+		{ "region", o->region, sizeof(o->region) },
+		{ "site", o->site, sizeof(o->site) },
+		{ "admin_token", o->admin_token, sizeof(o->admin_token) },
+		{ "base", o->base, sizeof(o->base) },
+		{ "overlay", o->overlay, sizeof(o->overlay) },
+		{ "store", o->store, sizeof(o->store) },
+	};
+
+	for (uint32_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++)
+		if (!strcmp(key, fields[i].key))
+			return parse_text(v, fields[i].out, fields[i].size);
+	return AZ_NOT_FOUND;
+}
+
+static enum az_status set_other(struct azhd_settings *o, const char *key,
+				const char *v)
+{
+	if (!strcmp(key, "seeds"))
+		return parse_seeds(v, o);
+	if (!strcmp(key, "log_level"))
+		return log_level_parse(v, &o->log_level);
+	if (!strcmp(key, "max_in_flight"))
+		return parse_number(v, 1, MAX_IN_FLIGHT_LIMIT,
+				    &o->max_in_flight);
+	if (!strcmp(key, "member_period_ms"))
+		return parse_number(v, 20, 60000, &o->member_period_ms);
+	if (!strcmp(key, "drain_ms"))
+		return parse_number(v, 0, 600000, &o->drain_ms);
+	if (!strcmp(key, "stop_timeout_ms"))
+		return parse_number(v, 0, 600000, &o->stop_timeout_ms);
+	return az_fail(AZ_NOT_FOUND, "unknown key '%s'", key);
+}
+
+static enum az_status set_value(struct azhd_settings *o, const char *section,
+				const char *key, const char *v)
+{
+	enum az_status st;
+
+	if (!strcmp(section, "fleet")) {
+		if (!strcmp(key, "keys"))
+			return fleet_keys_parse(v, &o->keys);
+		return az_fail(AZ_NOT_FOUND, "unknown key '%s'", key);
+	}
+	if (strcmp(section, "daemon") != 0)
+		return az_fail(AZ_NOT_FOUND, "unknown section [%s]", section);
+	st = set_address(o, key, v);
+	if (st == AZ_NOT_FOUND)
+		st = set_text(o, key, v);
+	return st == AZ_NOT_FOUND ? set_other(o, key, v) : st;
+}
+
+static char *read_line(char *out, int size, void *arg)
+{
+	struct parse *p = arg;
+
+	p->line++;
+	return fgets(out, size, p->file);
+}
+
+/* inih hands one argument to both callbacks. */
+static int on_value(void *arg, const char *section, const char *key,
+		    const char *value)
+{
+	struct parse *p = arg;
+	char reason[192];
+
+	if (set_value(p->out, section, key, value) == AZ_OK)
+		return 1;
+	snprintf(reason, sizeof(reason), "[%s] %s: %s", section, key,
+		 az_last_message());
+	add_error(p, p->line, reason);
+	return 1;
+}
+
+static void check_whole(struct parse *p)
+{
+	const struct azhd_settings *o = p->out;
+
+	if (!o->name[0])
+		add_error(p, 0, "[daemon] name is missing");
+	if (!o->data_centre[0])
+		add_error(p, 0, "[daemon] data_centre is missing");
+	if (!o->region[0])
+		add_error(p, 0, "[daemon] region is missing");
+	if (!o->front.port)
+		add_error(p, 0, "[daemon] front is missing");
+	if (!o->peer.port)
+		add_error(p, 0, "[daemon] peer is missing");
+	if (!o->member.port)
+		add_error(p, 0, "[daemon] member is missing");
+	if (o->admin.port && !o->admin_token[0])
+		add_error(p, 0, "[daemon] admin needs admin_token");
+	if (!o->base[0] && !o->store[0])
+		add_error(p, 0, "[daemon] base or store is missing");
+	if (!o->keys.count)
+		add_error(p, 0, "[fleet] keys is missing");
+}
+
+enum az_status azhd_settings_load(const char *path, struct azhd_settings *out,
+				  struct conf_errors *errors)
+{
+	struct parse p = { path, fopen(path, "r"), 0, out, errors };
+	int rv;
+
+	memset(out, 0, sizeof(*out));
+	memset(errors, 0, sizeof(*errors));
+	out->log_level = LOG_INFO;
+	out->max_in_flight = MAX_IN_FLIGHT_DEFAULT;
+	out->member_period_ms = MEMBER_PERIOD_MS_DEFAULT;
+	out->drain_ms = DRAIN_MS_DEFAULT;
+	out->stop_timeout_ms = STOP_TIMEOUT_MS_DEFAULT;
+	if (!p.file) {
+		add_error(&p, 0, strerror(errno));
+		return az_fail(AZ_INVALID, "cannot read %s", path);
+	}
+	rv = ini_parse_stream(read_line, &p, on_value, &p);
+	fclose(p.file);
+	if (rv > 0)
+		add_error(&p, rv, "not INI syntax");
+	check_whole(&p);
+	if (errors->count)
+		return az_fail(AZ_INVALID, "%u errors in %s", errors->count,
+			       path);
+	return AZ_OK;
+}
--- a/front/front.c
+++ b/front/front.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <strings.h>
 #include <arpa/inet.h>
+#include <unistd.h>
 #include <microhttpd.h>
 
 #include "front/front.h"
@@ -165,6 +166,8 @@
 	if (a->kind != ERR_NONE)
 		MHD_add_response_header(r, HEADER_ERROR, e->name);
 	add_next_ticket(c, r);
+	if (__atomic_load_n(&c->front->stopping, __ATOMIC_ACQUIRE))
+		MHD_add_response_header(r, "Connection", "close");
 	span_format(&c->span, trace);
 	MHD_add_response_header(r, "traceparent", trace);
 	done = MHD_queue_response(c->connection, a->http_status, r);
@@ -460,6 +463,14 @@
 	__atomic_store_n(&f->stopping, 1, __ATOMIC_RELEASE);
 }
 
+void front_quiesce(struct front *f)
+{
+	MHD_socket listener = MHD_quiesce_daemon(f->daemon);
+
+	if (listener != MHD_INVALID_SOCKET)
+		close(listener);
+}
+
 void front_stop(struct front *f)
 {
 	if (f->daemon)
--- a/front/front.h
+++ b/front/front.h
@@ -93,6 +93,8 @@
 enum az_status front_start(struct front *f);
 /** The balancer's health check answers 503 from now on. */
 void front_set_stopping(struct front *f);
+/** Takes no new connections; answers close those that are open. */
+void front_quiesce(struct front *f);
 uint32_t front_in_flight(struct front *f);
 void front_stop(struct front *f);
 
