--- /dev/null
+++ b/member/probe.c
@@ -0,0 +1,363 @@
+/**
+ * @file
+ * Failure detection: direct and indirect pings, accusations, pings made for
+ * others. A member is declared dead only by an accuser: one whose own pings
+ * failed all through the suspicion time and whom a helper told that it cannot
+ * reach the member either.
+ */
+#include "member/member.h"
+
+#define SLOW_SCORE_MAX 8
+/* An observer that hears nobody may be the one that is cut off. */
+#define DEAF_PERIODS 2
+/* It acts for itself after that long, but tells nobody. */
+#define ISOLATED_US (10 * US_PER_S)
+
+static int64_t retry_us(const struct swim *s)
+{
+	return s->period_us / 4 * (1 + s->slow_score);
+}
+
+bool swim_is_listed(const struct swim *s, uint64_t id)
+{
+	uint32_t lo = 0;
+	uint32_t hi = s->listed_count;
+
+	while (lo < hi) {
+		uint32_t mid = lo + (hi - lo) / 2;
+
+		if (s->listed[mid] < id)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo < s->listed_count && s->listed[lo] == id;
+}
+
+/* Grows with the logarithm of the group that has to hear a refutation. */
+static int64_t suspicion_us(const struct swim *s, const struct swim_probe *p)
+{
+	uint32_t n = p->remote ? s->live_count : s->dc_live_count;
+	int64_t t = 2 * s->period_us * swim_log2(n + 1) / 3;
+
+	if (p->remote)
+		t *= 2;
+	t += t * s->slow_score / 2;
+	if (p->nack_count == SWIM_HELPERS)
+		t /= 2;
+	if (s->listed && !swim_is_listed(s, p->id))
+		t /= 2;
+	return t;
+}
+
+static uint32_t next_nonce(struct swim *s)
+{
+	if (!++s->last_nonce)
+		s->last_nonce++;
+	return s->last_nonce;
+}
+
+static void ping(struct swim *s, const struct swim_node *n, uint32_t nonce,
+		 struct swim_out *out)
+{
+	struct swim_msg *m = swim_emit(s, out, n, SWIM_PING);
+
+	if (!m)
+		return;
+	m->nonce = nonce;
+	swim_finish(s, m);
+}
+
+static struct swim_node *in_dc(struct swim *s, uint32_t dc, uint64_t not )
+{
+	for (int32_t i = 0; i < 16; i++) {
+		struct swim_node *n = swim_random_remote(s, not );
+
+		if (!n || n->member.dc == dc)
+			return n;
+	}
+	return NULL;
+}
+
+static struct swim_node *in_third_dc(struct swim *s, uint32_t dc, uint64_t not )
+{
+	struct swim_node *far = NULL;
+
+	for (int32_t i = 0; i < 8; i++) {
+		struct swim_node *n = swim_random_remote(s, not );
+
+		if (!n || n->member.dc == dc)
+			continue;
+		if (n->member.region == s->self->member.region)
+			return n;
+		far = n;
+	}
+	return far;
+}
+
+/* At least one in another data centre, if there is one. */
+static uint32_t pick_helpers(struct swim *s, const struct swim_probe *p,
+			     const struct swim_node *target,
+			     struct swim_node *list[SWIM_HELPERS])
+{
+	struct swim_node *candidates[SWIM_HELPERS + 2];
+	uint32_t dc = target->member.dc;
+	uint32_t c = 0;
+	uint32_t n = 0;
+
+	if (p->remote)
+		candidates[c++] = in_dc(s, dc, p->id);
+	candidates[c++] = in_third_dc(s, dc, p->id);
+	while (c < SWIM_HELPERS + 2)
+		candidates[c++] = swim_random_local(s, p->id);
+	for (uint32_t i = 0; i < c && n < SWIM_HELPERS; i++) {
+		bool again = false;
+
+		for (uint32_t j = 0; j < n; j++)
+			again = again || list[j] == candidates[i];
+		if (candidates[i] && !again)
+			list[n++] = candidates[i];
+	}
+	return n;
+}
+
+static void ask_helpers(struct swim *s, const struct swim_probe *p,
+			const struct swim_node *target, struct swim_out *out)
+{
+	struct swim_node *helpers[SWIM_HELPERS];
+	uint32_t n = pick_helpers(s, p, target, helpers);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct swim_msg *m =
+			swim_emit(s, out, helpers[i], SWIM_PING_REQUEST);
+
+		if (!m)
+			return;
+		m->nonce = p->nonce;
+		m->target = p->id;
+		m->target_incarnation = p->incarnation;
+		swim_finish(s, m);
+	}
+}
+
+static struct swim_probe *probe_of(struct swim *s, uint64_t id)
+{
+	for (uint32_t i = 0; i < SWIM_PROBES_MAX; i++)
+		if (s->probes[i].active && s->probes[i].id == id)
+			return &s->probes[i];
+	return NULL;
+}
+
+void swim_probe_start(struct swim *s, struct swim_node *n, struct swim_out *out)
+{
+	struct swim_probe *p = NULL;
+
+	if (probe_of(s, n->member.id))
+		return;
+	for (uint32_t i = 0; !p && i < SWIM_PROBES_MAX; i++)
+		if (!s->probes[i].active)
+			p = &s->probes[i];
+	if (!p)
+		return;
+	*p = (struct swim_probe){
+		.active = true,
+		.remote = n->member.dc != s->self->member.dc,
+		.nonce = next_nonce(s),
+		.id = n->member.id,
+		.incarnation = n->member.incarnation,
+		.start_us = s->now_us,
+		.next_us = s->now_us + retry_us(s),
+	};
+	s->counts.probes++;
+	ping(s, n, p->nonce, out);
+}
+
+static bool has_helpers(const struct swim *s)
+{
+	return s->live_count > 2;
+}
+
+static void accuse(struct swim *s, struct swim_probe *p, struct swim_node *n)
+{
+	s->counts.probes_failed++;
+	/* Helpers that do not answer either speak against the observer. */
+	if (!p->nack_count && has_helpers(s) && s->slow_score < SLOW_SCORE_MAX)
+		s->slow_score++;
+	if (s->now_us < s->quiet_until_us) {
+		p->active = false;
+		return;
+	}
+	s->counts.accusations++;
+	p->accusing = true;
+	p->accused_us = s->now_us;
+	p->nack_count = 0;
+	if (n->member.state == MEMBER_ALIVE)
+		swim_set_state(s, n, MEMBER_SUSPECT, true);
+}
+
+static void declare_dead(struct swim *s, struct swim_probe *p,
+			 struct swim_node *n, bool spread)
+{
+	s->counts.declared_dead++;
+	p->active = false;
+	swim_set_state(s, n, MEMBER_DEAD, spread);
+}
+
+static void judge(struct swim *s, struct swim_probe *p, struct swim_node *n)
+{
+	int64_t age_us = s->now_us - p->accused_us;
+	bool deaf = s->now_us - s->heard_us > DEAF_PERIODS * s->period_us;
+
+	if (age_us < suspicion_us(s, p))
+		return;
+	if (!has_helpers(s) || (p->nack_count && !deaf))
+		declare_dead(s, p, n, true);
+	else if (age_us > ISOLATED_US)
+		declare_dead(s, p, n, false);
+}
+
+static void probe_turn(struct swim *s, struct swim_probe *p,
+		       struct swim_out *out)
+{
+	struct swim_node *n = swim_find(s, p->id);
+
+	if (!n || n->member.incarnation != p->incarnation || !swim_is_live(n) ||
+	    (p->accusing && n->member.state == MEMBER_ALIVE)) {
+		p->active = false;
+		return;
+	}
+	p->step++;
+	if (!p->accusing && p->step == 4)
+		accuse(s, p, n);
+	else if (p->accusing)
+		judge(s, p, n);
+	if (!p->active)
+		return;
+	p->next_us = s->now_us + retry_us(s);
+	if (p->step != 3)
+		ping(s, n, p->nonce, out);
+	if (p->step < 3 || (p->accusing && p->step % 2 == 0))
+		ask_helpers(s, p, n, out);
+}
+
+void swim_relay_start(struct swim *s, const struct swim_msg *m,
+		      struct swim_out *out)
+{
+	struct swim_node *n = swim_find(s, m->target);
+	struct swim_relay *r = NULL;
+
+	if (!n || n->member.incarnation != m->target_incarnation)
+		return;
+	for (uint32_t i = 0; !r && i < SWIM_RELAYS_MAX; i++)
+		if (!s->relays[i].active)
+			r = &s->relays[i];
+	if (!r)
+		return;
+	*r = (struct swim_relay){
+		.active = true,
+		.nonce = next_nonce(s),
+		.asked_nonce = m->nonce,
+		.asker = m->from,
+		.target = m->target,
+		.target_incarnation = m->target_incarnation,
+		.next_us = s->now_us + s->period_us / 4,
+	};
+	ping(s, n, r->nonce, out);
+}
+
+static void relay_end(struct swim *s, struct swim_relay *r, enum swim_kind kind,
+		      struct swim_out *out)
+{
+	struct swim_node *asker = swim_find(s, r->asker);
+	struct swim_msg *m = asker ? swim_emit(s, out, asker, kind) : NULL;
+
+	r->active = false;
+	if (!m)
+		return;
+	m->nonce = r->asked_nonce;
+	m->target = r->target;
+	m->target_incarnation = r->target_incarnation;
+	swim_finish(s, m);
+}
+
+static void relay_turn(struct swim *s, struct swim_relay *r,
+		       struct swim_out *out)
+{
+	struct swim_node *n = swim_find(s, r->target);
+
+	if (r->again || !n) {
+		relay_end(s, r, SWIM_NACK, out);
+		return;
+	}
+	r->again = true;
+	r->next_us = s->now_us + s->period_us / 4;
+	ping(s, n, r->nonce, out);
+}
+
+void swim_probe_tick(struct swim *s, struct swim_out *out)
+{
+	for (uint32_t i = 0; i < SWIM_PROBES_MAX; i++)
+		if (s->probes[i].active && s->now_us >= s->probes[i].next_us)
+			probe_turn(s, &s->probes[i], out);
+	for (uint32_t i = 0; i < SWIM_RELAYS_MAX; i++)
+		if (s->relays[i].active && s->now_us >= s->relays[i].next_us)
+			relay_turn(s, &s->relays[i], out);
+}
+
+void swim_probe_reset(struct swim *s)
+{
+	for (uint32_t i = 0; i < SWIM_PROBES_MAX; i++)
+		s->probes[i].active = false;
+	for (uint32_t i = 0; i < SWIM_RELAYS_MAX; i++)
+		s->relays[i].active = false;
+}
+
+static struct swim_probe *probe_answered(struct swim *s, uint32_t nonce,
+					 uint64_t id, uint64_t incarnation)
+{
+	struct swim_probe *p = probe_of(s, id);
+
+	return p && p->nonce == nonce && p->incarnation == incarnation ? p :
+									 NULL;
+}
+
+static void probe_succeeded(struct swim *s, struct swim_probe *p)
+{
+	p->active = false;
+	if (s->slow_score)
+		s->slow_score--;
+}
+
+void swim_on_ack(struct swim *s, const struct swim_msg *m, struct swim_out *out)
+{
+	bool relayed = m->kind == SWIM_RELAYED_ACK;
+	uint64_t id = relayed ? m->target : m->from;
+	uint64_t incarnation =
+		relayed ? m->target_incarnation : m->from_incarnation;
+	struct swim_probe *p = probe_answered(s, m->nonce, id, incarnation);
+
+	if (p)
+		probe_succeeded(s, p);
+	if (relayed)
+		return;
+	for (uint32_t i = 0; i < SWIM_RELAYS_MAX; i++) {
+		struct swim_relay *r = &s->relays[i];
+
+		if (r->active && r->nonce == m->nonce && r->target == id &&
+		    r->target_incarnation == incarnation)
+			relay_end(s, r, SWIM_RELAYED_ACK, out);
+	}
+}
+
+void swim_on_nack(struct swim *s, const struct swim_msg *m)
+{
+	struct swim_probe *p =
+		probe_answered(s, m->nonce, m->target, m->target_incarnation);
+
+	if (!p || p->nack_count == SWIM_HELPERS)
+		return;
+	for (uint32_t i = 0; i < p->nack_count; i++)
+		if (p->nacks[i] == m->from)
+			return;
+	p->nacks[p->nack_count++] = m->from;
+}
--- /dev/null
+++ b/member/replay.c
@@ -0,0 +1,77 @@
+/**
+ * @file
+ * Refuses datagrams that were seen before. A fixed table of windows, one for
+ * each sender's incarnation; the least recently used of a bucket gives way.
+ */
+#include <stdlib.h>
+
+#include "member/member.h"
+
+/* Four times the planned fleet of 3,700 daemons fits. */
+#define BUCKETS 4096
+#define WAYS 4
+#define WINDOW 64
+
+struct window {
+	uint64_t incarnation;
+	uint64_t top;
+	uint64_t seen; /* bit i: top - i was seen */
+	uint64_t used;
+};
+
+struct replay_guard {
+	uint64_t turn;
+	struct window windows[BUCKETS][WAYS];
+};
+
+struct replay_guard *replay_guard_new(void)
+{
+	struct replay_guard *g = calloc(1, sizeof(*g));
+
+	if (!g)
+		abort();
+	return g;
+}
+
+void replay_guard_free(struct replay_guard *g)
+{
+	free(g);
+}
+
+static struct window *find(struct replay_guard *g, uint64_t incarnation)
+{
+	struct window *w = g->windows[incarnation % BUCKETS];
+	struct window *oldest = w;
+
+	for (uint32_t i = 0; i < WAYS; i++) {
+		if (w[i].used && w[i].incarnation == incarnation)
+			return &w[i];
+		if (w[i].used < oldest->used)
+			oldest = &w[i];
+	}
+	*oldest = (struct window){ .incarnation = incarnation };
+	return oldest;
+}
+
+bool replay_guard_accept(struct replay_guard *g, uint64_t incarnation,
+			 uint64_t sequence)
+{
+	struct window *w = find(g, incarnation);
+	uint64_t behind;
+
+	if (!w->used || sequence > w->top) {
+		uint64_t ahead = sequence - w->top;
+
+		w->seen = w->used && ahead < WINDOW ? w->seen << ahead : 0;
+		w->seen |= 1;
+		w->top = sequence;
+		w->used = ++g->turn;
+		return true;
+	}
+	w->used = ++g->turn;
+	behind = w->top - sequence;
+	if (behind >= WINDOW || w->seen & UINT64_C(1) << behind)
+		return false;
+	w->seen |= UINT64_C(1) << behind;
+	return true;
+}
--- /dev/null
+++ b/member/roster.c
@@ -0,0 +1,815 @@
+/**
+ * @file
+ * What a daemon knows of the members: records and their order, rumours that
+ * wait to be spread, members that left, reports, and the view made of them.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/member.h"
+
+/* Encoded sizes; wire.c must agree. */
+#define BRIEF_BYTES 28
+#define FULL_BYTES 60
+#define REPORTS_BYTES 28
+#define REPORT_BYTES 12
+#define HASH_BYTES 4
+
+/* A process this young takes over an id that another incarnation holds. */
+#define YOUNG_US (60 * US_PER_S)
+/* A dead member may be only cut off; it is contacted again that long. */
+#define DEAD_KEEP_US (3600 * US_PER_S)
+/* Records older than that are not passed on, so that clocks which read a
+ * little differently cannot keep a record alive between them. */
+#define DEPARTED_SPREAD_US (SWIM_DEPARTED_KEEP_US - 60 * US_PER_S)
+
+uint64_t swim_random(struct swim *s)
+{
+	uint64_t z = (s->random += UINT64_C(0x9e3779b97f4a7c15));
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+uint32_t swim_random_below(struct swim *s, uint32_t n)
+{
+	return (uint32_t)((swim_random(s) >> 32) * n >> 32);
+}
+
+bool swim_is_live(const struct swim_node *n)
+{
+	return n->member.state == MEMBER_ALIVE ||
+	       n->member.state == MEMBER_SUSPECT;
+}
+
+static void *must(void *p)
+{
+	if (!p)
+		abort();
+	return p;
+}
+
+/* ---- nodes ---- */
+
+uint32_t swim_position(const struct swim *s, uint64_t id)
+{
+	uint32_t lo = 0;
+	uint32_t hi = s->node_count;
+
+	while (lo < hi) {
+		uint32_t mid = lo + (hi - lo) / 2;
+
+		if (s->nodes[mid]->member.id < id)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+struct swim_node *swim_find(const struct swim *s, uint64_t id)
+{
+	uint32_t i = swim_position(s, id);
+
+	return i < s->node_count && s->nodes[i]->member.id == id ? s->nodes[i] :
+								   NULL;
+}
+
+static void order_insert(struct swim *s, uint64_t id)
+{
+	uint32_t at;
+
+	if (s->order_count == s->order_cap) {
+		s->order_cap = s->order_cap ? s->order_cap * 2 : 16;
+		s->order = must(
+			realloc(s->order, s->order_cap * sizeof(*s->order)));
+	}
+	/* At a random place, so that joiners are not probed by all at once. */
+	at = swim_random_below(s, s->order_count + 1);
+	s->order[s->order_count++] = s->order[at];
+	s->order[at] = id;
+}
+
+static void order_remove(struct swim *s, uint64_t id)
+{
+	for (uint32_t i = 0; i < s->order_count; i++) {
+		if (s->order[i] != id)
+			continue;
+		s->order[i] = s->order[--s->order_count];
+		return;
+	}
+}
+
+static struct swim_node *node_add(struct swim *s, uint64_t id)
+{
+	struct swim_node *n = must(calloc(1, sizeof(*n)));
+	uint32_t at = swim_position(s, id);
+
+	if (s->node_count == s->node_cap) {
+		s->node_cap = s->node_cap ? s->node_cap * 2 : 16;
+		s->nodes = must(realloc(
+			s->nodes, s->node_cap * sizeof(struct swim_node *)));
+	}
+	memmove(s->nodes + at + 1, s->nodes + at,
+		(s->node_count - at) * sizeof(struct swim_node *));
+	s->nodes[at] = n;
+	s->node_count++;
+	n->member.id = id;
+	n->member.state = MEMBER_DEAD;
+	s->tombstone_count++;
+	n->state_rumour.node = n;
+	n->report_rumour.node = n;
+	n->report_rumour.reports = true;
+	return n;
+}
+
+/* ---- rumours ---- */
+
+static void unqueue(struct swim *s, struct swim_rumour *r)
+{
+	if (!r->next)
+		return;
+	r->prev->next = r->next;
+	r->next->prev = r->prev;
+	r->next = NULL;
+	s->rumour_count--;
+}
+
+static void queue_before(struct swim *s, struct swim_rumour *r,
+			 struct swim_rumour *at)
+{
+	r->next = at;
+	r->prev = at->prev;
+	at->prev->next = r;
+	at->prev = r;
+	s->rumour_count++;
+}
+
+static void queue_first(struct swim *s, struct swim_rumour *r)
+{
+	unqueue(s, r);
+	r->sent = 0;
+	queue_before(s, r, s->rumours.next);
+}
+
+uint32_t swim_log2(uint32_t n)
+{
+	uint32_t bits = 0;
+
+	while (bits < 31 && (UINT32_C(1) << bits) < n)
+		bits++;
+	return bits;
+}
+
+static void drop_reports(struct swim *s, struct swim_node *n)
+{
+	unqueue(s, &n->report_rumour);
+	free(n->reports);
+	n->reports = NULL;
+	n->report_count = 0;
+	n->report_version = 0;
+}
+
+static void count_node(struct swim *s, const struct swim_node *n, int32_t by)
+{
+	if (!swim_is_live(n)) {
+		s->tombstone_count += (uint32_t)by;
+		return;
+	}
+	s->live_count += (uint32_t)by;
+	if (n->member.dc == s->self->member.dc)
+		s->dc_live_count += (uint32_t)by;
+}
+
+void swim_set_state(struct swim *s, struct swim_node *n, enum member_state st,
+		    bool spread)
+{
+	bool was = swim_is_live(n);
+	bool local = n->member.dc == s->self->member.dc && n != s->self;
+
+	count_node(s, n, -1);
+	n->member.state = st;
+	count_node(s, n, 1);
+	n->changed_us = s->now_us;
+	s->changed = true;
+	if (swim_is_live(n) && !was && local)
+		order_insert(s, n->member.id);
+	if (!swim_is_live(n) && was) {
+		if (local)
+			order_remove(s, n->member.id);
+		drop_reports(s, n);
+	}
+	if (spread)
+		queue_first(s, &n->state_rumour);
+	else
+		unqueue(s, &n->state_rumour);
+}
+
+/* ---- members that left ---- */
+
+static struct swim_departed *departed_find(const struct swim *s,
+					   uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < s->departed_count; i++)
+		if (s->departed[i]->member.incarnation == incarnation)
+			return s->departed[i];
+	return NULL;
+}
+
+static void departed_drop(struct swim *s, uint32_t i)
+{
+	unqueue(s, &s->departed[i]->rumour);
+	free(s->departed[i]);
+	memmove(s->departed + i, s->departed + i + 1,
+		(--s->departed_count - i) * sizeof(struct swim_departed *));
+	s->changed = true;
+}
+
+/* Returns true if it was not known. */
+static bool departed_add(struct swim *s, const struct swim_update *u)
+{
+	struct swim_departed *d;
+	int64_t age_us = u->age_ms * US_PER_MS;
+
+	if (age_us > DEPARTED_SPREAD_US ||
+	    departed_find(s, u->member.incarnation))
+		return false;
+	if (s->departed_count == SWIM_DEPARTED_MAX)
+		departed_drop(s, 0);
+	if (s->departed_count == s->departed_cap) {
+		s->departed_cap = s->departed_cap ? s->departed_cap * 2 : 16;
+		s->departed = must(realloc(
+			s->departed,
+			s->departed_cap * sizeof(struct swim_departed *)));
+	}
+	d = must(calloc(1, sizeof(*d)));
+	d->member = u->member;
+	d->member.state = MEMBER_LEFT;
+	d->generation = u->generation;
+	d->sequence = u->sequence;
+	d->left_us = s->now_us - age_us;
+	s->departed[s->departed_count++] = d;
+	queue_first(s, &d->rumour);
+	s->changed = true;
+	return true;
+}
+
+/* ---- order of records ---- */
+
+static int32_t state_order(enum member_state st)
+{
+	static const int32_t order[] = {
+		[MEMBER_ALIVE] = 0,
+		[MEMBER_SUSPECT] = 1,
+		[MEMBER_DEAD] = 2,
+		[MEMBER_LEFT] = 3,
+	};
+
+	return order[st];
+}
+
+/* True if the update is of a later incarnation than the node. */
+static bool later_incarnation(const struct swim_node *n,
+			      const struct swim_update *u)
+{
+	if (u->generation != n->generation)
+		return u->generation > n->generation;
+	return u->member.incarnation > n->member.incarnation;
+}
+
+static bool later_record(const struct swim_node *n, const struct swim_update *u)
+{
+	if (n->member.state == MEMBER_LEFT)
+		return false;
+	if (u->member.state == MEMBER_LEFT)
+		return true;
+	if (u->sequence != n->sequence)
+		return u->sequence > n->sequence;
+	return state_order(u->member.state) > state_order(n->member.state);
+}
+
+/* ---- merging ---- */
+
+void swim_renew_self(struct swim *s)
+{
+	s->self->sequence++;
+	s->changed = true;
+	queue_first(s, &s->self->state_rumour);
+}
+
+static bool apply_self(struct swim *s, const struct swim_update *u)
+{
+	struct swim_node *n = s->self;
+
+	if (u->kind == UPDATE_REPORTS)
+		return false;
+	if (u->member.incarnation == n->member.incarnation) {
+		if (s->leaving || (u->member.state == MEMBER_ALIVE &&
+				   u->sequence <= n->sequence))
+			return false;
+		if (u->sequence < n->sequence)
+			return false;
+		n->sequence = u->sequence;
+		s->counts.refutations++;
+		swim_renew_self(s);
+		return true;
+	}
+	if (!later_incarnation(n, u) && u->generation < n->generation)
+		return false;
+	if (s->now_us - s->start_us < YOUNG_US) {
+		n->generation = u->generation + 1;
+		swim_renew_self(s);
+		return true;
+	}
+	if (later_incarnation(n, u))
+		s->superseded = true;
+	return false;
+}
+
+static bool apply_reports(struct swim *s, struct swim_node *n,
+			  const struct swim_msg *m, const struct swim_update *u)
+{
+	const struct swim_reports *l = &m->lists[u->list];
+
+	if (!n || !swim_is_live(n) || u->sequence <= n->report_version ||
+	    n->member.incarnation != u->member.incarnation)
+		return false;
+	free(n->reports);
+	n->reports = NULL;
+	n->report_count = l->count;
+	n->report_version = u->sequence;
+	if (l->count) {
+		n->reports = must(malloc(l->count * sizeof(*n->reports)));
+		memcpy(n->reports, l->reports, l->count * sizeof(*n->reports));
+	}
+	queue_first(s, &n->report_rumour);
+	s->changed = true;
+	return true;
+}
+
+/* Takes attributes and state of a full record. */
+static void take_record(struct swim *s, struct swim_node *n,
+			const struct swim_update *u, bool spread)
+{
+	if (n->member.incarnation != u->member.incarnation ||
+	    n->member.dc != u->member.dc) {
+		/* The old incarnation is dead. */
+		if (swim_is_live(n))
+			swim_set_state(s, n, MEMBER_DEAD, false);
+	}
+	count_node(s, n, -1);
+	n->generation = u->generation;
+	n->sequence = u->sequence;
+	if (u->kind == UPDATE_FULL) {
+		enum member_state was = n->member.state;
+
+		n->member = u->member;
+		n->member.state = was;
+	}
+	count_node(s, n, 1);
+	swim_set_state(s, n, u->member.state, spread);
+}
+
+const struct swim_node *swim_newer(const struct swim *s,
+				   const struct swim_update *u)
+{
+	const struct swim_node *n = swim_find(s, u->member.id);
+
+	if (!n)
+		return NULL;
+	if (u->kind == UPDATE_REPORTS)
+		return u->member.incarnation == n->member.incarnation &&
+				       u->sequence < n->report_version ?
+			       n :
+			       NULL;
+	if (u->member.incarnation != n->member.incarnation)
+		return later_incarnation(n, u) ? NULL : n;
+	if (u->sequence != n->sequence)
+		return u->sequence < n->sequence ? n : NULL;
+	return state_order(u->member.state) < state_order(n->member.state) ?
+		       n :
+		       NULL;
+}
+
+bool swim_apply(struct swim *s, const struct swim_msg *m,
+		const struct swim_update *u)
+{
+	struct swim_node *n;
+	bool news = false;
+
+	if (u->member.id == s->self->member.id)
+		return apply_self(s, u);
+	n = swim_find(s, u->member.id);
+	if (u->kind == UPDATE_REPORTS)
+		return apply_reports(s, n, m, u);
+	if (u->kind == UPDATE_FULL && u->member.state == MEMBER_LEFT &&
+	    u->member.successor)
+		news = departed_add(s, u);
+	if (!n) {
+		/* A record of the dead is of no use to who never knew it. */
+		if (u->kind != UPDATE_FULL || u->member.state == MEMBER_DEAD ||
+		    u->member.state == MEMBER_LEFT)
+			return news;
+		n = node_add(s, u->member.id);
+		take_record(s, n, u, true);
+		return true;
+	}
+	if (n->member.incarnation == u->member.incarnation) {
+		if (!later_record(n, u))
+			return news;
+	} else if (!later_incarnation(n, u) || u->kind != UPDATE_FULL) {
+		return news;
+	}
+	/* A departed record spreads by itself. */
+	take_record(s, n, u, !news);
+	return true;
+}
+
+/* ---- expiry ---- */
+
+static void node_remove(struct swim *s, uint32_t i)
+{
+	struct swim_node *n = s->nodes[i];
+
+	count_node(s, n, -1);
+	unqueue(s, &n->state_rumour);
+	drop_reports(s, n);
+	free(n);
+	memmove(s->nodes + i, s->nodes + i + 1,
+		(--s->node_count - i) * sizeof(struct swim_node *));
+}
+
+void swim_expire(struct swim *s)
+{
+	for (uint32_t i = s->node_count; i-- > 0;) {
+		const struct swim_node *n = s->nodes[i];
+		int64_t age_us = s->now_us - n->changed_us;
+
+		if (swim_is_live(n) || n->state_rumour.next)
+			continue;
+		if (s->tombstone_count > SWIM_TOMBSTONES_MAX ||
+		    (age_us > DEAD_KEEP_US && !swim_is_listed(s, n->member.id)))
+			node_remove(s, i);
+	}
+	for (uint32_t i = s->departed_count; i-- > 0;)
+		if (s->now_us - s->departed[i]->left_us > SWIM_DEPARTED_KEEP_US)
+			departed_drop(s, i);
+}
+
+/* ---- messages ---- */
+
+static uint32_t full_bytes(const struct member *m)
+{
+	return FULL_BYTES + ((uint32_t)strlen(m->name) + 3) / 4 * 4;
+}
+
+uint32_t swim_msg_bytes(const struct swim_msg *m)
+{
+	uint32_t n = SWIM_HEADER_BYTES;
+
+	switch (m->kind) {
+	case SWIM_PING_REQUEST:
+	case SWIM_RELAYED_ACK:
+	case SWIM_NACK:
+		n += 16;
+		break;
+	case SWIM_PAGE_REQUEST:
+		n += 12;
+		break;
+	case SWIM_PAGE:
+		n += 8;
+		break;
+	case SWIM_SYNC:
+		n += 20 + m->hash_count * HASH_BYTES;
+		break;
+	default:
+		break;
+	}
+	for (uint32_t i = 0; i < m->update_count; i++) {
+		const struct swim_update *u = &m->updates[i];
+
+		if (u->kind == UPDATE_BRIEF)
+			n += BRIEF_BYTES;
+		else if (u->kind == UPDATE_FULL)
+			n += full_bytes(&u->member);
+		else
+			n += REPORTS_BYTES +
+			     m->lists[u->list].count * REPORT_BYTES;
+	}
+	return n;
+}
+
+static struct swim_update *add_update(struct swim_msg *m, uint32_t bytes,
+				      uint32_t max_bytes)
+{
+	struct swim_update *u;
+
+	if (m->update_count == SWIM_UPDATES_MAX ||
+	    swim_msg_bytes(m) + bytes > max_bytes)
+		return NULL;
+	u = &m->updates[m->update_count++];
+	u->list = 0;
+	u->age_ms = 0;
+	return u;
+}
+
+static bool contains(const struct swim_msg *m, uint64_t incarnation,
+		     bool reports)
+{
+	for (uint32_t i = 0; i < m->update_count; i++)
+		if (m->updates[i].member.incarnation == incarnation &&
+		    (m->updates[i].kind == UPDATE_REPORTS) == reports)
+			return true;
+	return false;
+}
+
+bool swim_add_state(struct swim *s, struct swim_msg *m,
+		    const struct swim_node *n, bool full, uint32_t max_bytes)
+{
+	struct swim_update *u;
+
+	if (contains(m, n->member.incarnation, false))
+		return true;
+	u = add_update(m, full ? full_bytes(&n->member) : BRIEF_BYTES,
+		       max_bytes);
+	if (!u)
+		return false;
+	u->kind = full ? UPDATE_FULL : UPDATE_BRIEF;
+	u->member = n->member;
+	u->generation = n->generation;
+	u->sequence = n->sequence;
+	if (n->member.state == MEMBER_LEFT)
+		u->age_ms = (uint32_t)((s->now_us - n->changed_us) / US_PER_MS);
+	return true;
+}
+
+bool swim_add_reports(struct swim_msg *m, const struct swim_node *n,
+		      uint32_t max_bytes)
+{
+	struct swim_update *u;
+	struct swim_reports *l;
+
+	if (contains(m, n->member.incarnation, true))
+		return true;
+	if (m->list_count == SWIM_REPORT_LISTS_MAX)
+		return false;
+	u = add_update(m, REPORTS_BYTES + n->report_count * REPORT_BYTES,
+		       max_bytes);
+	if (!u)
+		return false;
+	u->kind = UPDATE_REPORTS;
+	u->member = n->member;
+	u->generation = n->generation;
+	u->sequence = n->report_version;
+	u->list = (uint8_t)m->list_count;
+	l = &m->lists[m->list_count++];
+	l->count = n->report_count;
+	if (n->report_count)
+		memcpy(l->reports, n->reports,
+		       n->report_count * sizeof(*l->reports));
+	return true;
+}
+
+bool swim_add_departed(struct swim *s, struct swim_msg *m,
+		       const struct swim_departed *d, uint32_t max_bytes)
+{
+	struct swim_update *u;
+	int64_t age_us = s->now_us - d->left_us;
+
+	if (age_us > DEPARTED_SPREAD_US ||
+	    contains(m, d->member.incarnation, false))
+		return true;
+	u = add_update(m, full_bytes(&d->member), max_bytes);
+	if (!u)
+		return false;
+	u->kind = UPDATE_FULL;
+	u->member = d->member;
+	u->generation = d->generation;
+	u->sequence = d->sequence;
+	u->age_ms = age_us < 0 ? 0 : (uint32_t)(age_us / US_PER_MS);
+	return true;
+}
+
+static bool add_rumour(struct swim *s, struct swim_msg *m,
+		       struct swim_rumour *r, uint32_t max_bytes)
+{
+	if (!r->node)
+		return swim_add_departed(
+			s, m, az_container_of(r, struct swim_departed, rumour),
+			max_bytes);
+	if (r->reports)
+		return swim_add_reports(m, r->node, max_bytes);
+	return swim_add_state(s, m, r->node,
+			      r->node->member.state == MEMBER_ALIVE, max_bytes);
+}
+
+void swim_fill(struct swim *s, struct swim_msg *m, uint32_t aim_bytes)
+{
+	uint32_t limit = 3 * (swim_log2(s->live_count + 1) + 1);
+	uint32_t n = s->rumour_count;
+	struct swim_rumour *r = s->rumours.next;
+
+	/* Each goes to the end once sent, so those least sent come first. */
+	while (n-- > 0) {
+		struct swim_rumour *next = r->next;
+
+		if (!add_rumour(s, m, r, aim_bytes)) {
+			if (swim_msg_bytes(m) + BRIEF_BYTES > aim_bytes)
+				return;
+			r = next;
+			continue;
+		}
+		r->sent++;
+		unqueue(s, r);
+		if (r->sent < limit)
+			queue_before(s, r, &s->rumours);
+		r = next;
+	}
+}
+
+/* ---- random members ---- */
+
+struct swim_node *swim_random_local(struct swim *s, uint64_t not )
+{
+	for (uint32_t i = 0; s->order_count && i < 8; i++) {
+		uint64_t id = s->order[swim_random_below(s, s->order_count)];
+
+		if (id != not )
+			return swim_find(s, id);
+	}
+	return NULL;
+}
+
+struct swim_node *swim_random_remote(struct swim *s, uint64_t not )
+{
+	if (s->live_count == s->dc_live_count)
+		return NULL;
+	for (uint32_t i = 0; i < 32; i++) {
+		struct swim_node *n =
+			s->nodes[swim_random_below(s, s->node_count)];
+
+		if (swim_is_live(n) &&
+		    n->member.id != not &&n->member.dc != s->self->member.dc)
+			return n;
+	}
+	return NULL;
+}
+
+/* ---- own state ---- */
+
+static bool same_reports(const struct swim_node *n, const struct report *list,
+			 uint32_t count)
+{
+	if (count != n->report_count)
+		return false;
+	for (uint32_t i = 0; i < count; i++)
+		if (list[i].subject != n->reports[i].subject ||
+		    list[i].kind != n->reports[i].kind ||
+		    list[i].severity != n->reports[i].severity)
+			return false;
+	return true;
+}
+
+void swim_set_reports(struct swim *s, const struct report *list, uint32_t count)
+{
+	struct swim_node *n = s->self;
+
+	if (count > MEMBER_REPORTS_MAX)
+		count = MEMBER_REPORTS_MAX;
+	if (same_reports(n, list, count))
+		return;
+	free(n->reports);
+	n->reports = NULL;
+	if (count) {
+		n->reports = must(malloc(count * sizeof(*list)));
+		memcpy(n->reports, list, count * sizeof(*list));
+	}
+	n->report_count = count;
+	n->report_version++;
+	queue_first(s, &n->report_rumour);
+	s->changed = true;
+}
+
+void swim_set_stopping(struct swim *s)
+{
+	if (s->self->member.stopping)
+		return;
+	s->self->member.stopping = true;
+	swim_renew_self(s);
+}
+
+void swim_set_successor(struct swim *s, uint64_t incarnation)
+{
+	if (s->self->member.successor == incarnation)
+		return;
+	s->self->member.successor = incarnation;
+	swim_renew_self(s);
+}
+
+/* ---- memory and views ---- */
+
+struct swim *swim_new(const struct member *self, uint32_t period_ms,
+		      uint64_t seed, int64_t now_us)
+{
+	struct swim *s = must(calloc(1, sizeof(*s)));
+	struct swim_node *n;
+
+	s->period_us = (period_ms ? period_ms : SWIM_PERIOD_MS) * US_PER_MS;
+	s->start_us = now_us;
+	s->now_us = now_us;
+	s->tick_us = now_us;
+	s->heard_us = now_us;
+	s->random = seed;
+	s->rumours.next = &s->rumours;
+	s->rumours.prev = &s->rumours;
+	n = node_add(s, self->id);
+	s->self = n;
+	n->member = *self;
+	n->member.state = MEMBER_DEAD;
+	n->member.name[MEMBER_NAME_MAX_BYTES - 1] = '\0';
+	n->sequence = 1;
+	swim_set_state(s, n, MEMBER_ALIVE, true);
+	/* Periods of daemons started together do not coincide. */
+	s->period_at_us = now_us + swim_random_below(s, (uint32_t)s->period_us);
+	return s;
+}
+
+void swim_free(struct swim *s)
+{
+	if (!s)
+		return;
+	for (uint32_t i = 0; i < s->node_count; i++) {
+		free(s->nodes[i]->reports);
+		free(s->nodes[i]);
+	}
+	for (uint32_t i = 0; i < s->departed_count; i++)
+		free(s->departed[i]);
+	free(s->nodes);
+	free(s->departed);
+	free(s->order);
+	free(s->listed);
+	free(s);
+}
+
+uint64_t swim_memory_bytes(const struct swim *s)
+{
+	uint64_t n = sizeof(*s) + s->node_cap * sizeof(struct swim_node *) +
+		     s->node_count * sizeof(struct swim_node) +
+		     s->order_cap * sizeof(*s->order) +
+		     s->departed_cap * sizeof(struct swim_departed *) +
+		     s->departed_count * sizeof(struct swim_departed) +
+		     s->listed_count * sizeof(*s->listed);
+
+	for (uint32_t i = 0; i < s->node_count; i++)
+		n += s->nodes[i]->report_count * sizeof(struct report);
+	return n;
+}
+
+static int by_subject(const void *a, const void *b)
+{
+	const struct report *x = a;
+	const struct report *y = b;
+
+	if (x->subject != y->subject)
+		return x->subject < y->subject ? -1 : 1;
+	return x->kind - y->kind;
+}
+
+struct member_view *swim_view(struct swim *s, uint64_t version)
+{
+	struct member *members =
+		must(calloc(s->live_count + 1, sizeof(*members)));
+	struct member *gone =
+		must(calloc(s->departed_count + 1, sizeof(*gone)));
+	struct report *reports;
+	struct member_view *v;
+	uint32_t n = 0;
+	uint32_t total = 0;
+
+	for (uint32_t i = 0; i < s->node_count; i++)
+		total += s->nodes[i]->report_count;
+	reports = must(calloc(total + 1, sizeof(*reports)));
+	total = 0;
+	for (uint32_t i = 0; i < s->node_count; i++) {
+		const struct swim_node *node = s->nodes[i];
+
+		if (!swim_is_live(node))
+			continue;
+		members[n++] = node->member;
+		if (node->report_count)
+			memcpy(reports + total, node->reports,
+			       node->report_count * sizeof(*reports));
+		total += node->report_count;
+	}
+	qsort(reports, total, sizeof(*reports), by_subject);
+	for (uint32_t i = 0; i < s->departed_count; i++)
+		gone[i] = s->departed[i]->member;
+	v = member_view_new(version, members, n, gone, s->departed_count,
+			    reports, total);
+	free(members);
+	free(gone);
+	free(reports);
+	s->changed = false;
+	return v;
+}
--- /dev/null
+++ b/member/swim.c
@@ -0,0 +1,634 @@
+/**
+ * @file
+ * The membership protocol: periods, gossip, joining, comparison of ranges, and
+ * the reaction to each message.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/member.h"
+
+#define PAUSE_US US_PER_S
+#define GOSSIPS_A_PERIOD 5
+#define GOSSIP_FANOUT 2
+/* Share of gossip rounds that reach another data centre. */
+#define GOSSIP_REMOTE_EVERY 4
+#define REMOTE_PROBE_PERIODS 8
+#define SYNC_PERIODS 4
+#define SYNC_REMOTE_EVERY 8
+#define SYNC_RANGE_MEMBERS 8
+#define SEED_PERIODS 32
+/* A suspect whose accuser went away is probed again after that many. */
+#define STALE_SUSPECT_PERIODS 16
+#define LEAVE_LOCAL 8
+#define LEAVE_REMOTE 2
+/* More waiting rumours than that justify full datagrams. */
+#define CROWD_RUMOURS 16
+#define JOIN_DONE 2
+
+/* ---- sending ---- */
+
+struct swim_msg *swim_emit_to(struct swim *s, struct swim_out *out, uint32_t ip,
+			      uint16_t port, enum swim_kind kind)
+{
+	struct swim_msg *m;
+
+	if (out->count == SWIM_OUT_MAX) {
+		out->refused++;
+		return NULL;
+	}
+	out->list[out->count].ip = ip;
+	out->list[out->count].port = port;
+	m = &out->list[out->count++].msg;
+	memset(m, 0, offsetof(struct swim_msg, hashes));
+	m->update_count = 0;
+	m->list_count = 0;
+	m->kind = kind;
+	m->from = s->self->member.id;
+	m->from_incarnation = s->self->member.incarnation;
+	m->digest = s->digest;
+	return m;
+}
+
+struct swim_msg *swim_emit(struct swim *s, struct swim_out *out,
+			   const struct swim_node *to, enum swim_kind kind)
+{
+	struct swim_msg *m = swim_emit_to(s, out, to->member.ip,
+					  to->member.member_port, kind);
+
+	/* Who is suspected must be the first to hear it. */
+	if (m && to->member.state != MEMBER_ALIVE)
+		swim_add_state(s, m, to, false, SWIM_DATAGRAM_MAX_BYTES);
+	return m;
+}
+
+void swim_finish(struct swim *s, struct swim_msg *m)
+{
+	swim_fill(s, m,
+		  s->rumour_count > CROWD_RUMOURS ? SWIM_DATAGRAM_MAX_BYTES :
+						    SWIM_DATAGRAM_AIM_BYTES);
+}
+
+static void add_self(struct swim *s, struct swim_msg *m)
+{
+	swim_add_state(s, m, s->self, true, SWIM_DATAGRAM_MAX_BYTES);
+}
+
+/* An answer to a sender that this daemon may not know, or know otherwise. */
+static struct swim_msg *emit_reply(struct swim *s, struct swim_out *out,
+				   uint32_t ip, uint16_t port,
+				   const struct swim_msg *to,
+				   enum swim_kind kind)
+{
+	struct swim_msg *m = swim_emit_to(s, out, ip, port, kind);
+	const struct swim_node *n = swim_find(s, to->from);
+
+	if (!m)
+		return NULL;
+	m->nonce = to->nonce;
+	m->unknown = !n || n->member.incarnation != to->from_incarnation;
+	if (n && (m->unknown || n->member.state != MEMBER_ALIVE))
+		swim_add_state(s, m, n, false, SWIM_DATAGRAM_MAX_BYTES);
+	if (to->unknown)
+		add_self(s, m);
+	return m;
+}
+
+static void gossip_to(struct swim *s, const struct swim_node *n,
+		      struct swim_out *out)
+{
+	struct swim_msg *m = n ? swim_emit(s, out, n, SWIM_GOSSIP) : NULL;
+
+	if (m)
+		swim_finish(s, m);
+}
+
+static void gossip_turn(struct swim *s, struct swim_out *out)
+{
+	bool local = s->dc_live_count > 1;
+
+	if (s->now_us < s->gossip_at_us ||
+	    (!s->rumour_count && s->now_us >= s->announce_until_us))
+		return;
+	s->gossip_at_us = s->now_us + s->period_us / GOSSIPS_A_PERIOD;
+	for (uint32_t i = 0; local && i < GOSSIP_FANOUT; i++)
+		gossip_to(s, swim_random_local(s, 0), out);
+	if (!local || !swim_random_below(s, GOSSIP_REMOTE_EVERY))
+		gossip_to(s, swim_random_remote(s, 0), out);
+}
+
+/* ---- comparison of ranges ---- */
+
+static uint64_t mix(uint64_t a, uint64_t b)
+{
+	a ^= b + UINT64_C(0x9e3779b97f4a7c15) + (a << 6) + (a >> 2);
+	a = (a ^ (a >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	return a ^ (a >> 31);
+}
+
+/* Suspicion is left out: it differs all the time and passes by itself. */
+static uint64_t node_hash(const struct swim_node *n)
+{
+	uint64_t h = mix(n->member.id, n->member.incarnation);
+
+	h = mix(h, (uint64_t)n->generation << 32 | n->sequence);
+	return mix(h, n->report_version);
+}
+
+static uint64_t departed_hash(const struct swim *s)
+{
+	uint64_t h = 0;
+
+	for (uint32_t i = 0; i < s->departed_count; i++) {
+		const struct swim_departed *d = s->departed[i];
+
+		/* Two daemons drop the oldest at slightly different times. */
+		if (s->now_us - d->left_us < SWIM_DEPARTED_KEEP_US * 3 / 4)
+			h ^= mix(d->member.incarnation, d->member.successor);
+	}
+	return h;
+}
+
+static uint64_t range_start(uint8_t bits, uint32_t range)
+{
+	return bits ? (uint64_t)range << (64 - bits) : 0;
+}
+
+static uint32_t range_nodes(const struct swim *s, uint8_t bits, uint32_t range,
+			    uint32_t *end)
+{
+	uint32_t first = swim_position(s, range_start(bits, range));
+
+	*end = range + 1 < (UINT32_C(1) << bits) ?
+		       swim_position(s, range_start(bits, range + 1)) :
+		       s->node_count;
+	return first;
+}
+
+static uint32_t range_hash(const struct swim *s, uint8_t bits, uint32_t range)
+{
+	uint32_t end;
+	uint64_t h = 0;
+
+	for (uint32_t i = range_nodes(s, bits, range, &end); i < end; i++)
+		if (swim_is_live(s->nodes[i]))
+			h ^= node_hash(s->nodes[i]);
+	return (uint32_t)(h ^ (h >> 32));
+}
+
+static void sync_start(struct swim *s, struct swim_out *out)
+{
+	bool remote =
+		s->dc_live_count < 2 || s->sync_number % SYNC_REMOTE_EVERY == 0;
+	struct swim_node *to = remote ? swim_random_remote(s, 0) : NULL;
+	struct swim_msg *m;
+	uint32_t ranges;
+
+	s->sync_number++;
+	if (!to)
+		to = swim_random_local(s, 0);
+	m = to ? swim_emit(s, out, to, SWIM_SYNC) : NULL;
+	if (!m)
+		return;
+	while (s->live_count > (uint32_t)SYNC_RANGE_MEMBERS << m->bits)
+		m->bits++;
+	ranges = UINT32_C(1) << m->bits;
+	if (s->sync_first >= ranges)
+		s->sync_first = 0;
+	m->first = s->sync_first;
+	m->hash_count = ranges < SWIM_HASHES_MAX ? ranges : SWIM_HASHES_MAX;
+	for (uint32_t i = 0; i < m->hash_count; i++)
+		m->hashes[i] = range_hash(s, m->bits, m->first + i);
+	m->departed_hash = departed_hash(s);
+	s->sync_first += m->hash_count;
+	swim_finish(s, m);
+}
+
+static bool add_range(struct swim *s, struct swim_msg *m, uint8_t bits,
+		      uint32_t range)
+{
+	uint32_t end;
+
+	for (uint32_t i = range_nodes(s, bits, range, &end); i < end; i++) {
+		const struct swim_node *n = s->nodes[i];
+
+		if (!swim_add_state(s, m, n, swim_is_live(n),
+				    SWIM_DATAGRAM_MAX_BYTES))
+			return false;
+		if (n->report_version)
+			swim_add_reports(m, n, SWIM_DATAGRAM_MAX_BYTES);
+	}
+	return true;
+}
+
+static void add_departed(struct swim *s, struct swim_msg *m)
+{
+	for (uint32_t i = 0; i < s->departed_count; i++) {
+		uint32_t at = swim_random_below(s, s->departed_count);
+
+		if (!swim_add_departed(s, m, s->departed[at],
+				       SWIM_DATAGRAM_AIM_BYTES))
+			return;
+	}
+}
+
+static void on_sync(struct swim *s, uint32_t ip, uint16_t port,
+		    const struct swim_msg *m, struct swim_out *out)
+{
+	uint32_t start = swim_random_below(s, m->hash_count);
+	struct swim_msg *r = NULL;
+
+	if (m->departed_hash != departed_hash(s)) {
+		r = emit_reply(s, out, ip, port, m, SWIM_SYNC_DIFF);
+		if (!r)
+			return;
+		add_departed(s, r);
+	}
+	/* A random start lets every range pass if they do not all fit. */
+	for (uint32_t i = 0; i < m->hash_count; i++) {
+		uint32_t at = (start + i) % m->hash_count;
+
+		if (range_hash(s, m->bits, m->first + at) == m->hashes[at])
+			continue;
+		if (!r)
+			r = emit_reply(s, out, ip, port, m, SWIM_SYNC_DIFF);
+		if (!r || !add_range(s, r, m->bits, m->first + at))
+			break;
+	}
+	if (r)
+		s->counts.sync_diffs++;
+}
+
+/* Sends back what the other side had in an older state. */
+static void on_sync_diff(struct swim *s, uint32_t ip, uint16_t port,
+			 const struct swim_msg *m, struct swim_out *out)
+{
+	struct swim_msg *r = NULL;
+
+	for (uint32_t i = 0; i < m->update_count; i++) {
+		const struct swim_node *n = swim_newer(s, &m->updates[i]);
+
+		if (!n)
+			continue;
+		if (!r)
+			r = emit_reply(s, out, ip, port, m, SWIM_GOSSIP);
+		if (!r)
+			return;
+		if (m->updates[i].kind == UPDATE_REPORTS)
+			swim_add_reports(r, n, SWIM_DATAGRAM_MAX_BYTES);
+		else
+			swim_add_state(s, r, n, swim_is_live(n),
+				       SWIM_DATAGRAM_MAX_BYTES);
+	}
+}
+
+/* ---- joining ---- */
+
+static bool seed_known(const struct swim *s, const struct swim_seed *d)
+{
+	for (uint32_t i = 0; i < s->node_count; i++)
+		if (s->nodes[i]->member.ip == d->ip &&
+		    s->nodes[i]->member.member_port == d->port &&
+		    swim_is_live(s->nodes[i]))
+			return true;
+	return false;
+}
+
+static struct swim_seed *next_seed(struct swim *s)
+{
+	for (uint32_t i = 0; i < s->seed_count; i++) {
+		struct swim_seed *d = &s->seeds[s->seed_next++ % s->seed_count];
+
+		if (!seed_known(s, d))
+			return d;
+	}
+	return NULL;
+}
+
+static void join_turn(struct swim *s, struct swim_out *out)
+{
+	struct swim_node *n;
+	struct swim_seed *seed = NULL;
+	struct swim_msg *m;
+
+	if (s->join_phase == JOIN_DONE || s->now_us < s->join_at_us)
+		return;
+	n = swim_random_local(s, 0);
+	if (!n)
+		n = swim_random_remote(s, 0);
+	if (!n)
+		seed = next_seed(s);
+	if (!n && !seed)
+		return;
+	m = n ? swim_emit(s, out, n, SWIM_PAGE_REQUEST) :
+		swim_emit_to(s, out, seed->ip, seed->port, SWIM_PAGE_REQUEST);
+	if (!m)
+		return;
+	if (!++s->last_nonce)
+		s->last_nonce++;
+	s->join_nonce = s->last_nonce;
+	s->join_at_us = s->now_us + s->period_us;
+	m->nonce = s->join_nonce;
+	m->target = s->join_cursor;
+	m->dc = s->join_phase ? 0 : s->self->member.dc;
+	add_self(s, m);
+	swim_finish(s, m);
+}
+
+static void on_page_request(struct swim *s, uint32_t ip, uint16_t port,
+			    const struct swim_msg *m, struct swim_out *out)
+{
+	struct swim_msg *r = emit_reply(s, out, ip, port, m, SWIM_PAGE);
+	uint32_t i = swim_position(s, m->target + 1);
+
+	if (!r)
+		return;
+	r->target = m->target;
+	for (; i < s->node_count; i++) {
+		const struct swim_node *n = s->nodes[i];
+
+		if (swim_is_live(n) && (!m->dc || n->member.dc == m->dc)) {
+			if (!swim_add_state(s, r, n, true,
+					    SWIM_DATAGRAM_MAX_BYTES))
+				return;
+			if (n->report_count)
+				swim_add_reports(r, n, SWIM_DATAGRAM_MAX_BYTES);
+		}
+		r->target = n->member.id;
+	}
+	r->done = true;
+}
+
+static void on_page(struct swim *s, const struct swim_msg *m)
+{
+	if (m->nonce != s->join_nonce || s->join_phase == JOIN_DONE)
+		return;
+	s->join_nonce = 0;
+	s->join_cursor = m->target;
+	s->join_at_us = s->now_us;
+	if (!m->done)
+		return;
+	s->join_cursor = 0;
+	s->join_phase++;
+}
+
+/* ---- periods ---- */
+
+static void ping_address(struct swim *s, const struct swim_seed *d,
+			 struct swim_out *out)
+{
+	struct swim_msg *m = swim_emit_to(s, out, d->ip, d->port, SWIM_PING);
+
+	if (!m)
+		return;
+	add_self(s, m);
+	swim_finish(s, m);
+}
+
+/* A dead member may be alive on the other side of a cut that has healed. */
+static void contact_dead(struct swim *s, struct swim_out *out)
+{
+	uint32_t at = swim_random_below(s, s->node_count);
+
+	for (uint32_t i = 0; s->tombstone_count && i < s->node_count; i++) {
+		const struct swim_node *n = s->nodes[(at + i) % s->node_count];
+		struct swim_msg *m;
+
+		if (n->member.state != MEMBER_DEAD)
+			continue;
+		m = swim_emit(s, out, n, SWIM_PING);
+		if (m)
+			add_self(s, m);
+		return;
+	}
+}
+
+static struct swim_node *next_local(struct swim *s)
+{
+	if (s->order_next >= s->order_count) {
+		s->order_next = 0;
+		for (uint32_t i = s->order_count; i > 1; i--) {
+			uint32_t j = swim_random_below(s, i);
+			uint64_t id = s->order[i - 1];
+
+			s->order[i - 1] = s->order[j];
+			s->order[j] = id;
+		}
+	}
+	return s->order_count ? swim_find(s, s->order[s->order_next++]) : NULL;
+}
+
+static void probe_stale_suspect(struct swim *s, struct swim_out *out)
+{
+	for (uint32_t i = 0; i < s->node_count; i++) {
+		struct swim_node *n = s->nodes[i];
+
+		if (n->member.state != MEMBER_SUSPECT ||
+		    n->member.dc != s->self->member.dc ||
+		    s->now_us - n->changed_us <
+			    STALE_SUSPECT_PERIODS * s->period_us)
+			continue;
+		swim_probe_start(s, n, out);
+		return;
+	}
+}
+
+static void period_turn(struct swim *s, struct swim_out *out)
+{
+	/* Remote work of daemons started together is spread over periods. */
+	uint64_t number = s->period_number++ + s->self->member.id % 64;
+	struct swim_node *n = next_local(s);
+	struct swim_seed *seed;
+
+	if (n)
+		swim_probe_start(s, n, out);
+	probe_stale_suspect(s, out);
+	n = number % REMOTE_PROBE_PERIODS == 0 ? swim_random_remote(s, 0) :
+						 NULL;
+	if (n)
+		swim_probe_start(s, n, out);
+	if (number % REMOTE_PROBE_PERIODS == 4)
+		contact_dead(s, out);
+	if (number % SYNC_PERIODS == 2 && s->live_count > 1)
+		sync_start(s, out);
+	if (s->live_count == 1 || number % SEED_PERIODS == 1) {
+		seed = next_seed(s);
+		if (seed)
+			ping_address(s, seed, out);
+	}
+	swim_expire(s);
+}
+
+/* Nothing that was not answered while this process stood still counts. */
+static void after_pause(struct swim *s, struct swim_out *out)
+{
+	s->counts.pauses++;
+	s->quiet_until_us = s->now_us + s->period_us;
+	s->heard_us = s->now_us;
+	swim_probe_reset(s);
+	swim_renew_self(s);
+	s->gossip_at_us = s->now_us;
+	gossip_turn(s, out);
+	gossip_to(s, swim_random_remote(s, 0), out);
+	sync_start(s, out);
+	s->period_at_us = s->now_us + s->period_us;
+}
+
+void swim_tick(struct swim *s, int64_t now_us, struct swim_out *out)
+{
+	bool paused = now_us - s->tick_us > PAUSE_US;
+
+	s->now_us = now_us;
+	s->tick_us = now_us;
+	if (s->leaving)
+		return;
+	if (paused)
+		after_pause(s, out);
+	swim_probe_tick(s, out);
+	if (now_us >= s->period_at_us) {
+		s->period_at_us += s->period_us;
+		if (s->period_at_us <= now_us)
+			s->period_at_us = now_us + s->period_us;
+		period_turn(s, out);
+	}
+	join_turn(s, out);
+	gossip_turn(s, out);
+}
+
+/* ---- receiving ---- */
+
+static bool apply_updates(struct swim *s, const struct swim_msg *m)
+{
+	uint32_t sequence = s->self->sequence;
+	uint32_t generation = s->self->generation;
+
+	for (uint32_t i = 0; i < m->update_count; i++)
+		swim_apply(s, m, &m->updates[i]);
+	return s->self->sequence != sequence ||
+	       s->self->generation != generation;
+}
+
+static void answer(struct swim *s, uint32_t ip, uint16_t port,
+		   const struct swim_msg *m, bool renewed, struct swim_out *out)
+{
+	struct swim_msg *r;
+
+	if (m->kind != SWIM_PING && !renewed && !m->unknown)
+		return;
+	r = emit_reply(s, out, ip, port, m,
+		       m->kind == SWIM_PING ? SWIM_ACK : SWIM_GOSSIP);
+	if (!r)
+		return;
+	if (renewed)
+		add_self(s, r);
+	swim_finish(s, r);
+}
+
+void swim_receive(struct swim *s, int64_t now_us, uint32_t ip, uint16_t port,
+		  const struct swim_msg *m, struct swim_out *out)
+{
+	bool renewed;
+
+	if (s->leaving || m->from_incarnation == s->self->member.incarnation)
+		return;
+	s->now_us = now_us;
+	s->heard_us = now_us;
+	s->digest_heard = m->digest;
+	renewed = apply_updates(s, m);
+	answer(s, ip, port, m, renewed, out);
+	switch (m->kind) {
+	case SWIM_ACK:
+	case SWIM_RELAYED_ACK:
+		swim_on_ack(s, m, out);
+		break;
+	case SWIM_NACK:
+		swim_on_nack(s, m);
+		break;
+	case SWIM_PING_REQUEST:
+		swim_relay_start(s, m, out);
+		break;
+	case SWIM_PAGE_REQUEST:
+		on_page_request(s, ip, port, m, out);
+		break;
+	case SWIM_PAGE:
+		on_page(s, m);
+		break;
+	case SWIM_SYNC:
+		on_sync(s, ip, port, m, out);
+		break;
+	case SWIM_SYNC_DIFF:
+		on_sync_diff(s, ip, port, m, out);
+		break;
+	default:
+		break;
+	}
+}
+
+/* ---- own state ---- */
+
+void swim_add_seed(struct swim *s, uint32_t ip, uint16_t port)
+{
+	const struct swim_node *n = s->self;
+
+	if (ip == n->member.ip && port == n->member.member_port)
+		return;
+	for (uint32_t i = 0; i < s->seed_count; i++)
+		if (s->seeds[i].ip == ip && s->seeds[i].port == port)
+			return;
+	if (s->seed_count == SWIM_SEEDS_MAX)
+		return;
+	s->seeds[s->seed_count++] = (struct swim_seed){ ip, port };
+}
+
+void swim_set_digest(struct swim *s, uint64_t digest)
+{
+	if (s->digest == digest)
+		return;
+	s->digest = digest;
+	s->announce_until_us = s->now_us + 2 * s->period_us;
+}
+
+static int by_id(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+void swim_set_listed(struct swim *s, const uint64_t *live, uint32_t count)
+{
+	free(s->listed);
+	s->listed = NULL;
+	s->listed_count = 0;
+	if (!live)
+		return;
+	s->listed = malloc((count + 1) * sizeof(*s->listed));
+	if (!s->listed)
+		abort();
+	if (count)
+		memcpy(s->listed, live, count * sizeof(*s->listed));
+	qsort(s->listed, count, sizeof(*s->listed), by_id);
+	s->listed_count = count;
+}
+
+void swim_leave(struct swim *s, int64_t now_us, struct swim_out *out)
+{
+	s->now_us = now_us;
+	s->self->sequence++;
+	s->self->member.stopping = true;
+	swim_set_state(s, s->self, MEMBER_LEFT, false);
+	for (uint32_t i = 0; i < LEAVE_LOCAL + LEAVE_REMOTE; i++) {
+		struct swim_node *n = i < LEAVE_LOCAL ?
+					      swim_random_local(s, 0) :
+					      swim_random_remote(s, 0);
+		struct swim_msg *m =
+			n ? swim_emit(s, out, n, SWIM_GOSSIP) : NULL;
+
+		if (!m)
+			continue;
+		add_self(s, m);
+		swim_finish(s, m);
+	}
+	s->leaving = true;
+}
