--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	cunit libcurl inih
 ALL_CFLAGS = -std=gnu11 -Wall -Wextra -Werror -Wno-unused-parameter -pthread \
 	-I. $(shell pkg-config --cflags $(PKGS)) $(CFLAGS)
-LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -pthread
+LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -pthread $(SAN)
 
 SLICES = lib front route ticket cell health upstream peer member conf admin
 NOT_LIBRARY = %_test.c %_measure.c %_main.c
@@ -25,6 +25,7 @@
 	@echo "make setup     install the packages that the build needs"
 	@echo "make demo      start a small fleet, send reads and payments through it"
 	@echo "make check     run every test program"
+	@echo "make check-memory  the same with the sanitizers"
 	@echo "make faults    process-level failure tests"
 	@echo "make models    check the Promela models and their broken variants"
 	@echo "make measure   measurements in model time, 'name value unit' lines"
@@ -64,6 +65,13 @@
 check: all
 	sh .ci/check $(TESTS)
 
+# Address and undefined-behaviour sanitizers; leaks too.
+check-memory:
+	$(MAKE) -s BUILD=build/memory \
+		CFLAGS="-O1 -g -fsanitize=address,undefined \
+		-fno-sanitize-recover=undefined" SAN=-fsanitize=address,undefined \
+		check
+
 demo: setup
 	$(MAKE) all
 	sh fake/demo.sh
@@ -95,6 +103,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help setup check demo faults models measure slopes bench format \
+.PHONY: all help setup check check-memory demo faults models measure slopes bench format \
 	reformat lint clean
 .SECONDARY:
--- a/front/front.c
+++ b/front/front.c
@@ -276,7 +276,7 @@
 {
 	struct front *f = c->front;
 
-	if (k->way == FRONT_REFUSE)
+	if (k->way == FRONT_REFUSE || !k->route)
 		return k->kind;
 	if (!within_limit(f, k, now_us))
 		return ERR_OVER_LIMIT;
@@ -321,7 +321,7 @@
 	c->single = k.route && !k.route->idempotent && k.organisation;
 	c->organisation = k.organisation;
 	c->rank = k.rank;
-	if (e == ERR_NONE)
+	if (e == ERR_NONE && k.route)
 		pass_on(c, method, &k);
 	else
 		done = refuse(c, e);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -259,10 +259,12 @@
 				random_u64() };
 	struct buf body = { 0 };
 
-	c->session.client_nonce = h.nonce;
 	peer_put_hello(&body, &h);
+	/* Signed without nonces, as the other end does not know them yet; it
+	 * opens nothing but a session with a fresh nonce of its own. */
 	peer_put_call(&c->out, &c->session, &p->settings.keys, 0, PEER_HELLO,
 		      &body);
+	c->session.client_nonce = h.nonce;
 	buf_free(&body);
 }
 
