--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -188,8 +188,8 @@
 	struct cell_settings cs = { me.id, d->incarnation, d->conf,
 				    d->membership, d->upstream };
 	struct peer_settings ps = {
-		.ip = s->peer.ip,
-		.port = s->peer.port,
+		.ip = s->peer_bind.ip,
+		.port = s->peer_bind.port,
 		.member_id = me.id,
 		.incarnation = d->incarnation,
 		.in_flight_max = s->max_in_flight,
--- a/cmd/azhd/settings.c
+++ b/cmd/azhd/settings.c
@@ -107,6 +107,8 @@
 		return parse_address(v, &o->front);
 	if (!strcmp(key, "peer"))
 		return parse_address(v, &o->peer);
+	if (!strcmp(key, "peer_bind"))
+		return parse_address(v, &o->peer_bind);
 	if (!strcmp(key, "member"))
 		return parse_address(v, &o->member);
 	if (!strcmp(key, "admin"))
@@ -244,6 +246,8 @@
 	if (rv > 0)
 		add_error(&p, rv, "not INI syntax");
 	check_whole(&p);
+	if (!out->peer_bind.port)
+		out->peer_bind = out->peer;
 	if (errors->count)
 		return az_fail(AZ_INVALID, "%u errors in %s", errors->count,
 			       path);
--- /dev/null
+++ b/peer/peer_test.c
@@ -0,0 +1,245 @@
+#include <stdlib.h>
+#include <string.h>
+#include <CUnit/Basic.h>
+#include <apr_general.h>
+
+#include "peer/peer.h"
+
+static struct fleet_keys keys;
+static struct fleet_keys both;
+static struct fleet_keys strange;
+
+#define KEY_A                                \
+	"1:000102030405060708090a0b0c0d0e0f" \
+	"101112131415161718191a1b1c1d1e1f"
+#define KEY_B                                \
+	"2:ff0102030405060708090a0b0c0d0e0f" \
+	"101112131415161718191a1b1c1d1e1f"
+
+static struct peer_session session(void)
+{
+	return (struct peer_session){ 5, 6, 0, 0 };
+}
+
+static struct buf call_record(struct peer_session *s, const struct buf *body)
+{
+	struct buf out = { 0 };
+
+	peer_put_call(&out, s, &keys, 9, PEER_FORWARD, body);
+	return out;
+}
+
+static struct request *sample_request(void)
+{
+	struct request *q = request_new("POST", "/pay?x=1", "ledger");
+
+	q->organisation = 4;
+	q->rank = RANK_BULK;
+	q->deadline_us = 5 * US_PER_S;
+	span_start(&q->span, NULL);
+	buf_printf(&q->headers, "A: b\r\n");
+	buf_append(&q->body, "body\0x", 6);
+	return q;
+}
+
+static struct forward sample_forward(void)
+{
+	return (struct forward){
+		{ 1, 2, 3 }, 44, 55, 0x8001, sample_request()
+	};
+}
+
+/* Guards against a field that is lost or changed between daemons. */
+static void test_forward_crosses_whole(void)
+{
+	struct forward f = sample_forward();
+	struct peer_session ours = session();
+	struct peer_session theirs = session();
+	struct buf body = { 0 };
+	struct buf wire;
+	struct peer_record r;
+	struct forward *back = NULL;
+	enum az_status st;
+
+	peer_put_forward(&body, &f, US_PER_S);
+	wire = call_record(&ours, &body);
+	CU_ASSERT_EQUAL(peer_record_bytes(wire.data, wire.len_bytes, &st),
+			wire.len_bytes);
+	CU_ASSERT_EQUAL(peer_record_bytes(wire.data, wire.len_bytes - 1, &st),
+			0);
+	CU_ASSERT_EQUAL(peer_get_record(wire.data, wire.len_bytes, true,
+					&theirs, &keys, &r),
+			AZ_OK);
+	CU_ASSERT_EQUAL(r.procedure, PEER_FORWARD);
+	CU_ASSERT_EQUAL(r.xid, 9);
+	CU_ASSERT_EQUAL_FATAL(peer_get_forward(&r, 100 * US_PER_S, &back),
+			      AZ_OK);
+	CU_ASSERT_EQUAL(back->id.sequence, 3);
+	CU_ASSERT_EQUAL(back->excluded, 0x8001);
+	CU_ASSERT_EQUAL(back->request->rank, RANK_BULK);
+	/* 4 s were left, whatever the other clock says. */
+	CU_ASSERT_EQUAL(back->request->deadline_us, 104 * US_PER_S);
+	CU_ASSERT_STRING_EQUAL(back->request->path, "/pay?x=1");
+	CU_ASSERT_EQUAL(back->request->body.len_bytes, 6);
+	CU_ASSERT(!memcmp(back->request->body.data, "body\0x", 6));
+	forward_free(back);
+	request_free(f.request);
+	buf_free(&body);
+	buf_free(&wire);
+}
+
+/* Guards against records that are forged, replayed, from another session, or
+ * sent back as their own reply. */
+static void test_strange_records_are_denied(void)
+{
+	struct peer_session ours = session();
+	struct peer_session theirs = session();
+	struct peer_session other = { 5, 7, 0, 0 };
+	struct buf body = { 0 };
+	struct buf wire = call_record(&ours, &body);
+	struct peer_record r;
+
+	CU_ASSERT_EQUAL(peer_get_record(wire.data, wire.len_bytes, true, &other,
+					&keys, &r),
+			AZ_DENIED);
+	CU_ASSERT_EQUAL(peer_get_record(wire.data, wire.len_bytes, true,
+					&theirs, &strange, &r),
+			AZ_DENIED);
+	CU_ASSERT_NOT_EQUAL(peer_get_record(wire.data, wire.len_bytes, false,
+					    &theirs, &keys, &r),
+			    AZ_OK);
+	CU_ASSERT_EQUAL(peer_get_record(wire.data, wire.len_bytes, true,
+					&theirs, &keys, &r),
+			AZ_OK);
+	CU_ASSERT_EQUAL(peer_get_record(wire.data, wire.len_bytes, true,
+					&theirs, &keys, &r),
+			AZ_DENIED);
+	buf_free(&wire);
+}
+
+/* Guards against any flipped bit that is accepted or crashes the parser. */
+static void test_changed_records_are_refused(void)
+{
+	struct forward f = sample_forward();
+	struct peer_session ours = session();
+	struct buf body = { 0 };
+	struct buf wire;
+
+	peer_put_forward(&body, &f, 0);
+	wire = call_record(&ours, &body);
+	for (uint32_t i = 4; i < wire.len_bytes; i++) {
+		struct peer_session theirs = session();
+		struct peer_record r;
+
+		wire.data[i] ^= 1U << (i % 8);
+		CU_ASSERT_NOT_EQUAL(peer_get_record(wire.data, wire.len_bytes,
+						    true, &theirs, &keys, &r),
+				    AZ_OK);
+		wire.data[i] ^= 1U << (i % 8);
+	}
+	request_free(f.request);
+	buf_free(&body);
+	buf_free(&wire);
+}
+
+/* Guards against a malformed body that is read past its end. */
+static void test_cut_bodies_are_refused(void)
+{
+	struct forward f = sample_forward();
+	struct buf body = { 0 };
+
+	peer_put_forward(&body, &f, 0);
+	for (uint32_t n = 0; n < body.len_bytes; n++) {
+		struct peer_record r = { true, 1, PEER_FORWARD, body.data, n };
+		struct forward *back;
+
+		CU_ASSERT_EQUAL(peer_get_forward(&r, 0, &back), AZ_INVALID);
+	}
+	request_free(f.request);
+	buf_free(&body);
+}
+
+/* Guards against a change of key that cuts daemons off from one another. */
+static void test_key_change_overlaps(void)
+{
+	struct peer_session ours = session();
+	struct peer_session theirs = session();
+	struct buf body = { 0 };
+	struct buf wire = call_record(&ours, &body);
+	struct peer_record r;
+
+	CU_ASSERT_EQUAL(peer_get_record(wire.data, wire.len_bytes, true,
+					&theirs, &both, &r),
+			AZ_OK);
+	buf_free(&wire);
+}
+
+/* Guards against key settings that are accepted though they are wrong. */
+static void test_bad_keys_are_refused(void)
+{
+	struct fleet_keys k;
+
+	CU_ASSERT_EQUAL(fleet_keys_parse("", &k), AZ_INVALID);
+	CU_ASSERT_EQUAL(fleet_keys_parse("1:00", &k), AZ_INVALID);
+	CU_ASSERT_EQUAL(fleet_keys_parse(KEY_A ",", &k), AZ_INVALID);
+	CU_ASSERT_EQUAL(fleet_keys_parse(KEY_A "0", &k), AZ_INVALID);
+}
+
+/* Guards against a ledger entry lost or changed on its way to a successor. */
+static void test_handover_crosses_whole(void)
+{
+	struct ledger_entry entries[2] = { 0 };
+	struct ledger_image i = { .incarnation = 3,
+				  .part = 0,
+				  .parts = 1,
+				  .key = { 8 },
+				  .clock_us = 12,
+				  .count = 2,
+				  .entries = entries };
+	struct ledger_image *back = NULL;
+	struct buf body = { 0 };
+	struct peer_record r;
+
+	entries[0].sequence = 1;
+	entries[0].state = LEDGER_ANSWERED;
+	entries[0].answer = answer_new(ERR_NONE);
+	buf_append(&entries[0].answer->body, "paid", 4);
+	entries[1].sequence = 2;
+	entries[1].state = LEDGER_NOT_RUN;
+	entries[1].answer = answer_new(ERR_NO_WORKER);
+	peer_put_handover(&body, &i);
+	r = (struct peer_record){ true, 1, PEER_HANDOVER, body.data,
+				  body.len_bytes };
+	CU_ASSERT_EQUAL_FATAL(peer_get_handover(&r, &back), AZ_OK);
+	CU_ASSERT_EQUAL(back->count, 2);
+	CU_ASSERT_EQUAL(back->key[0], 8);
+	CU_ASSERT_EQUAL(back->entries[1].state, LEDGER_NOT_RUN);
+	CU_ASSERT_EQUAL(back->entries[0].answer->body.len_bytes, 4);
+	ledger_image_free(back);
+	r.body_bytes -= 4;
+	CU_ASSERT_EQUAL(peer_get_handover(&r, &back), AZ_INVALID);
+	answer_free(entries[0].answer);
+	answer_free(entries[1].answer);
+	buf_free(&body);
+}
+
+int main(void)
+{
+	CU_pSuite s;
+
+	apr_initialize();
+	fleet_keys_parse(KEY_A, &keys);
+	fleet_keys_parse(KEY_B "," KEY_A, &both);
+	fleet_keys_parse(KEY_B, &strange);
+	CU_initialize_registry();
+	s = CU_add_suite("peer", NULL, NULL);
+	CU_add_test(s, "forward", test_forward_crosses_whole);
+	CU_add_test(s, "strange", test_strange_records_are_denied);
+	CU_add_test(s, "changed", test_changed_records_are_refused);
+	CU_add_test(s, "cut", test_cut_bodies_are_refused);
+	CU_add_test(s, "key change", test_key_change_overlaps);
+	CU_add_test(s, "bad keys", test_bad_keys_are_refused);
+	CU_add_test(s, "handover", test_handover_crosses_whole);
+	CU_basic_run_tests();
+	return CU_get_number_of_failures() != 0;
+}
