azhload: open-loop load tool that follows the ticket protocol

Service by rank, crossed answers and repeated runs have to be measured from a caller's side. Latency counts from the intended send time, so a slow fleet cannot slow down the load. Connections are bounded for each rank, as a flood of one rank would else hold up another inside the tool.

--- /dev/null
+++ b/cmd/azhload/load.h
@@ -0,0 +1,345 @@
+/**
+ * @file
+ * Load tool: types, and the decisions of a caller about tickets, repeats and
+ * answers as plain functions.
+ */
+#ifndef CMD_AZHLOAD_LOAD_H
+#define CMD_AZHLOAD_LOAD_H
+
+#include <arpa/inet.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/az.h"
+
+#define TARGETS_MAX 64
+#define STREAMS_MAX 64
+#define RUN_ID_MAX_BYTES 48
+#define TICKET_MAX_BYTES 256
+#define DEADLINE_LIMIT_MS 300000
+
+/* ---- percentiles ---- */
+
+static inline int compare_u32(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/** Nearest-rank percentile of `n` sorted values; `per_10000` is 9990 for
+ * p99.9. 0 if there are none. */
+static inline uint32_t percentile(const uint32_t *sorted, uint32_t n,
+				  uint32_t per_10000)
+{
+	uint64_t rank = ((uint64_t)n * per_10000 + 9999) / 10000;
+
+	if (!n)
+		return 0;
+	return sorted[rank ? rank - 1 : 0];
+}
+
+/* ---- what a caller does after an attempt ---- */
+
+/** What is known of a piece of work at its end. */
+enum final {
+	FINAL_OPEN, /**< not ended yet */
+	FINAL_ANSWERED, /**< whole answer below 500 */
+	FINAL_FAILED, /**< whole answer of a worker, 500 and above */
+	FINAL_REFUSED, /**< the fleet said that it did not run */
+	FINAL_UNKNOWN, /**< may have run once */
+	FINAL_LOST, /**< a read that got no answer */
+	FINAL_UNSENT, /**< never sent: no connection was free in time */
+	FINAL_COUNT,
+};
+
+static const char *const final_names[] = { "open",    "answered", "failed",
+					   "refused", "unknown",  "lost",
+					   "unsent" };
+
+enum step {
+	STEP_DONE,
+	STEP_TICKET, /**< send at once with the ticket of the answer */
+	STEP_RETRY, /**< not run: after a pause, with a fresh ticket */
+	STEP_REPEAT, /**< unknown: after a pause, same ticket, other target */
+};
+
+/** How an attempt ended. */
+struct seen {
+	bool lost; /**< no whole answer came */
+	uint16_t status;
+	const char
+		*error; /**< Azurehold-Error; NULL or "": a worker's answer */
+	enum outcome outcome; /**< of a refusal */
+	bool ticket; /**< the answer carries a ticket */
+};
+
+struct attempt {
+	bool idempotent;
+	bool bare; /**< the service runs it without a ticket */
+	bool ticket; /**< it was sent with a ticket */
+	uint32_t retries_left; /**< after not-run */
+	uint32_t repeats_left; /**< after unknown or a lost connection */
+};
+
+struct next {
+	enum step step;
+	enum final final; /**< if STEP_DONE */
+};
+
+static inline struct next done(enum final f)
+{
+	return (struct next){ STEP_DONE, f };
+}
+
+/* Refusals that the same request meets again. */
+static inline bool refusal_is_lasting(const char *error)
+{
+	static const enum error_kind kinds[] = {
+		ERR_BAD_REQUEST,	ERR_UNKNOWN_ROUTE,
+		ERR_METHOD_NOT_ALLOWED, ERR_UNKNOWN_ORGANISATION,
+		ERR_BODY_TOO_LARGE,	ERR_TICKET_MISMATCH,
+	};
+
+	for (uint32_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++)
+		if (!strcmp(error, error_info(kinds[i])->name))
+			return true;
+	return false;
+}
+
+/* Nothing proves what became of the attempt. */
+static inline struct next next_unproved(const struct attempt *a, bool lost)
+{
+	if (a->idempotent && !lost)
+		return done(FINAL_UNKNOWN);
+	/* Without a ticket a bare service may run it a second time. */
+	if (!a->idempotent && !a->ticket && a->bare)
+		return done(FINAL_UNKNOWN);
+	if (a->repeats_left)
+		return (struct next){ STEP_REPEAT, FINAL_OPEN };
+	return done(a->idempotent ? FINAL_LOST : FINAL_UNKNOWN);
+}
+
+static inline struct next decide_next(const struct attempt *a,
+				      const struct seen *s)
+{
+	if (s->lost)
+		return next_unproved(a, true);
+	if (!s->error || !*s->error)
+		return done(s->status < 500 ? FINAL_ANSWERED : FINAL_FAILED);
+	if (!strcmp(s->error, error_info(ERR_TICKET_REQUIRED)->name)) {
+		if (s->ticket && a->repeats_left)
+			return (struct next){ STEP_TICKET, FINAL_OPEN };
+		return done(FINAL_REFUSED);
+	}
+	switch (s->outcome) {
+	case OUTCOME_NOT_RUN:
+		if (!a->idempotent && a->retries_left &&
+		    !refusal_is_lasting(s->error))
+			return (struct next){ STEP_RETRY, FINAL_OPEN };
+		return done(FINAL_REFUSED);
+	case OUTCOME_RAN:
+		return done(FINAL_FAILED);
+	default:
+		return next_unproved(a, false);
+	}
+}
+
+/** An outcome header's value; anything else proves nothing. */
+static inline enum outcome outcome_parse(const char *s)
+{
+	if (!strcmp(s, outcome_name(OUTCOME_NOT_RUN)))
+		return OUTCOME_NOT_RUN;
+	if (!strcmp(s, outcome_name(OUTCOME_RAN)))
+		return OUTCOME_RAN;
+	return OUTCOME_UNKNOWN;
+}
+
+/* ---- settings ---- */
+
+/** Requests of one kind, from `start_us` for `length_us`. */
+struct stream {
+	enum rank rank;
+	char method[METHOD_MAX_BYTES];
+	char path[512];
+	double rate_per_s;
+	int64_t start_us;
+	int64_t length_us;
+	uint32_t deadline_ms;
+	char organisation[64];
+	char token[128];
+	uint32_t body_bytes;
+	/* while it runs */
+	int64_t next_us;
+	uint32_t made;
+};
+
+/** Loopback addresses only: this tool must not load other machines. */
+static inline enum az_status target_parse(const char *s,
+					  struct sockaddr_in *out)
+{
+	char ip[32];
+	const char *colon = strchr(s, ':');
+	char *end;
+	long port;
+
+	if (!colon || colon - s >= (ptrdiff_t)sizeof(ip))
+		return az_fail(AZ_INVALID, "'%s' is not IP:PORT", s);
+	memcpy(ip, s, (size_t)(colon - s));
+	ip[colon - s] = 0;
+	port = strtol(colon + 1, &end, 10);
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	if (end == colon + 1 || *end || port < 1 || port > 65535 ||
+	    inet_pton(AF_INET, ip, &out->sin_addr) != 1)
+		return az_fail(AZ_INVALID, "'%s' is not IP:PORT", s);
+	out->sin_port = htons((uint16_t)port);
+	if (ntohl(out->sin_addr.s_addr) >> 24 != 127)
+		return az_fail(AZ_DENIED, "%s is not a loopback address", ip);
+	return AZ_OK;
+}
+
+static inline enum az_status number_parse(const char *what, const char *s,
+					  double max, double *out)
+{
+	char *end;
+
+	*out = strtod(s, &end);
+	if (end == s || *end || !(*out >= 0 && *out <= max))
+		return az_fail(AZ_INVALID,
+			       "%s: '%s' is not a number from 0 to %.0f", what,
+			       s, max);
+	return AZ_OK;
+}
+
+/** Sets one field of a stream by its name in the schedule file. */
+static inline enum az_status stream_set(struct stream *s, const char *key,
+					const char *value)
+{
+	enum az_status st = AZ_OK;
+	double v = 0;
+
+	if (!strcmp(key, "rank"))
+		return rank_parse(value, &s->rank);
+	if (!strcmp(key, "method") && strlen(value) < sizeof(s->method))
+		strcpy(s->method, value);
+	else if (!strcmp(key, "route") && *value == '/' &&
+		 strlen(value) < sizeof(s->path))
+		strcpy(s->path, value);
+	else if (!strcmp(key, "organisation") &&
+		 strlen(value) < sizeof(s->organisation))
+		strcpy(s->organisation, value);
+	else if (!strcmp(key, "token") && strlen(value) < sizeof(s->token))
+		strcpy(s->token, value);
+	else if (!strcmp(key, "rate")) {
+		st = number_parse(key, value, 100000, &v);
+		s->rate_per_s = v;
+	} else if (!strcmp(key, "seconds")) {
+		st = number_parse(key, value, 3600, &v);
+		s->length_us = (int64_t)(v * US_PER_S);
+	} else if (!strcmp(key, "start")) {
+		st = number_parse(key, value, 3600, &v);
+		s->start_us = (int64_t)(v * US_PER_S);
+	} else if (!strcmp(key, "deadline_ms")) {
+		st = number_parse(key, value, DEADLINE_LIMIT_MS, &v);
+		s->deadline_ms = (uint32_t)v;
+	} else if (!strcmp(key, "body_bytes")) {
+		st = number_parse(key, value, 1 << 20, &v);
+		s->body_bytes = (uint32_t)v;
+	} else {
+		return az_fail(AZ_INVALID, "bad value or unknown key: %s = %s",
+			       key, value);
+	}
+	return st;
+}
+
+/** Parses "RANK:METHOD:ROUTE:RATE:SECONDS[:START]". */
+static inline enum az_status stream_parse(struct stream *s, const char *text)
+{
+	static const char *const keys[] = { "rank", "method",  "route",
+					    "rate", "seconds", "start" };
+	char copy[1024];
+	char *save;
+	uint32_t n = 0;
+
+	if (strlen(text) >= sizeof(copy))
+		return az_fail(AZ_INVALID, "stream is too long");
+	strcpy(copy, text);
+	for (char *p = strtok_r(copy, ":", &save); p;
+	     p = strtok_r(NULL, ":", &save)) {
+		enum az_status st = AZ_INVALID;
+
+		if (n < 6)
+			st = stream_set(s, keys[n++], p);
+		else
+			az_fail(st, "too many fields");
+		if (st != AZ_OK)
+			return st;
+	}
+	if (n < 5)
+		return az_fail(AZ_INVALID,
+			       "stream '%s' is not "
+			       "RANK:METHOD:ROUTE:RATE:SECONDS",
+			       text);
+	return AZ_OK;
+}
+
+static inline bool method_is_idempotent(const char *method)
+{
+	return !strcmp(method, "GET") || !strcmp(method, "HEAD");
+}
+
+struct load_settings {
+	uint32_t target_count;
+	struct sockaddr_in targets[TARGETS_MAX];
+	uint32_t stream_count;
+	struct stream streams[STREAMS_MAX];
+	uint32_t connections; /**< for each rank, over all targets */
+	uint32_t retries;
+	uint32_t repeats;
+	int64_t pause_us; /**< before a retry or repeat; doubles each time */
+	int64_t grace_us; /**< waited beyond the deadline for an answer */
+	int64_t give_up_us; /**< of a piece of work, after its send time */
+	uint64_t seed;
+	bool fixed_gaps; /**< otherwise exponential */
+	bool bare;
+	bool keep_records;
+};
+
+/* ---- results ---- */
+
+struct rank_result {
+	uint32_t sent; /**< pieces of work that were due */
+	uint32_t finals[FINAL_COUNT];
+	uint32_t in_time; /**< answered within the deadline */
+	uint32_t attempts;
+	uint32_t lost_connections;
+	uint32_t crossed;
+	uint32_t truncated;
+	uint32_t reran; /**< the worker says that it ran more than once */
+	uint32_t *latency_us; /**< of answered ones, from the send time */
+	uint32_t latency_count;
+};
+
+/** One finished piece, for --report-ids. */
+struct record {
+	char run_id[RUN_ID_MAX_BYTES];
+	uint8_t stream;
+	uint8_t final;
+	uint16_t status;
+	uint16_t attempts;
+	int64_t sent_us; /**< from the start of the run */
+	int64_t latency_us;
+	char error[32]; /**< of the last refusal */
+};
+
+struct load;
+
+/** Runs the load until every piece has ended. NULL: az_last_message(). */
+struct load *load_run(const struct load_settings *s);
+const struct rank_result *load_result(const struct load *l, enum rank r);
+const struct record *load_records(const struct load *l, uint32_t *count);
+
+#endif
