--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	@echo "make bench     added latency and cost of one, two and three daemons"
 	@echo "make format lint   formatter and linter, in check mode"
 
--include $(OBJ:.o=.d)
+-include $(OBJ:.o=.d) $(wildcard $(BUILD)/fault/*.d)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -52,6 +52,10 @@
 $(BUILD)/%_main: $(BUILD)/%_main.o $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
 
+FAULT_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard fault/*.c)))
+$(BUILD)/fault/faults_main: $(BUILD)/fault/faults_main.o $(FAULT_OBJ) $(BUILD)/libaz.a
+	$(CC) -o $@ $^ $(LIBS)
+
 define program
 $(BUILD)/bin/$(1): $(patsubst %.c,$(BUILD)/%.o,$(wildcard cmd/$(1)/*.c)) $(BUILD)/libaz.a
 	@mkdir -p $(BUILD)/bin
--- a/fake/worker_main.c
+++ b/fake/worker_main.c
@@ -4,6 +4,7 @@
  * the service port and the control port.
  */
 #include <argp.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -37,6 +38,7 @@
 	int64_t health_lag_us;
 	uint32_t answer_bytes; /* padding in each answer */
 	uint64_t seed;
+	const char *run_log; /* gets a line for each run; NULL: none */
 };
 
 struct worker;
@@ -122,6 +124,7 @@
 	struct fault fault;
 	struct draw draw;
 	struct worker_counts counts;
+	int run_log_fd; /* -1: none */
 	int64_t start_us;
 	int64_t load_us; /* when the load below was taken */
 	uint32_t load_running;
@@ -393,8 +396,11 @@
 		us = service_time_draw(&w->settings.service, &w->draw,
 				       w->duty.now_us - w->start_us);
 		w->counts.started++;
-		if (*j->run_id)
+		if (*j->run_id) {
 			j->run = run_table_add(&w->runs, j->run_id);
+			if (w->run_log_fd >= 0)
+				dprintf(w->run_log_fd, "%s\n", j->run_id);
+		}
 	}
 	us = fault_service_us(&w->fault, us, w->duty.now_us);
 	j->alarm.fire = job_done;
@@ -842,6 +848,16 @@
 	draw_seed(&w->draw, s->seed);
 	if (duty_init(&w->duty, &worker_ops, 16, timers) != AZ_OK)
 		return NULL;
+	w->run_log_fd = -1;
+	if (s->run_log) {
+		w->run_log_fd =
+			open(s->run_log,
+			     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+		if (w->run_log_fd < 0) {
+			az_fail(AZ_IO, "cannot write %s", s->run_log);
+			return NULL;
+		}
+	}
 	w->start_us = w->duty.now_us;
 	w->load_us = -s->health_lag_us;
 	if (listener_open(w, &w->service, s->listen, false) != AZ_OK)
@@ -873,6 +889,7 @@
 	OPT_COLD_START_FACTOR,
 	OPT_ANSWER_BYTES,
 	OPT_SEED,
+	OPT_RUN_LOG,
 };
 
 static const struct argp_option options[] = {
@@ -901,6 +918,8 @@
 	{ "answer-bytes", OPT_ANSWER_BYTES, "N", 0,
 	  "padding in each answer (0)", 0 },
 	{ "seed", OPT_SEED, "N", 0, "seed of the random numbers (1)", 0 },
+	{ "run-log", OPT_RUN_LOG, "FILE", 0,
+	  "append the id of each run; it outlives a killed worker", 0 },
 	{ 0 }
 };
 
@@ -985,6 +1004,9 @@
 	case OPT_SEED:
 		s->seed = (uint64_t)number(state, arg, 9e15);
 		break;
+	case OPT_RUN_LOG:
+		s->run_log = arg;
+		break;
 	case ARGP_KEY_END:
 		if (!s->listen)
 			argp_error(state, "--listen is missing");
--- /dev/null
+++ b/fault/caller.c
@@ -0,0 +1,399 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <jansson.h>
+
+#include "fault/fault.h"
+
+#define LIMIT_MS 20000
+#define PAUSE_MS 50
+#define REPEATS_MAX 200
+#define GIVE_UP_US (25 * US_PER_S)
+
+/** A caller: one piece after the other, a connection to each daemon. */
+struct caller {
+	struct load *load;
+	uint64_t random;
+	struct http_conn conns[DAEMONS_MAX];
+};
+
+static uint32_t draw(struct caller *c, uint32_t below)
+{
+	c->random ^= c->random << 13;
+	c->random ^= c->random >> 7;
+	c->random ^= c->random << 17;
+	return (uint32_t)((c->random >> 20) % below);
+}
+
+/* ---- pieces ---- */
+
+struct piece *piece_new(struct load *l, bool payment)
+{
+	struct piece *p = NULL;
+
+	pthread_mutex_lock(&l->lock);
+	if (l->piece_count < PIECES_MAX) {
+		p = &l->pieces[l->piece_count];
+		p->id = l->piece_count++;
+		p->payment = payment;
+	}
+	pthread_cond_broadcast(&l->changed);
+	pthread_mutex_unlock(&l->lock);
+	return p;
+}
+
+static void piece_end(struct load *l, struct piece *p, enum piece_final final)
+{
+	p->final = final;
+	pthread_mutex_lock(&l->lock);
+	l->ended++;
+	pthread_cond_broadcast(&l->changed);
+	pthread_mutex_unlock(&l->lock);
+}
+
+uint32_t piece_request(const struct load *l, const struct piece *p, char *out,
+		       uint32_t room)
+{
+	const char *org = l->options.organisation;
+	char ticket[TICKET_TEXT_MAX_BYTES + 32] = "";
+	char body[64];
+
+	snprintf(body, sizeof(body), "amount=%u", p->id);
+	if (*p->ticket_text)
+		snprintf(ticket, sizeof(ticket), "Azurehold-Ticket: %s\r\n",
+			 p->ticket_text);
+	if (!p->payment)
+		return (uint32_t)snprintf(
+			out, room,
+			"GET /stock/%u HTTP/1.1\r\nHost: x\r\n"
+			"Azurehold-Run-Id: p%u\r\nAzurehold-Organisation: %s\r\n"
+			"Authorization: Bearer %s-token\r\n\r\n",
+			p->id, p->id, org, org);
+	return (uint32_t)snprintf(
+		out, room,
+		"POST /payments HTTP/1.1\r\nHost: x\r\n"
+		"Azurehold-Run-Id: p%u\r\nAzurehold-Organisation: %s\r\n"
+		"Authorization: Bearer %s-token\r\n"
+		"Azurehold-Deadline-Ms: %u\r\n%sContent-Length: %zu\r\n\r\n%s",
+		p->id, org, org, l->options.deadline_ms, ticket, strlen(body),
+		body);
+}
+
+/* The answer must be that of this piece and of its only run. */
+static void check_answer(struct piece *p, const struct http_answer *a)
+{
+	json_t *o =
+		json_loadb((char *)a->body.data, a->body.len_bytes, 0, NULL);
+	const char *id = json_string_value(json_object_get(o, "run_id"));
+	uint32_t run = (uint32_t)json_integer_value(json_object_get(o, "run"));
+	char own[32];
+
+	snprintf(own, sizeof(own), "p%u", p->id);
+	if (!id || strcmp(id, own))
+		p->crossed++;
+	if (run > p->told_runs)
+		p->told_runs = run;
+	json_decref(o);
+}
+
+bool piece_note(struct piece *p, const struct http_answer *a)
+{
+	if (!*a->error) {
+		check_answer(p, a);
+		p->final = PIECE_RAN;
+		return true;
+	}
+	snprintf(p->error, sizeof(p->error), "%s", a->error);
+	if (!strcmp(a->outcome, outcome_name(OUTCOME_NOT_RUN))) {
+		p->final = PIECE_NOT_RUN;
+		return true;
+	}
+	p->final = PIECE_UNKNOWN;
+	/* Expired or its issuer gone: no repeat can tell more. */
+	return a->status == 410;
+}
+
+/* Only a connection error after sending, on a connection that this daemon did
+ * not announce as closing, and that was not idle for the whole drain. */
+static void note_loss(struct load *l, uint32_t n, const struct http_conn *was)
+{
+	int64_t idle_us = clock_now_us() - was->used_us;
+
+	if (!__atomic_load_n(&l->fleet->daemons[n].stopping, __ATOMIC_ACQUIRE))
+		return;
+	if (was->used_us && idle_us > l->fleet->options.drain_ms * US_PER_MS)
+		return;
+	pthread_mutex_lock(&l->lock);
+	l->cut++;
+	pthread_mutex_unlock(&l->lock);
+}
+
+/* As the balancer: a new connection is used only if its daemon is healthy. */
+static bool open_conn(struct load *l, uint32_t n, struct http_conn *c)
+{
+	static const char request[] =
+		"GET /.azurehold/health HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct http_answer a;
+	enum http_result k;
+	bool good;
+
+	if (c->announced_close)
+		http_close(c);
+	if (c->fd >= 0)
+		return true;
+	c->used_us = 0;
+	k = http_exchange(c, daemon_port(l->fleet, n), request,
+			  sizeof(request) - 1, LIMIT_MS, &a);
+	good = k == HTTP_WHOLE && a.status == 200;
+	if (!good)
+		http_close(c);
+	http_answer_free(&a);
+	return good;
+}
+
+enum http_result piece_present(struct load *l, struct piece *p, uint32_t n,
+			       struct http_conn *c, struct http_answer *out)
+{
+	char request[1024];
+	uint32_t len = piece_request(l, p, request, sizeof(request));
+	struct http_conn was;
+	enum http_result k;
+
+	memset(out, 0, sizeof(*out));
+	if (!open_conn(l, n, c))
+		return HTTP_UNSENT;
+	was = *c;
+	p->attempts++;
+	k = http_exchange(c, daemon_port(l->fleet, n), request, len, LIMIT_MS,
+			  out);
+	if (k == HTTP_LOST)
+		note_loss(l, n, &was);
+	return k;
+}
+
+static bool take_ticket(struct load *l, struct piece *p, uint32_t n,
+			struct http_conn *c)
+{
+	struct http_answer a;
+	bool good;
+
+	good = piece_present(l, p, n, c, &a) == HTTP_WHOLE &&
+	       ticket_parse(a.ticket, &p->ticket) == AZ_OK;
+	if (good)
+		memcpy(p->ticket_text, a.ticket, sizeof(p->ticket_text));
+	http_answer_free(&a);
+	return good;
+}
+
+bool piece_take_ticket(struct load *l, struct piece *p, uint32_t n)
+{
+	struct http_conn c = { .fd = -1 };
+	bool good = false;
+
+	for (uint32_t i = 0; !good && i < REPEATS_MAX; i++) {
+		good = take_ticket(l, p, n, &c);
+		if (!good)
+			sleep_ms(PAUSE_MS);
+	}
+	http_close(&c);
+	return good;
+}
+
+/* True if the ledger says that the run ended as unknown: repeats cannot tell
+ * more. */
+static bool is_settled(struct load *l, const struct piece *p, uint32_t n)
+{
+	char target[TICKET_TEXT_MAX_BYTES + 64];
+	struct http_answer a;
+	json_t *o = NULL;
+	const char *state;
+	bool settled;
+
+	if (!p->payment)
+		return false;
+	snprintf(target, sizeof(target), "/.azurehold/ticket/%s",
+		 p->ticket_text);
+	if (http_simple(daemon_port(l->fleet, n), "GET", target, &a))
+		o = json_loadb((char *)a.body.data, a.body.len_bytes, 0, NULL);
+	state = json_string_value(json_object_get(o, "state"));
+	settled = state && !strcmp(state, "unknown");
+	json_decref(o);
+	http_answer_free(&a);
+	return settled;
+}
+
+/* Presents through one daemon after the other until the end is known. */
+static enum piece_final resolve(struct caller *c, struct piece *p, uint32_t n)
+{
+	struct load *l = c->load;
+	int64_t until_us = clock_now_us() + GIVE_UP_US;
+	bool sent = false;
+
+	for (uint32_t i = 0; i < REPEATS_MAX && clock_now_us() < until_us;
+	     i++) {
+		struct http_answer a;
+		enum http_result k = piece_present(l, p, n, &c->conns[n], &a);
+		bool ended = k == HTTP_WHOLE && piece_note(p, &a);
+
+		sent = sent || k != HTTP_UNSENT;
+		http_answer_free(&a);
+		if (ended)
+			return p->final;
+		if (k == HTTP_WHOLE && is_settled(l, p, n))
+			break;
+		if (k != HTTP_UNSENT || i % l->fleet->daemon_count)
+			sleep_ms(PAUSE_MS);
+		n = (n + 1 + draw(c, l->fleet->daemon_count - 1)) %
+		    l->fleet->daemon_count;
+		__atomic_add_fetch(&l->repeats, 1, __ATOMIC_RELAXED);
+	}
+	return sent ? PIECE_UNKNOWN : PIECE_NOT_RUN;
+}
+
+enum piece_final piece_resolve(struct load *l, struct piece *p, uint32_t n)
+{
+	struct caller c = { .load = l, .random = 88172645463325252U + p->id };
+
+	for (uint32_t i = 0; i < DAEMONS_MAX; i++)
+		c.conns[i].fd = -1;
+	p->final = resolve(&c, p, n);
+	for (uint32_t i = 0; i < DAEMONS_MAX; i++)
+		http_close(&c.conns[i]);
+	return p->final;
+}
+
+static void payment(struct caller *c, struct piece *p)
+{
+	struct load *l = c->load;
+	uint32_t n = draw(c, l->fleet->daemon_count);
+
+	for (uint32_t i = 0; !take_ticket(l, p, n, &c->conns[n]); i++) {
+		if (i == REPEATS_MAX) {
+			piece_end(l, p, PIECE_NOT_RUN);
+			return;
+		}
+		sleep_ms(PAUSE_MS / 5);
+		n = draw(c, l->fleet->daemon_count);
+	}
+	/* Often through another daemon than the issuer. */
+	piece_end(l, p, resolve(c, p, draw(c, l->fleet->daemon_count)));
+}
+
+/* ---- callers ---- */
+
+static void *caller_main(void *arg)
+{
+	struct caller *c = arg;
+	struct load *l = c->load;
+
+	while (!__atomic_load_n(&l->stop, __ATOMIC_ACQUIRE)) {
+		bool read = draw(c, 100) < l->options.reads_percent;
+		struct piece *p = piece_new(l, !read);
+
+		if (!p)
+			break;
+		if (read)
+			piece_end(
+				l, p,
+				resolve(c, p, draw(c, l->fleet->daemon_count)));
+		else
+			payment(c, p);
+		if (l->options.think_ms)
+			sleep_ms(draw(c, l->options.think_ms + 1));
+	}
+	for (uint32_t i = 0; i < DAEMONS_MAX; i++)
+		http_close(&c->conns[i]);
+	free(c);
+	return NULL;
+}
+
+void load_init(struct load *l, struct fleet *f, uint64_t seed)
+{
+	memset(l, 0, sizeof(*l));
+	l->fleet = f;
+	l->seed = seed;
+	l->pieces = calloc(PIECES_MAX, sizeof(*l->pieces));
+	if (!l->pieces)
+		abort();
+	l->options = (struct load_options){ .threads = 16,
+					    .deadline_ms = 1500,
+					    .think_ms = 10,
+					    .organisation = "desk" };
+	pthread_mutex_init(&l->lock, NULL);
+	pthread_cond_init(&l->changed, NULL);
+}
+
+void load_start(struct load *l, const struct load_options *o)
+{
+	if (o)
+		l->options = *o;
+	l->stop = 0;
+	for (l->thread_count = 0; l->thread_count < l->options.threads;
+	     l->thread_count++) {
+		struct caller *c = calloc(1, sizeof(*c));
+
+		if (!c)
+			abort();
+		c->load = l;
+		c->random = hash_bytes(&l->thread_count,
+				       sizeof(l->thread_count), l->seed) |
+			    1;
+		for (uint32_t i = 0; i < DAEMONS_MAX; i++)
+			c->conns[i].fd = -1;
+		if (pthread_create(&l->threads[l->thread_count], NULL,
+				   caller_main, c))
+			abort();
+	}
+}
+
+static void wait_until(struct load *l, const uint32_t *count, uint32_t at_least,
+		       uint32_t limit_ms)
+{
+	struct timespec until;
+
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_sec += limit_ms / 1000;
+	until.tv_nsec += limit_ms % 1000 * 1000000L;
+	if (until.tv_nsec >= 1000000000L) {
+		until.tv_sec++;
+		until.tv_nsec -= 1000000000L;
+	}
+	pthread_mutex_lock(&l->lock);
+	while (*count < at_least)
+		if (pthread_cond_timedwait(&l->changed, &l->lock, &until))
+			break;
+	pthread_mutex_unlock(&l->lock);
+}
+
+void load_wait(struct load *l, uint32_t n)
+{
+	uint32_t have;
+
+	pthread_mutex_lock(&l->lock);
+	have = l->ended;
+	pthread_mutex_unlock(&l->lock);
+	wait_until(l, &l->ended, have + n, HANG_MS);
+}
+
+void load_wait_begun(struct load *l, uint32_t n, uint32_t limit_ms)
+{
+	uint32_t have;
+
+	pthread_mutex_lock(&l->lock);
+	have = l->piece_count;
+	pthread_mutex_unlock(&l->lock);
+	wait_until(l, &l->piece_count, have + n, limit_ms);
+}
+
+void load_stop(struct load *l)
+{
+	__atomic_store_n(&l->stop, 1, __ATOMIC_RELEASE);
+	for (uint32_t i = 0; i < l->thread_count; i++)
+		pthread_join(l->threads[i], NULL);
+	l->thread_count = 0;
+}
+
+void load_free(struct load *l)
+{
+	free(l->pieces);
+}
--- /dev/null
+++ b/fault/fault.h
@@ -0,0 +1,224 @@
+/**
+ * @file
+ * Process-level failure tests: a fleet of real processes on loopback, callers
+ * that follow the ticket protocol, and the cases.
+ */
+#ifndef FAULT_FAULT_H
+#define FAULT_FAULT_H
+
+#include <pthread.h>
+#include <sys/types.h>
+
+#include "lib/az.h"
+#include "ticket/ticket.h"
+
+#define DAEMONS_MAX 8
+#define WORKERS_MAX 8
+#define THREADS_MAX 64
+#define PIECES_MAX 65536
+#define KILLED_MAX 64
+#define TEXT_BYTES 128
+/* Only ends a hung run; no verdict comes from it. */
+#define HANG_MS 60000
+
+/* ---- HTTP of a caller (http.c) ---- */
+
+/** A kept-alive connection of one caller to one daemon. */
+struct http_conn {
+	int32_t fd; /**< -1: closed */
+	bool announced_close;
+	int64_t used_us; /**< end of the last exchange */
+};
+
+struct http_answer {
+	uint16_t status;
+	bool close;
+	char outcome[TEXT_BYTES];
+	char error[TEXT_BYTES];
+	char ticket[TICKET_TEXT_MAX_BYTES];
+	struct buf body;
+};
+
+enum http_result {
+	HTTP_WHOLE,
+	HTTP_UNSENT, /**< no byte was sent */
+	HTTP_LOST, /**< something was sent, no whole answer came */
+};
+
+/** Connects if needed, sends, reads one answer. Closes after a failure. */
+enum http_result http_exchange(struct http_conn *c, uint16_t port,
+			       const char *request, uint32_t len_bytes,
+			       int32_t limit_ms, struct http_answer *out);
+void http_close(struct http_conn *c);
+void http_answer_free(struct http_answer *a);
+int32_t http_connect(uint16_t port);
+/** One request on a connection of its own; true if the status is 200. */
+bool http_simple(uint16_t port, const char *method, const char *target,
+		 struct http_answer *out);
+
+/* ---- processes (fleet.c) ---- */
+
+struct process {
+	pid_t pid; /**< 0: not running */
+	bool exited; /**< by itself, or at our wish */
+	int32_t status;
+};
+
+struct daemon {
+	struct process process;
+	uint64_t incarnation;
+	int32_t stopping; /**< atomic: told to stop */
+	bool relayed;
+	struct process relay;
+	char settings[TEXT_BYTES];
+};
+
+struct worker {
+	struct process process;
+	uint32_t starts;
+	char dc;
+	bool countinghouse;
+};
+
+struct fleet_options {
+	uint32_t daemons;
+	uint32_t service_ms;
+	uint32_t drain_ms;
+	bool relays;
+};
+
+struct fleet {
+	const char *bin;
+	char dir[TEXT_BYTES];
+	uint16_t port; /**< first of 64 */
+	struct fleet_options options;
+	uint32_t daemon_count;
+	struct daemon daemons[DAEMONS_MAX];
+	uint32_t worker_count;
+	struct worker workers[WORKERS_MAX];
+	uint64_t killed[KILLED_MAX]; /**< incarnations */
+	uint32_t killed_count;
+	uint32_t faults; /**< processes that ended by themselves, time-outs */
+};
+
+uint16_t daemon_port(const struct fleet *f, uint32_t n);
+uint16_t peer_port(const struct fleet *f, uint32_t n);
+uint16_t worker_control_port(const struct fleet *f, uint32_t n);
+/** Starts everything and waits until each daemon reaches each other. */
+void fleet_start(struct fleet *f, const struct fleet_options *o);
+/** Planned stop of what still runs; checks that nothing ended by itself. */
+void fleet_stop(struct fleet *f);
+/** Ends everything at once. */
+void fleet_abort(struct fleet *f);
+void daemon_start(struct fleet *f, uint32_t n);
+void daemon_kill(struct fleet *f, uint32_t n);
+void daemon_signal(struct fleet *f, uint32_t n, int sig);
+/** SIGTERM, then waits for the end; false if it took too long. */
+bool daemon_stop(struct fleet *f, uint32_t n);
+/** Waits until tickets of each running daemon are known to each other. */
+void fleet_wait_ready(struct fleet *f);
+void worker_start(struct fleet *f, uint32_t n);
+void worker_kill(struct fleet *f, uint32_t n);
+void worker_fault(struct fleet *f, uint32_t n, const char *query);
+void relay_set(struct fleet *f, uint32_t n, const char *query);
+bool was_killed(const struct fleet *f, uint64_t incarnation);
+/** Calls `each` with the runs of each id at each worker. */
+void fleet_runs(struct fleet *f,
+		void (*each)(void *arg, const char *run_id, uint32_t runs),
+		void *arg);
+void sleep_ms(uint32_t ms);
+
+/* ---- callers (caller.c) ---- */
+
+enum piece_final {
+	PIECE_OPEN,
+	PIECE_RAN,
+	PIECE_NOT_RUN,
+	PIECE_UNKNOWN,
+};
+
+/** One request of a caller with what became of it. */
+struct piece {
+	uint32_t id;
+	bool payment;
+	enum piece_final final;
+	uint32_t attempts;
+	uint32_t crossed;
+	uint32_t runs; /**< at the workers, at the end */
+	uint32_t told_runs; /**< highest run number in an answer */
+	struct ticket ticket;
+	char ticket_text[TICKET_TEXT_MAX_BYTES];
+	char error[TEXT_BYTES]; /**< last refusal */
+};
+
+struct load_options {
+	uint32_t threads;
+	uint32_t reads_percent;
+	uint32_t deadline_ms;
+	uint32_t think_ms; /**< at most, between pieces of one caller */
+	const char *organisation;
+};
+
+struct load {
+	struct fleet *fleet;
+	struct load_options options;
+	uint64_t seed;
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	struct piece *pieces; /**< PIECES_MAX, never moved */
+	uint32_t piece_count;
+	uint32_t ended;
+	uint32_t cut; /**< by planned stops */
+	uint32_t repeats;
+	uint32_t harmed; /**< unexpected answers */
+	int32_t stop;
+	uint32_t thread_count;
+	pthread_t threads[THREADS_MAX];
+};
+
+void load_init(struct load *l, struct fleet *f, uint64_t seed);
+void load_start(struct load *l, const struct load_options *o);
+/** Waits until `n` more pieces have ended. */
+void load_wait(struct load *l, uint32_t n);
+/** Waits until `n` more pieces have begun, or `limit_ms`. */
+void load_wait_begun(struct load *l, uint32_t n, uint32_t limit_ms);
+void load_stop(struct load *l);
+void load_free(struct load *l);
+struct piece *piece_new(struct load *l, bool payment);
+/** Fresh ticket for a piece from daemon `n`; false if none could be had. */
+bool piece_take_ticket(struct load *l, struct piece *p, uint32_t n);
+/** Presents once through daemon `n`; the answer is in `out`. */
+enum http_result piece_present(struct load *l, struct piece *p, uint32_t n,
+			       struct http_conn *c, struct http_answer *out);
+/** Notes a whole answer: crossed, outcome. True if the piece has ended. */
+bool piece_note(struct piece *p, const struct http_answer *a);
+uint32_t piece_request(const struct load *l, const struct piece *p, char *out,
+		       uint32_t room);
+enum piece_final piece_resolve(struct load *l, struct piece *p, uint32_t n);
+
+/* ---- cases ---- */
+
+struct result {
+	uint32_t requests;
+	uint32_t ran;
+	uint32_t not_run;
+	uint32_t unknown;
+	uint32_t twice;
+	uint32_t lost;
+	uint32_t crossed;
+	uint32_t wrong_not_run;
+	uint32_t cut;
+	uint32_t other; /**< what else the case forbids */
+};
+
+struct fault_case {
+	uint32_t number;
+	const char *name;
+	/** Runs the case with a fleet of its own; adds to `other`. */
+	void (*run)(struct fleet *f, struct load *l, struct result *r);
+};
+
+extern const struct fault_case fault_cases[];
+extern const uint32_t fault_case_count;
+
+#endif
--- /dev/null
+++ b/fault/fleet.c
@@ -0,0 +1,504 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <jansson.h>
+
+#include "fault/fault.h"
+
+/* Offsets within the 64 ports of a fleet. */
+#define PORT_FRONT 0
+#define PORT_PEER 8
+#define PORT_BIND 16
+#define PORT_MEMBER 24
+#define PORT_RELAY_CONTROL 32
+#define PORT_WORKER 40
+#define PORT_WORKER_CONTROL 48
+#define KEY "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+#define STOP_MS 40000
+#define POLL_MS 20
+
+void sleep_ms(uint32_t ms)
+{
+	struct timespec ts = { ms / 1000, ms % 1000 * 1000000L };
+
+	nanosleep(&ts, NULL);
+}
+
+uint16_t daemon_port(const struct fleet *f, uint32_t n)
+{
+	return (uint16_t)(f->port + PORT_FRONT + n);
+}
+
+uint16_t peer_port(const struct fleet *f, uint32_t n)
+{
+	return (uint16_t)(f->port + PORT_PEER + n);
+}
+
+uint16_t worker_control_port(const struct fleet *f, uint32_t n)
+{
+	return (uint16_t)(f->port + PORT_WORKER_CONTROL + n);
+}
+
+static void fail(struct fleet *f, const char *fmt, ...)
+{
+	va_list ap;
+
+	f->faults++;
+	va_start(ap, fmt);
+	fputs("# ", stderr);
+	vfprintf(stderr, fmt, ap);
+	fprintf(stderr, " (%s)\n", f->dir);
+	va_end(ap);
+}
+
+/* ---- processes ---- */
+
+/* Called by the main thread only: the child ends with the thread. */
+static void spawn(struct process *p, const char *log, char *const *argv)
+{
+	pid_t parent = getpid();
+	int fd;
+
+	memset(p, 0, sizeof(*p));
+	fflush(stdout);
+	p->pid = fork();
+	if (p->pid)
+		return;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (getppid() != parent)
+		_exit(1);
+	fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	dup2(fd, 1);
+	dup2(fd, 2);
+	execv(argv[0], argv);
+	_exit(127);
+}
+
+static bool has_ended(struct process *p)
+{
+	if (p->pid > 0 && waitpid(p->pid, &p->status, WNOHANG) == p->pid) {
+		p->pid = 0;
+		p->exited = true;
+	}
+	return !p->pid;
+}
+
+static bool wait_end(struct process *p, uint32_t limit_ms)
+{
+	for (uint32_t ms = 0; !has_ended(p); ms += POLL_MS) {
+		if (ms >= limit_ms)
+			return false;
+		sleep_ms(POLL_MS);
+	}
+	return true;
+}
+
+static void end_now(struct process *p)
+{
+	if (!p->pid)
+		return;
+	kill(p->pid, SIGKILL);
+	waitpid(p->pid, &p->status, 0);
+	p->pid = 0;
+}
+
+/* ---- daemons ---- */
+
+static void write_settings(struct fleet *f, uint32_t n)
+{
+	struct daemon *d = &f->daemons[n];
+	FILE *out;
+
+	snprintf(d->settings, sizeof(d->settings), "%.80s/d%u.ini", f->dir, n);
+	out = fopen(d->settings, "w");
+	if (!out)
+		abort();
+	fprintf(out, "[daemon]\nname = d%u\ndata_centre = %s\nregion = r%c\n",
+		n, n % 2 ? "east" : "west", n % 2 ? 'e' : 'w');
+	fprintf(out, "front = 127.0.0.1:%u\npeer = 127.0.0.1:%u\n",
+		daemon_port(f, n), peer_port(f, n));
+	if (d->relayed)
+		fprintf(out, "peer_bind = 127.0.0.1:%u\n",
+			f->port + PORT_BIND + n);
+	fprintf(out, "member = 127.0.0.1:%u\n", f->port + PORT_MEMBER + n);
+	fprintf(out, "base = %s/base.ini\nseeds = ", f->dir);
+	for (uint32_t i = 0; i < f->daemon_count; i++)
+		fprintf(out, "%s127.0.0.1:%u", i ? ", " : "",
+			f->port + PORT_MEMBER + i);
+	fprintf(out,
+		"\nmember_period_ms = 100\ndrain_ms = %u\n"
+		"stop_timeout_ms = 25000\n[fleet]\nkeys = %s\n",
+		f->options.drain_ms, KEY);
+	fclose(out);
+}
+
+static void write_base(struct fleet *f)
+{
+	char path[2 * TEXT_BYTES];
+	FILE *out;
+
+	snprintf(path, sizeof(path), "%s/base.ini", f->dir);
+	out = fopen(path, "w");
+	if (!out)
+		abort();
+	fputs("[data_centre west]\nregion = rw\n"
+	      "[data_centre east]\nregion = re\n"
+	      "[rank urgent]\nshare_percent = 60\ndeadline_ms = 2000\n"
+	      "queue_limit = 128\n"
+	      "[rank normal]\nshare_percent = 25\ndeadline_ms = 5000\n"
+	      "[rank bulk]\nshare_percent = 10\ndeadline_ms = 20000\n"
+	      "[service stockroom]\nfloor_percent = 70\nhedge = yes\n"
+	      "health_path = /health\n"
+	      "[service countinghouse]\nfloor_percent = 50\n"
+	      "shed_is_not_run = yes\nhealth_path = /health\n"
+	      "[route stock]\npath = /stock\nmethods = GET,HEAD\n"
+	      "service = stockroom\nrank = normal\nidempotent = yes\n"
+	      "deadline_ms = 2000\n"
+	      "[route payments]\npath = /payments\nmethods = POST\n"
+	      "service = countinghouse\nrank = urgent\nidempotent = no\n"
+	      "[organisation desk]\ntoken = desk-token\n"
+	      "[organisation limited]\ntoken = limited-token\n"
+	      "requests_per_s = 1\nburst = 8\n",
+	      out);
+	for (uint32_t i = 0; i < f->worker_count; i++)
+		fprintf(out,
+			"[worker %s/w%u]\naddress = 127.0.0.1:%u\n"
+			"data_centre = %s\n",
+			f->workers[i].countinghouse ? "countinghouse" :
+						      "stockroom",
+			i, f->port + PORT_WORKER + i,
+			f->workers[i].dc == 'e' ? "east" : "west");
+	fclose(out);
+}
+
+void daemon_start(struct fleet *f, uint32_t n)
+{
+	struct daemon *d = &f->daemons[n];
+	char program[2 * TEXT_BYTES];
+	char log[2 * TEXT_BYTES];
+	char *argv[] = { program, "--settings", d->settings, NULL };
+
+	snprintf(program, sizeof(program), "%s/bin/azhd", f->bin);
+	snprintf(log, sizeof(log), "%s/d%u.log", f->dir, n);
+	spawn(&d->process, log, argv);
+	__atomic_store_n(&d->stopping, 0, __ATOMIC_RELEASE);
+}
+
+void daemon_signal(struct fleet *f, uint32_t n, int sig)
+{
+	if (f->daemons[n].process.pid > 0)
+		kill(f->daemons[n].process.pid, sig);
+}
+
+void daemon_kill(struct fleet *f, uint32_t n)
+{
+	if (f->killed_count < KILLED_MAX)
+		f->killed[f->killed_count++] = f->daemons[n].incarnation;
+	end_now(&f->daemons[n].process);
+}
+
+bool was_killed(const struct fleet *f, uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < f->killed_count; i++)
+		if (f->killed[i] == incarnation)
+			return true;
+	return false;
+}
+
+bool daemon_stop(struct fleet *f, uint32_t n)
+{
+	struct process *p = &f->daemons[n].process;
+
+	__atomic_store_n(&f->daemons[n].stopping, 1, __ATOMIC_RELEASE);
+	daemon_signal(f, n, SIGTERM);
+	if (!wait_end(p, STOP_MS)) {
+		fail(f, "d%u did not stop", n);
+		end_now(p);
+		return false;
+	}
+	if (!WIFEXITED(p->status) || WEXITSTATUS(p->status)) {
+		fail(f, "d%u ended with status %x", n, p->status);
+		return false;
+	}
+	return true;
+}
+
+/* Learns the incarnation from a fresh ticket; false if there is none yet. */
+static bool learn(struct fleet *f, uint32_t n, char *text)
+{
+	static const char request[] =
+		"POST /payments HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+		"Azurehold-Organisation: desk\r\n"
+		"Authorization: Bearer desk-token\r\n\r\n";
+	struct http_conn c = { .fd = -1 };
+	struct http_answer a;
+	struct ticket t;
+	bool good;
+
+	good = http_exchange(&c, daemon_port(f, n), request,
+			     sizeof(request) - 1, 5000, &a) == HTTP_WHOLE &&
+	       ticket_parse(a.ticket, &t) == AZ_OK;
+	http_close(&c);
+	if (good) {
+		f->daemons[n].incarnation = t.incarnation;
+		memcpy(text, a.ticket, TICKET_TEXT_MAX_BYTES);
+	}
+	http_answer_free(&a);
+	return good;
+}
+
+static bool knows(struct fleet *f, uint32_t n, const char *ticket)
+{
+	char target[TICKET_TEXT_MAX_BYTES + 64];
+	struct http_answer a;
+	bool good;
+
+	snprintf(target, sizeof(target), "/.azurehold/ticket/%s", ticket);
+	good = http_simple(daemon_port(f, n), "GET", target, &a);
+	http_answer_free(&a);
+	return good;
+}
+
+static bool all_know(struct fleet *f)
+{
+	char text[TICKET_TEXT_MAX_BYTES];
+
+	for (uint32_t i = 0; i < f->daemon_count; i++) {
+		if (!f->daemons[i].process.pid)
+			continue;
+		if (!learn(f, i, text))
+			return false;
+		for (uint32_t j = 0; j < f->daemon_count; j++)
+			if (f->daemons[j].process.pid && !knows(f, j, text))
+				return false;
+	}
+	return true;
+}
+
+void fleet_wait_ready(struct fleet *f)
+{
+	for (uint32_t ms = 0; !all_know(f); ms += POLL_MS) {
+		if (ms >= HANG_MS) {
+			fail(f, "daemons do not reach each other");
+			return;
+		}
+		sleep_ms(POLL_MS);
+	}
+}
+
+/* ---- workers ---- */
+
+void worker_start(struct fleet *f, uint32_t n)
+{
+	struct worker *w = &f->workers[n];
+	char program[2 * TEXT_BYTES];
+	char log[2 * TEXT_BYTES];
+	char runs[2 * TEXT_BYTES];
+	char name[16];
+	char listen[32];
+	char control[32];
+	char service[16];
+	char *argv[] = { program, "--name",    name,	"--listen",
+			 listen,  "--control", control, "--service-ms",
+			 service, "--run-log", runs,	NULL };
+
+	snprintf(program, sizeof(program), "%s/fake/worker_main", f->bin);
+	snprintf(log, sizeof(log), "%s/w%u.log", f->dir, n);
+	snprintf(runs, sizeof(runs), "%s/w%u.%u.runs", f->dir, n, w->starts);
+	snprintf(name, sizeof(name), "w%u", n);
+	snprintf(listen, sizeof(listen), "127.0.0.1:%u",
+		 f->port + PORT_WORKER + n);
+	snprintf(control, sizeof(control), "127.0.0.1:%u",
+		 worker_control_port(f, n));
+	snprintf(service, sizeof(service), "%u", f->options.service_ms);
+	w->starts++;
+	spawn(&w->process, log, argv);
+}
+
+void worker_kill(struct fleet *f, uint32_t n)
+{
+	end_now(&f->workers[n].process);
+}
+
+static bool control(uint16_t port, const char *method, const char *target)
+{
+	struct http_answer a;
+	bool good = false;
+
+	for (uint32_t ms = 0; !good && ms < HANG_MS / 4; ms += POLL_MS) {
+		good = http_simple(port, method, target, &a);
+		http_answer_free(&a);
+		if (!good)
+			sleep_ms(POLL_MS);
+	}
+	return good;
+}
+
+void worker_fault(struct fleet *f, uint32_t n, const char *query)
+{
+	char target[256];
+
+	snprintf(target, sizeof(target), "/fault?%s", query);
+	if (!control(worker_control_port(f, n), "POST", target))
+		fail(f, "worker %u refuses %s", n, query);
+}
+
+void relay_set(struct fleet *f, uint32_t n, const char *query)
+{
+	char target[256];
+
+	snprintf(target, sizeof(target), "/set?%s", query);
+	if (!control((uint16_t)(f->port + PORT_RELAY_CONTROL + n), "POST",
+		     target))
+		fail(f, "relay %u refuses %s", n, query);
+}
+
+/* ---- the fleet ---- */
+
+static void relay_start(struct fleet *f, uint32_t n)
+{
+	char program[2 * TEXT_BYTES];
+	char log[2 * TEXT_BYTES];
+	char listen[32];
+	char to[32];
+	char control_address[32];
+	char *argv[] = { program, "--listen",  listen,		"--to",
+			 to,	  "--control", control_address, NULL };
+
+	snprintf(program, sizeof(program), "%s/fake/relay_main", f->bin);
+	snprintf(log, sizeof(log), "%s/r%u.log", f->dir, n);
+	snprintf(listen, sizeof(listen), "127.0.0.1:%u", peer_port(f, n));
+	snprintf(to, sizeof(to), "127.0.0.1:%u", f->port + PORT_BIND + n);
+	snprintf(control_address, sizeof(control_address), "127.0.0.1:%u",
+		 f->port + PORT_RELAY_CONTROL + n);
+	spawn(&f->daemons[n].relay, log, argv);
+}
+
+void fleet_start(struct fleet *f, const struct fleet_options *o)
+{
+	f->options = *o;
+	f->daemon_count = o->daemons;
+	f->worker_count = 6;
+	for (uint32_t i = 0; i < f->worker_count; i++) {
+		f->workers[i].dc = i % 2 ? 'e' : 'w';
+		f->workers[i].countinghouse = i < 4;
+	}
+	write_base(f);
+	for (uint32_t i = 0; i < f->worker_count; i++) {
+		worker_start(f, i);
+		worker_fault(f, i, "mode=none");
+	}
+	for (uint32_t i = 0; i < f->daemon_count; i++) {
+		f->daemons[i].relayed = o->relays;
+		write_settings(f, i);
+		if (o->relays) {
+			relay_start(f, i);
+			relay_set(f, i, "drop=none");
+		}
+		daemon_start(f, i);
+	}
+	fleet_wait_ready(f);
+}
+
+static bool is_idle(struct fleet *f, uint32_t n)
+{
+	struct http_answer a;
+	json_t *o = NULL;
+	bool idle = true;
+
+	if (http_simple(worker_control_port(f, n), "GET", "/counts", &a))
+		o = json_loadb((char *)a.body.data, a.body.len_bytes, 0, NULL);
+	if (o)
+		idle = !json_integer_value(json_object_get(o, "running")) &&
+		       !json_integer_value(json_object_get(o, "waiting"));
+	json_decref(o);
+	http_answer_free(&a);
+	return idle;
+}
+
+void fleet_stop(struct fleet *f)
+{
+	for (uint32_t i = 0; i < f->daemon_count; i++) {
+		if (f->daemons[i].process.pid &&
+		    has_ended(&f->daemons[i].process))
+			fail(f, "d%u ended by itself, status %x", i,
+			     f->daemons[i].process.status);
+		if (f->daemons[i].process.pid)
+			daemon_signal(f, i, SIGTERM);
+	}
+	for (uint32_t i = 0; i < f->daemon_count; i++)
+		if (f->daemons[i].process.pid)
+			daemon_stop(f, i);
+	for (uint32_t i = 0; i < f->worker_count; i++)
+		for (uint32_t ms = 0; !is_idle(f, i) && ms < HANG_MS;
+		     ms += POLL_MS)
+			sleep_ms(POLL_MS);
+}
+
+void fleet_abort(struct fleet *f)
+{
+	for (uint32_t i = 0; i < DAEMONS_MAX; i++) {
+		end_now(&f->daemons[i].process);
+		end_now(&f->daemons[i].relay);
+	}
+	for (uint32_t i = 0; i < WORKERS_MAX; i++)
+		end_now(&f->workers[i].process);
+}
+
+/* A killed worker's count is gone with it; its log of runs is not. */
+static void read_run_log(struct fleet *f, uint32_t n, uint32_t start,
+			 void (*each)(void *arg, const char *run_id,
+				      uint32_t runs),
+			 void *arg)
+{
+	char path[2 * TEXT_BYTES];
+	char line[TEXT_BYTES];
+	FILE *in;
+
+	snprintf(path, sizeof(path), "%s/w%u.%u.runs", f->dir, n, start);
+	in = fopen(path, "r");
+	while (in && fgets(line, sizeof(line), in)) {
+		line[strcspn(line, "\n")] = '\0';
+		each(arg, line, 1);
+	}
+	if (in)
+		fclose(in);
+}
+
+void fleet_runs(struct fleet *f,
+		void (*each)(void *arg, const char *run_id, uint32_t runs),
+		void *arg)
+{
+	for (uint32_t i = 0; i < f->worker_count; i++) {
+		uint32_t past = f->workers[i].starts;
+		struct http_answer a;
+		json_t *o = NULL;
+		const char *id;
+		json_t *n;
+
+		if (f->workers[i].process.pid)
+			past--;
+		for (uint32_t s = 0; s < past; s++)
+			read_run_log(f, i, s, each, arg);
+		if (!f->workers[i].process.pid)
+			continue;
+		if (http_simple(worker_control_port(f, i), "GET", "/runs?ids=1",
+				&a))
+			o = json_loadb((char *)a.body.data, a.body.len_bytes, 0,
+				       NULL);
+		if (!o)
+			fail(f, "worker %u does not tell its runs", i);
+		json_object_foreach(json_object_get(o, "runs"), id, n)
+			each(arg, id, (uint32_t)json_integer_value(n));
+		json_decref(o);
+		http_answer_free(&a);
+	}
+}
--- /dev/null
+++ b/fault/http.c
@@ -0,0 +1,209 @@
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <unistd.h>
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <http_parser.h>
+
+#include "fault/fault.h"
+
+/** State of one answer's parse. */
+struct reading {
+	struct http_answer *answer;
+	char field[64];
+	bool in_value;
+	bool whole;
+};
+
+static void add_text(char *to, size_t room, const char *at, size_t n)
+{
+	size_t have = strlen(to);
+
+	if (n > room - have - 1)
+		n = room - have - 1;
+	memcpy(to + have, at, n);
+	to[have + n] = '\0';
+}
+
+static int on_field(http_parser *p, const char *at, size_t n)
+{
+	struct reading *r = p->data;
+
+	if (r->in_value)
+		*r->field = '\0';
+	r->in_value = false;
+	add_text(r->field, sizeof(r->field), at, n);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t n)
+{
+	struct reading *r = p->data;
+	struct http_answer *a = r->answer;
+
+	r->in_value = true;
+	if (!strcasecmp(r->field, "Azurehold-Outcome"))
+		add_text(a->outcome, sizeof(a->outcome), at, n);
+	else if (!strcasecmp(r->field, "Azurehold-Error"))
+		add_text(a->error, sizeof(a->error), at, n);
+	else if (!strcasecmp(r->field, "Azurehold-Ticket"))
+		add_text(a->ticket, sizeof(a->ticket), at, n);
+	return 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t n)
+{
+	struct reading *r = p->data;
+
+	buf_append(&r->answer->body, at, (uint32_t)n);
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct reading *r = p->data;
+
+	if (p->status_code / 100 == 1)
+		return 0;
+	r->whole = true;
+	r->answer->status = (uint16_t)p->status_code;
+	r->answer->close = !http_should_keep_alive(p);
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings settings = {
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void http_close(struct http_conn *c)
+{
+	if (c->fd >= 0)
+		close(c->fd);
+	c->fd = -1;
+}
+
+void http_answer_free(struct http_answer *a)
+{
+	buf_free(&a->body);
+	memset(a, 0, sizeof(*a));
+}
+
+int32_t http_connect(uint16_t port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons(port),
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa))) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static bool wait_for(int32_t fd, int16_t events, int64_t until_us)
+{
+	int64_t left_us = until_us - clock_now_us();
+	struct pollfd p = { .fd = fd, .events = events };
+
+	return left_us > 0 && poll(&p, 1, (int)(left_us / US_PER_MS) + 1) > 0;
+}
+
+static enum http_result send_all(int32_t fd, const char *data, uint32_t n,
+				 int64_t until_us)
+{
+	uint32_t sent = 0;
+
+	while (sent < n) {
+		ssize_t k = send(fd, data + sent, n - sent,
+				 MSG_NOSIGNAL | MSG_DONTWAIT);
+
+		if (k > 0)
+			sent += (uint32_t)k;
+		else if (errno != EAGAIN || !wait_for(fd, POLLOUT, until_us))
+			return sent ? HTTP_LOST : HTTP_UNSENT;
+	}
+	return HTTP_WHOLE;
+}
+
+static enum http_result read_answer(int32_t fd, int64_t until_us,
+				    struct http_answer *out)
+{
+	struct reading r = { .answer = out };
+	http_parser p;
+	char data[16384];
+
+	http_parser_init(&p, HTTP_RESPONSE);
+	p.data = &r;
+	while (!r.whole) {
+		ssize_t n;
+
+		if (!wait_for(fd, POLLIN, until_us))
+			return HTTP_LOST;
+		n = recv(fd, data, sizeof(data), 0);
+		if (n <= 0)
+			return HTTP_LOST;
+		http_parser_execute(&p, &settings, data, (size_t)n);
+		if (!r.whole && HTTP_PARSER_ERRNO(&p) != HPE_OK)
+			return HTTP_LOST;
+	}
+	return HTTP_WHOLE;
+}
+
+enum http_result http_exchange(struct http_conn *c, uint16_t port,
+			       const char *request, uint32_t len_bytes,
+			       int32_t limit_ms, struct http_answer *out)
+{
+	int64_t until_us = clock_now_us() + limit_ms * US_PER_MS;
+	enum http_result k;
+
+	memset(out, 0, sizeof(*out));
+	if (c->fd >= 0 && c->announced_close)
+		http_close(c);
+	if (c->fd < 0) {
+		c->fd = http_connect(port);
+		c->announced_close = false;
+		if (c->fd < 0)
+			return HTTP_UNSENT;
+	}
+	k = send_all(c->fd, request, len_bytes, until_us);
+	if (k == HTTP_WHOLE)
+		k = read_answer(c->fd, until_us, out);
+	if (k != HTTP_WHOLE) {
+		http_close(c);
+		return k;
+	}
+	c->announced_close = out->close;
+	c->used_us = clock_now_us();
+	return k;
+}
+
+bool http_simple(uint16_t port, const char *method, const char *target,
+		 struct http_answer *out)
+{
+	struct http_conn c = { .fd = -1 };
+	char request[512];
+	int n = snprintf(request, sizeof(request),
+			 "%s %s HTTP/1.1\r\nHost: x\r\n"
+			 "Content-Length: 0\r\nConnection: close\r\n\r\n",
+			 method, target);
+	enum http_result k =
+		http_exchange(&c, port, request, (uint32_t)n, 10000, out);
+
+	http_close(&c);
+	return k == HTTP_WHOLE && out->status == 200;
+}
