--- a/fault/fleet.c
+++ b/fault/fleet.c
@@ -24,6 +24,8 @@
 #define KEY "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 #define STOP_MS 40000
 #define POLL_MS 20
+/* Beyond this a daemon is not coming back; it takes about a second. */
+#define READY_MS 30000
 
 void sleep_ms(uint32_t ms)
 {
@@ -267,27 +269,35 @@
 	return good;
 }
 
-static bool all_know(struct fleet *f)
+/* `from` and `to`: a pair that does not, for the message. */
+static bool all_know(struct fleet *f, uint32_t *from, uint32_t *to)
 {
 	char text[TICKET_TEXT_MAX_BYTES];
 
 	for (uint32_t i = 0; i < f->daemon_count; i++) {
 		if (!f->daemons[i].process.pid)
 			continue;
+		*from = *to = i;
 		if (!learn(f, i, text))
 			return false;
-		for (uint32_t j = 0; j < f->daemon_count; j++)
+		for (uint32_t j = 0; j < f->daemon_count; j++) {
+			*from = j;
 			if (f->daemons[j].process.pid && !knows(f, j, text))
 				return false;
+		}
 	}
 	return true;
 }
 
 void fleet_wait_ready(struct fleet *f)
 {
-	for (uint32_t ms = 0; !all_know(f); ms += POLL_MS) {
-		if (ms >= HANG_MS) {
-			fail(f, "daemons do not reach each other");
+	int64_t until_us = clock_now_us() + READY_MS * US_PER_MS;
+	uint32_t from;
+	uint32_t to;
+
+	while (!all_know(f, &from, &to)) {
+		if (clock_now_us() >= until_us) {
+			fail(f, "d%u does not reach d%u", from, to);
 			return;
 		}
 		sleep_ms(POLL_MS);
