--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 MEASURES = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_measure.c))
 PROGRAMS = $(patsubst %_main.c,$(BUILD)/%_main,$(wildcard fake/*_main.c \
 	fault/*_main.c)) $(patsubst cmd/%,$(BUILD)/bin/%,$(wildcard cmd/*))
-FILES = $(wildcard */*.c */*.h cmd/*/*.c)
+FILES = $(wildcard */*.c */*.h cmd/*/*.c cmd/*/*.h)
 
 all: $(PROGRAMS) $(TESTS) $(MEASURES)
 
@@ -33,7 +33,8 @@
 	@echo "make bench     added latency and cost of one, two and three daemons"
 	@echo "make format lint   formatter and linter, in check mode"
 
--include $(OBJ:.o=.d)
+-include $(OBJ:.o=.d) $(patsubst %.c,$(BUILD)/%.d,$(wildcard */*_test.c \
+	*/*_measure.c */*_main.c cmd/*/*.c))
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
--- a/cmd/azhd/azhd.h
+++ b/cmd/azhd/azhd.h
@@ -31,7 +31,8 @@
 	struct address front;
 	struct address peer;
 	struct address member;
-	struct address peer_bind; /**< listens here if not where it is dialled */
+	struct address
+		peer_bind; /**< listens here if not where it is dialled */
 	struct address admin;
 	char admin_token[128];
 	char base[256]; /**< base file; "" if the store has it */
