upstream: test against a scripted worker

Guards: a POST read on a reused connection that then closes is not sent again (the worker counts 2 requests on 1 connection); cut, unframed and surplus answers; silence; refused connections; headers that pose as the fleet's; endless answers.

--- /dev/null
+++ b/upstream/upstream_test.c
@@ -0,0 +1,357 @@
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <CUnit/Basic.h>
+#include <apr_general.h>
+
+#include "upstream/upstream.h"
+
+/** A worker that answers each request it reads by the next line of a script. */
+struct script {
+	const char *const *answers; /* "" closes without an answer */
+	uint32_t count;
+	int32_t listener;
+	uint16_t port;
+	uint32_t requests; /* read in full, atomic */
+	uint32_t connections; /* atomic */
+	bool hold; /* keeps the last connection open and silent */
+	pthread_t thread;
+};
+
+/** Collects results for the test's thread. */
+struct collector {
+	struct upstream_sink sink;
+	pthread_mutex_t lock;
+	pthread_cond_t arrived;
+	struct upstream_result *result;
+};
+
+static apr_pool_t *pool;
+static struct timer_service *timers;
+static struct upstream *up;
+static struct collector collector;
+static struct request *post;
+static struct request *get;
+
+/* ---- scripted worker ---- */
+
+/* Reads one request with an empty or a five byte body; false at the end. */
+static bool read_request(int32_t fd)
+{
+	char data[4096];
+	size_t used = 0;
+
+	for (;;) {
+		ssize_t n = read(fd, data + used, sizeof(data) - used - 1);
+		char *end;
+
+		if (n <= 0)
+			return false;
+		used += (size_t)n;
+		data[used] = '\0';
+		end = strstr(data, "\r\n\r\n");
+		if (!end)
+			continue;
+		if (strncmp(data, "POST", 4) != 0 ||
+		    strlen(end + 4) >= post->body.len_bytes)
+			return true;
+	}
+}
+
+static void *script_main(void *arg)
+{
+	struct script *s = arg;
+	uint32_t next = 0;
+
+	while (next < s->count) {
+		int32_t fd = accept(s->listener, NULL, NULL);
+
+		if (fd < 0)
+			break;
+		__atomic_add_fetch(&s->connections, 1, __ATOMIC_RELEASE);
+		while (next < s->count && read_request(fd)) {
+			const char *a = s->answers[next++];
+
+			__atomic_add_fetch(&s->requests, 1, __ATOMIC_RELEASE);
+			if (!*a || write(fd, a, strlen(a)) < 0 ||
+			    !strstr(a, "keep"))
+				break;
+		}
+		if (!s->hold)
+			close(fd);
+	}
+	return NULL;
+}
+
+static void script_start(struct script *s, const char *const *answers,
+			 uint32_t count)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sa);
+
+	memset(s, 0, sizeof(*s));
+	s->answers = answers;
+	s->count = count;
+	s->listener = socket(AF_INET, SOCK_STREAM, 0);
+	if (bind(s->listener, (struct sockaddr *)&sa, sizeof(sa)) ||
+	    listen(s->listener, 8) ||
+	    getsockname(s->listener, (struct sockaddr *)&sa, &len))
+		abort();
+	s->port = ntohs(sa.sin_port);
+	pthread_create(&s->thread, NULL, script_main, s);
+}
+
+static void script_stop(struct script *s)
+{
+	shutdown(s->listener, SHUT_RDWR);
+	pthread_join(s->thread, NULL);
+	close(s->listener);
+}
+
+/* ---- one request at a time ---- */
+
+static void on_done(struct upstream_sink *k, struct upstream_result *r)
+{
+	struct collector *c = az_container_of(k, struct collector, sink);
+
+	pthread_mutex_lock(&c->lock);
+	c->result = r;
+	pthread_cond_signal(&c->arrived);
+	pthread_mutex_unlock(&c->lock);
+}
+
+static const struct upstream_sink_ops sink_ops = { on_done };
+
+static struct upstream_request to(const struct script *s,
+				  const struct request *q, int64_t in_us)
+{
+	return (struct upstream_request){
+		.token = 1,
+		.ip = INADDR_LOOPBACK,
+		.port = s->port,
+		.connect_timeout_ms = 1000,
+		.deadline_us = clock_now_us() + in_us,
+		.idle_max = 4,
+		.request = q,
+		.sink = &collector.sink,
+	};
+}
+
+static struct upstream_result *wait_result(void)
+{
+	struct upstream_result *r;
+
+	pthread_mutex_lock(&collector.lock);
+	while (!collector.result)
+		pthread_cond_wait(&collector.arrived, &collector.lock);
+	r = collector.result;
+	collector.result = NULL;
+	pthread_mutex_unlock(&collector.lock);
+	return r;
+}
+
+static enum upstream_fault finish(struct upstream_result *r)
+{
+	enum upstream_fault f = r->fault;
+
+	answer_free(r->answer);
+	free(r);
+	return f;
+}
+
+static enum upstream_fault ask(const struct script *s, const struct request *q)
+{
+	struct upstream_request r = to(s, q, 30 * US_PER_S);
+
+	upstream_send(up, &r);
+	return finish(wait_result());
+}
+
+#define WHOLE "HTTP/1.1 200 OK\r\nX: keep\r\nContent-Length: 2\r\n\r\nok"
+
+/* ---- tests ---- */
+
+/* Guards against a POST that a worker read and that is sent a second time on a
+ * new connection: the upstream counts the runs. */
+static void test_post_is_sent_once_when_a_reused_connection_closes(void)
+{
+	static const char *const answers[] = { WHOLE, "", WHOLE };
+	struct script s;
+
+	script_start(&s, answers, 3);
+	CU_ASSERT_EQUAL(ask(&s, post), UPSTREAM_OK);
+	CU_ASSERT_EQUAL(ask(&s, post), UPSTREAM_CLOSED);
+	CU_ASSERT_EQUAL(s.requests, 2);
+	CU_ASSERT_EQUAL(s.connections, 1);
+	CU_ASSERT(!upstream_fault_is_not_run(UPSTREAM_CLOSED));
+	script_stop(&s);
+}
+
+/* Guards against a part of an answer that is passed on as a whole one. */
+static void test_cut_answers_are_not_whole(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"4\r\nhalf\r\n",
+		"HTTP/1.1 200 OK\r\n\r\nno length at all",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+		"no HTTP at all",
+	};
+	struct script s;
+
+	script_start(&s, answers, 5);
+	for (uint32_t i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(ask(&s, get), UPSTREAM_TRUNCATED);
+	CU_ASSERT_EQUAL(s.connections, 5);
+	script_stop(&s);
+}
+
+/* Guards against bytes of one answer that reach the next request. */
+static void test_surplus_bytes_close_the_connection(void)
+{
+	static const char *const answers[] = {
+		WHOLE "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ncross",
+		WHOLE,
+	};
+	struct script s;
+	struct upstream_request r;
+	struct upstream_result *result;
+
+	script_start(&s, answers, 2);
+	CU_ASSERT_EQUAL(ask(&s, get), UPSTREAM_OK);
+	r = to(&s, get, 30 * US_PER_S);
+	upstream_send(up, &r);
+	result = wait_result();
+	CU_ASSERT_EQUAL(result->fault, UPSTREAM_OK);
+	if (result->answer)
+		CU_ASSERT(!memcmp(result->answer->body.data, "ok", 2));
+	finish(result);
+	CU_ASSERT_EQUAL(s.connections, 2);
+	script_stop(&s);
+}
+
+/* Guards against a caller that waits for ever, and a late answer that finds a
+ * reused connection. */
+static void test_silence_ends_at_the_deadline(void)
+{
+	static const char *const answers[] = { "", WHOLE };
+	struct script s;
+	struct upstream_request r;
+
+	script_start(&s, answers, 2);
+	s.hold = true;
+	r = to(&s, get, 50 * US_PER_MS);
+	upstream_send(up, &r);
+	CU_ASSERT_EQUAL(finish(wait_result()), UPSTREAM_TIMEOUT);
+	CU_ASSERT_EQUAL(ask(&s, get), UPSTREAM_OK);
+	CU_ASSERT_EQUAL(s.connections, 2);
+	script_stop(&s);
+}
+
+/* Guards against "may have run" for a worker that could not be reached. */
+static void test_refused_connection_is_not_run(void)
+{
+	static const char *const answers[] = { WHOLE };
+	struct script s;
+	enum upstream_fault f;
+
+	script_start(&s, answers, 0);
+	script_stop(&s);
+	f = ask(&s, post);
+	CU_ASSERT_EQUAL(f, UPSTREAM_CONNECT_REFUSED);
+	CU_ASSERT(upstream_fault_is_not_run(f));
+}
+
+/* Guards against a worker's headers that pose as the fleet's, and an interim
+ * answer taken for the final one. */
+static void test_answer_headers(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 100 Continue\r\n\r\n"
+		"HTTP/1.1 201 Created\r\nAzurehold-Outcome: not-run\r\n"
+		"Connection: keep-alive\r\nKept: yes\r\n"
+		"Azurehold-Draining: yes\r\nContent-Length: 0\r\n\r\n",
+	};
+	struct script s;
+	struct upstream_request r;
+	struct upstream_result *result;
+
+	script_start(&s, answers, 1);
+	r = to(&s, post, 30 * US_PER_S);
+	upstream_send(up, &r);
+	result = wait_result();
+	CU_ASSERT_EQUAL(result->fault, UPSTREAM_OK);
+	CU_ASSERT(result->draining);
+	if (result->answer) {
+		CU_ASSERT_EQUAL(result->answer->http_status, 201);
+		CU_ASSERT_EQUAL(result->answer->headers.len_bytes,
+				strlen("Kept: yes\r\n"));
+	}
+	finish(result);
+	script_stop(&s);
+}
+
+/* Guards against an answer that fills the memory. */
+static void test_endless_answer_is_cut(void)
+{
+	struct script s;
+	size_t bytes = ANSWER_MAX_BYTES + 4096;
+	char *big = malloc(bytes + 128);
+	const char *answers[1];
+	int32_t n;
+
+	if (!big)
+		abort();
+	n = sprintf(big, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
+		    bytes);
+	memset(big + n, 'x', bytes);
+	big[(size_t)n + bytes] = '\0';
+	answers[0] = big;
+	script_start(&s, answers, 1);
+	CU_ASSERT_EQUAL(ask(&s, get), UPSTREAM_TOO_LARGE);
+	script_stop(&s);
+	free(big);
+}
+
+int main(void)
+{
+	CU_pSuite s;
+	int failed;
+
+	apr_initialize();
+	signal(SIGPIPE, SIG_IGN);
+	apr_pool_create(&pool, NULL);
+	timers = timer_service_create(pool);
+	timer_service_start(timers);
+	up = upstream_create(timers, pool);
+	upstream_start(up);
+	collector.sink.ops = &sink_ops;
+	pthread_mutex_init(&collector.lock, NULL);
+	pthread_cond_init(&collector.arrived, NULL);
+	post = request_new("POST", "/pay", "ledger");
+	buf_append(&post->body, "12345", 5);
+	get = request_new("GET", "/read", "ledger");
+	CU_initialize_registry();
+	s = CU_add_suite("upstream", NULL, NULL);
+	CU_add_test(s, "sent once",
+		    test_post_is_sent_once_when_a_reused_connection_closes);
+	CU_add_test(s, "cut", test_cut_answers_are_not_whole);
+	CU_add_test(s, "surplus", test_surplus_bytes_close_the_connection);
+	CU_add_test(s, "silence", test_silence_ends_at_the_deadline);
+	CU_add_test(s, "refused", test_refused_connection_is_not_run);
+	CU_add_test(s, "headers", test_answer_headers);
+	CU_add_test(s, "endless", test_endless_answer_is_cut);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures() != 0;
+	upstream_stop(up);
+	timer_service_stop(timers);
+	request_free(post);
+	request_free(get);
+	return failed;
+}
