conf: objects, version table, relay decisions and store client

Plain functions with the time passed in: a table that takes higher versions only and builds the parts whose objects changed; the choice of two watchers for a data centre; a relay tree of eight children; when to ask peers. A set that does not check leaves the last good one in force, with newer operator decisions applied to it.

The store client uses curl's multi interface, as a plain blocking call cannot be woken to stop.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -258,4 +258,311 @@
 /** Takes ownership of `c`. */
 void conf_current_set(struct conf_current *cur, struct conf *c);
 
+/* ---- objects of the store (object.c) ---- */
+
+#define CONF_PREFIX "azurehold/"
+#define CONF_KEY_MAX_BYTES 192
+#define CONF_OBJECT_MAX_BYTES (1U << 20)
+/** Key of what the platform's list says; known to daemons, not in the store. */
+#define CONF_LEAVING_KEY "azurehold/platform/leaving"
+
+enum conf_object_kind {
+	OBJECT_OTHER, /**< not configuration */
+	OBJECT_BASE,
+	OBJECT_SITE,
+	OBJECT_OPERATOR,
+	OBJECT_PLATFORM,
+};
+
+/** Parts of a key. */
+struct conf_key {
+	enum conf_object_kind kind;
+	char site[CONF_NAME_MAX_BYTES]; /**< if OBJECT_SITE */
+	/** "fleet", "service/NAME" or "org/NN". */
+	char unit[CONF_NAME_MAX_BYTES + 16];
+};
+
+struct conf_key conf_key_parse(const char *key);
+
+/** First line of an object: "; azurehold write=ID" or with " deleted". */
+void conf_header(struct buf *out, uint64_t write_id, bool deleted);
+/** False if the text has no header line. */
+bool conf_header_parse(const char *text, uint64_t *write_id, bool *deleted);
+
+/** An object as a file is split into. */
+struct conf_split {
+	char key[CONF_KEY_MAX_BYTES];
+	struct buf text; /**< without header line; zero-terminated */
+};
+
+/** Splits a base file (`site` NULL) or an overlay into objects, sorted by key.
+ * Tokens become hashes. The document holds base and overlay, and has been
+ * checked; for an overlay, only its own keys are taken. */
+enum az_status conf_split(const struct ini_doc *d, const char *site,
+			  struct conf_split **out, uint32_t *count);
+void conf_split_free(struct conf_split *list, uint32_t count);
+
+/* ---- version table (table.c): plain state ---- */
+
+struct conf_text {
+	int32_t references;
+	uint32_t len_bytes;
+	char data[]; /**< zero-terminated */
+};
+
+/** What a daemon holds of one object. */
+struct conf_object {
+	const char *key;
+	uint64_t version; /**< 0: only heard of */
+	bool deleted;
+	struct conf_text *text; /**< NULL if deleted */
+	uint64_t good_version; /**< in force */
+	struct conf_text *good_text;
+	uint64_t wanted_version; /**< asked for */
+	int64_t wanted_until_us;
+	struct conf_unit *unit; /**< NULL if not of this site */
+};
+
+struct conf_table;
+
+struct conf_table *conf_table_create(const char *site);
+void conf_table_destroy(struct conf_table *t);
+uint32_t conf_table_size(const struct conf_table *t);
+const struct conf_object *conf_table_at(const struct conf_table *t, uint32_t i);
+const struct conf_object *conf_table_find(const struct conf_table *t,
+					  const char *key);
+/** Takes a value if its version is higher than the one held; `text` NULL is a
+ * deletion. Lower and equal versions change nothing. */
+bool conf_table_put(struct conf_table *t, const char *key, uint64_t version,
+		    const char *text, uint32_t len_bytes);
+/** Takes a value that is in force elsewhere, while none is here. */
+void conf_table_put_good(struct conf_table *t, const char *key,
+			 uint64_t version, const char *text,
+			 uint32_t len_bytes);
+/** True if `version` is newer than what is held and not asked for; it counts
+ * as asked for until `until_us`. */
+bool conf_table_want(struct conf_table *t, const char *key, uint64_t version,
+		     int64_t now_us, int64_t until_us);
+/** Over keys and versions held; equal digests mean equal versions. */
+uint64_t conf_table_digest(const struct conf_table *t);
+#define CONF_BUCKETS 64
+uint32_t conf_bucket(const char *key);
+/** Digest of the objects whose key falls into a bucket. */
+uint64_t conf_table_bucket(const struct conf_table *t, uint32_t bucket);
+/** Builds a snapshot of the newest objects. If they do not check, of those in
+ * force with the newest operator decisions; then `errors` says why. *out is
+ * NULL if nothing has changed that can be put in force. */
+enum az_status conf_table_build(struct conf_table *t, struct conf **out,
+				struct conf_errors *errors);
+
+/* ---- who watches, tells and asks (relay.c): plain functions ---- */
+
+struct member;
+struct member_view;
+
+#define CONF_WATCHERS 2
+#define CONF_RELAY_CHILDREN 8
+#define CONF_ASK_MAX_OBJECTS 64
+
+/** One of the CONF_WATCHERS of its data centre, by rendezvous hashing over the
+ * members that are not stopping. */
+bool conf_is_watcher(const struct member_view *v, uint64_t self, uint32_t dc);
+/** Members that `self` tells of a change that `origin` brought into the data
+ * centre: its children in a tree over the members sorted by id, from `origin`
+ * on. Returns their number. */
+uint32_t conf_relay_children(const struct member_view *v, uint64_t self,
+			     uint64_t origin, uint32_t dc,
+			     const struct member *out[CONF_RELAY_CHILDREN]);
+/** A member of this (`other` false) or of another data centre, or NULL. */
+const struct member *conf_pick_member(const struct member_view *v,
+				      uint64_t self, uint32_t dc, bool other,
+				      uint64_t random);
+/** Wait before try number `failures` of the store, from 1 on: doubles from
+ * 200 ms to 10 s, of which a random half is left out. */
+int64_t conf_backoff_us(uint32_t failures, uint64_t random);
+
+/** When a daemon last heard and asked. */
+struct conf_asking {
+	int64_t started_us;
+	bool loaded; /**< a peer or the store has listed its objects */
+	int64_t store_ok_us; /**< the store last answered a watcher */
+	int64_t next_start_us;
+	int64_t next_remote_us;
+	int64_t list_until_us; /**< a CONF_LIST is under way; 0: none */
+	uint64_t behind[16]; /**< digests of peers that had nothing newer */
+	uint32_t behind_next;
+};
+
+/** True if a digest heard from a peer is worth a CONF_LIST now. */
+bool conf_asking_digest(const struct conf_asking *a, uint64_t own,
+			uint64_t digest, int64_t now_us);
+/** A peer with that digest had nothing newer. Cleared by conf_asking_moved().
+ */
+void conf_asking_behind(struct conf_asking *a, uint64_t digest);
+void conf_asking_moved(struct conf_asking *a);
+/** True if a daemon that has just started should ask a peer now. */
+bool conf_asking_start(struct conf_asking *a, int64_t now_us);
+/** True if a watcher without the store should ask another data centre now. */
+bool conf_asking_remote(struct conf_asking *a, bool watcher, int64_t now_us);
+
+/* ---- texts between daemons (wire.c) ---- */
+
+/** One record of a list, an offer or an answer. */
+struct conf_record {
+	char key[CONF_KEY_MAX_BYTES];
+	uint64_t version;
+	bool deleted;
+	bool good; /**< in force at the sender, older than its newest */
+	const char *text; /**< NULL in lists */
+	uint32_t len_bytes;
+};
+
+/** Reads the record at *at and moves on; false at the end or if malformed. */
+bool conf_record_read(const char **at, const char *end, struct conf_record *r);
+void conf_record_write(struct buf *out, const struct conf_record *r);
+
+/** "offer ORIGIN" with records, or "buckets" with a digest for each. */
+void conf_offer_write(struct buf *out, uint64_t origin);
+void conf_buckets_write(struct buf *out, const struct conf_table *t);
+/** Reads the first line of a CONF_LIST; *at moves behind it. For buckets,
+ * `buckets` is filled and true returned in *is_buckets. */
+enum az_status conf_list_read(const char **at, const char *end,
+			      uint64_t *origin, bool *is_buckets,
+			      uint64_t buckets[CONF_BUCKETS]);
+/** Answer to buckets: records of the objects in those that differ. */
+void conf_list_answer(struct buf *out, const struct conf_table *t,
+		      const uint64_t buckets[CONF_BUCKETS]);
+/** Answer to a CONF_GET: values of the keys that its records name, as many as
+ * fit in `max_bytes`, at least one. */
+void conf_get_answer(struct buf *out, const struct conf_table *t,
+		     const char *at, const char *end, uint32_t max_bytes);
+
+/* ---- the platform's store (store.c), blocking ---- */
+
+struct store;
+
+struct store_object {
+	char key[CONF_KEY_MAX_BYTES];
+	uint64_t version;
+	bool deleted;
+	struct buf value; /**< zero-terminated; empty in lists */
+};
+
+struct store_list {
+	uint64_t revision;
+	uint32_t count;
+	struct store_object *objects;
+};
+
+struct store_vm {
+	char name[CONF_NAME_MAX_BYTES];
+	uint32_t ip; /**< IPv4, host byte order */
+	bool leaving;
+};
+
+struct store_vms {
+	uint64_t revision;
+	uint32_t count;
+	struct store_vm *list;
+};
+
+/** `url` without a trailing '/'. NULL if libcurl fails. */
+struct store *store_create(const char *url);
+void store_destroy(struct store *s);
+/** Ends a call under way and all later ones with AZ_AGAIN. Any thread. */
+void store_interrupt(struct store *s);
+enum az_status store_get(struct store *s, const char *key,
+			 struct store_object *out);
+/** `if_version` 0: only if absent. AZ_CONFLICT: not written. AZ_IO or
+ * AZ_TIMEOUT: it may have been written. */
+enum az_status store_put(struct store *s, const char *key, uint64_t if_version,
+			 const void *value, uint32_t len_bytes,
+			 uint64_t *version);
+enum az_status store_list(struct store *s, const char *prefix,
+			  struct store_list *out);
+/** Changes after a revision; an empty list once `wait_ms` have passed. */
+enum az_status store_watch(struct store *s, const char *prefix, uint64_t after,
+			   uint32_t wait_ms, struct store_list *out);
+/** AZ_AGAIN if the list is still that of `known_revision`. */
+enum az_status store_vms(struct store *s, uint64_t known_revision,
+			 struct store_vms *out);
+void store_object_free(struct store_object *o);
+void store_list_free(struct store_list *l);
+void store_vms_free(struct store_vms *v);
+
+/** Conditional update that resolves a lost reply by reading back the write id
+ * in the header line. AZ_CONFLICT: another write, `other_id`, is there. */
+enum az_status store_update(struct store *s, const char *key,
+			    uint64_t if_version, const char *text,
+			    uint64_t write_id, bool deleted, uint64_t *version,
+			    uint64_t *other_id);
+
+/* ---- the duty (conf_duty.c) ---- */
+
+/** What the duty needs of members and peers. */
+struct conf_links;
+
+struct conf_links_ops {
+	const struct member_view *(*view)(struct conf_links *l);
+	void (*release_view)(struct conf_links *l, const struct member_view *v);
+	void (*set_digest)(struct conf_links *l, uint64_t digest);
+	/** CONF_LIST, or CONF_GET if `get`; `reply` gets one answer. */
+	void (*ask)(struct conf_links *l, const struct member *to, bool get,
+		    const struct buf *body, int64_t deadline_us,
+		    struct reply_to *reply);
+	void (*platform_list)(struct conf_links *l, const uint64_t *live,
+			      uint32_t live_count);
+};
+
+struct conf_links {
+	const struct conf_links_ops *ops;
+};
+
+struct membership;
+struct peer;
+
+/** Links to the member and peer slices (links.c). */
+struct conf_links *conf_links_create(struct membership *m, struct peer *p,
+				     apr_pool_t *pool);
+
+struct conf_duty;
+
+struct conf_settings {
+	const char *store_url; /**< NULL: only peers */
+	const char *site; /**< whose overlay applies; "" for none */
+	uint64_t member_id;
+	uint32_t dc;
+	uint32_t vms_interval_ms; /**< of watchers; 0: the list is not read */
+	struct conf_current *current;
+	struct conf_links *links;
+};
+
+struct conf_duty *conf_duty_create(const struct conf_settings *s,
+				   struct timer_service *timers,
+				   apr_pool_t *pool);
+enum az_status conf_duty_start(struct conf_duty *d);
+void conf_duty_stop(struct conf_duty *d);
+/** Serves a peer's CONF_LIST, or CONF_GET if `get`; takes the contents of
+ * `body`. `from` is the caller's member id, 0 if unknown. Any thread. */
+void conf_duty_serve(struct conf_duty *d, bool get, struct buf *body,
+		     struct reply_to *reply);
+/** A member spread a digest that differs from this daemon's. Any thread. */
+void conf_duty_digest(struct conf_duty *d, const struct member *from,
+		      uint64_t digest);
+
+/** Versions for the status page. */
+struct conf_duty_status {
+	uint64_t digest; /**< of the objects held */
+	uint64_t digest_in_force; /**< of the snapshot */
+	bool watcher;
+	bool store_ok;
+	uint32_t object_count;
+	struct store_object *objects; /**< without values */
+};
+
+/** Waits for the duty's thread; AZ_AGAIN if it is not running. */
+enum az_status conf_duty_status(struct conf_duty *d,
+				struct conf_duty_status *out);
+void conf_duty_status_free(struct conf_duty_status *s);
+
 #endif
--- /dev/null
+++ b/conf/object.c
@@ -0,0 +1,190 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <apr_hash.h>
+#include <apr_strings.h>
+
+#include "conf/conf.h"
+
+struct conf_key conf_key_parse(const char *key)
+{
+	struct conf_key k = { .kind = OBJECT_OTHER };
+	const char *unit = NULL;
+	const char *slash;
+
+	if (!strcmp(key, CONF_LEAVING_KEY)) {
+		k.kind = OBJECT_PLATFORM;
+		return k;
+	}
+	if (strncmp(key, CONF_PREFIX, strlen(CONF_PREFIX)) != 0)
+		return k;
+	key += strlen(CONF_PREFIX);
+	if (!strncmp(key, "operator/", 9)) {
+		snprintf(k.unit, sizeof(k.unit), "service/%.*s",
+			 CONF_NAME_MAX_BYTES, key + 9);
+		k.kind = OBJECT_OPERATOR;
+		return k;
+	}
+	if (!strncmp(key, "base/", 5)) {
+		unit = key + 5;
+		k.kind = OBJECT_BASE;
+	} else if (!strncmp(key, "site/", 5)) {
+		slash = strchr(key + 5, '/');
+		if (!slash || slash - key - 5 >= CONF_NAME_MAX_BYTES)
+			return k;
+		memcpy(k.site, key + 5, (size_t)(slash - key - 5));
+		unit = slash + 1;
+		k.kind = OBJECT_SITE;
+	}
+	if (!unit || strlen(unit) >= sizeof(k.unit) ||
+	    (strcmp(unit, "fleet") != 0 && strncmp(unit, "service/", 8) != 0 &&
+	     strncmp(unit, "org/", 4) != 0))
+		k.kind = OBJECT_OTHER;
+	else
+		strcpy(k.unit, unit);
+	return k;
+}
+
+void conf_header(struct buf *out, uint64_t write_id, bool deleted)
+{
+	buf_printf(out, "; azurehold write=%016" PRIx64 "%s\n", write_id,
+		   deleted ? " deleted" : "");
+}
+
+bool conf_header_parse(const char *text, uint64_t *write_id, bool *deleted)
+{
+	static const char mark[] = "; azurehold write=";
+	char *end;
+
+	*write_id = 0;
+	*deleted = false;
+	if (strncmp(text, mark, sizeof(mark) - 1) != 0)
+		return false;
+	*write_id = strtoull(text + sizeof(mark) - 1, &end, 16);
+	*deleted = !strncmp(end, " deleted\n", 9);
+	return *deleted || *end == '\n';
+}
+
+/* ---- split ---- */
+
+struct split {
+	const struct ini_doc *doc;
+	const char *site;
+	apr_hash_t *by_key;
+};
+
+/* "fleet", "service/NAME" or "org/NN" for a section; false if it names no
+ * service. */
+static bool unit_of(const struct ini_section *s, char *out, size_t size)
+{
+	const struct ini_key *k;
+
+	if (!strcmp(s->kind, "data_centre") || !strcmp(s->kind, "rank"))
+		snprintf(out, size, "fleet");
+	else if (!strcmp(s->kind, "service"))
+		snprintf(out, size, "service/%s", s->name);
+	else if (!strcmp(s->kind, "worker"))
+		snprintf(out, size, "service/%.*s", (int)strcspn(s->name, "/"),
+			 s->name);
+	else if (!strcmp(s->kind, "organisation"))
+		snprintf(out, size, "org/%02u", conf_shard_of(s->name));
+	else if ((k = ini_section_key(s, "service")))
+		snprintf(out, size, "service/%s", k->value);
+	else
+		return false;
+	return true;
+}
+
+static void write_key(struct buf *out, const struct ini_section *s,
+		      const struct ini_key *k)
+{
+	if (!strcmp(s->kind, "organisation") && !strcmp(k->name, "token"))
+		buf_printf(out, "token_hash = %016" PRIx64 "\n",
+			   hash_string(k->value));
+	else
+		buf_printf(out, "%s = %s\n", k->name, k->value);
+}
+
+static struct buf *text_of(struct split *p, const char *unit)
+{
+	char key[CONF_KEY_MAX_BYTES];
+	struct buf *b;
+
+	if (p->site)
+		snprintf(key, sizeof(key), CONF_PREFIX "site/%s/%s", p->site,
+			 unit);
+	else
+		snprintf(key, sizeof(key), CONF_PREFIX "base/%s", unit);
+	b = apr_hash_get(p->by_key, key, APR_HASH_KEY_STRING);
+	if (b)
+		return b;
+	b = apr_pcalloc(p->doc->pool, sizeof(*b));
+	apr_hash_set(p->by_key, apr_pstrdup(p->doc->pool, key),
+		     APR_HASH_KEY_STRING, b);
+	return b;
+}
+
+static void split_section(struct split *p, const struct ini_section *s)
+{
+	uint32_t layer = p->site ? 2 : 1;
+	char unit[CONF_NAME_MAX_BYTES + 16];
+	struct buf *b;
+
+	if (s->layer != layer || !unit_of(s, unit, sizeof(unit)))
+		return;
+	b = text_of(p, unit);
+	buf_printf(b, "[%s %s]\n", s->kind, s->name);
+	for (const struct ini_key *k = s->keys; k; k = k->next)
+		if (layer == 1 || k->file == s->file)
+			write_key(b, s, k);
+}
+
+static int by_split_key(const void *a, const void *b)
+{
+	const struct conf_split *x = a;
+	const struct conf_split *y = b;
+
+	return strcmp(x->key, y->key);
+}
+
+void conf_split_free(struct conf_split *list, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		buf_free(&list[i].text);
+	free(list);
+}
+
+enum az_status conf_split(const struct ini_doc *d, const char *site,
+			  struct conf_split **out, uint32_t *count)
+{
+	struct split p = { .doc = d, .site = site };
+	enum az_status s = AZ_OK;
+
+	p.by_key = apr_hash_make(d->pool);
+	for (const struct ini_section *c = d->first; c; c = c->next)
+		split_section(&p, c);
+	*count = 0;
+	*out = calloc(apr_hash_count(p.by_key) + 1, sizeof(**out));
+	if (!*out)
+		abort();
+	for (apr_hash_index_t *i = apr_hash_first(d->pool, p.by_key); i;
+	     i = apr_hash_next(i)) {
+		struct conf_split *o = &(*out)[(*count)++];
+		const void *key;
+		void *text;
+
+		apr_hash_this(i, &key, NULL, &text);
+		snprintf(o->key, sizeof(o->key), "%s", (const char *)key);
+		o->text = *(struct buf *)text;
+		buf_append(&o->text, "", 1);
+		if (o->text.len_bytes + 64 > CONF_OBJECT_MAX_BYTES)
+			s = az_fail(AZ_INVALID,
+				    "object %s is %u bytes; the store holds "
+				    "at most %u",
+				    o->key, o->text.len_bytes,
+				    CONF_OBJECT_MAX_BYTES);
+	}
+	qsort(*out, *count, sizeof(**out), by_split_key);
+	return s;
+}
--- /dev/null
+++ b/conf/store.c
@@ -0,0 +1,412 @@
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "conf/conf.h"
+
+#define CONNECT_TIMEOUT_MS 1000L
+#define CALL_TIMEOUT_MS 5000L
+/* Answers above this are refused: a list of all VMs is a few megabytes. */
+#define ANSWER_LIMIT_BYTES (16U << 20)
+
+struct store {
+	char *url;
+	CURL *easy;
+	CURLM *multi;
+	int32_t interrupted; /**< atomic */
+	struct buf answer;
+	uint64_t version; /**< Object-Version of the answer; 0: none */
+	struct counter *calls;
+	struct counter *failures;
+};
+
+struct store *store_create(const char *url)
+{
+	struct store *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		abort();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	s->url = strdup(url);
+	s->easy = curl_easy_init();
+	s->multi = curl_multi_init();
+	s->calls = counter_get("conf_store_calls");
+	s->failures = counter_get("conf_store_failures");
+	if (s->url && s->easy && s->multi)
+		return s;
+	store_destroy(s);
+	return NULL;
+}
+
+void store_destroy(struct store *s)
+{
+	if (!s)
+		return;
+	curl_easy_cleanup(s->easy);
+	curl_multi_cleanup(s->multi);
+	buf_free(&s->answer);
+	free(s->url);
+	free(s);
+}
+
+void store_interrupt(struct store *s)
+{
+	__atomic_store_n(&s->interrupted, 1, __ATOMIC_RELEASE);
+	curl_multi_wakeup(s->multi);
+}
+
+void store_object_free(struct store_object *o)
+{
+	buf_free(&o->value);
+}
+
+void store_list_free(struct store_list *l)
+{
+	for (uint32_t i = 0; i < l->count; i++)
+		store_object_free(&l->objects[i]);
+	free(l->objects);
+	memset(l, 0, sizeof(*l));
+}
+
+void store_vms_free(struct store_vms *v)
+{
+	free(v->list);
+	memset(v, 0, sizeof(*v));
+}
+
+/* ---- one call ---- */
+
+static size_t take_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct store *s = arg;
+
+	if (s->answer.len_bytes + size * n > ANSWER_LIMIT_BYTES)
+		return 0;
+	buf_append(&s->answer, data, (uint32_t)(size * n));
+	return size * n;
+}
+
+static size_t take_header(char *data, size_t size, size_t n, void *arg)
+{
+	static const char name[] = "object-version:";
+	struct store *s = arg;
+
+	if (size * n > sizeof(name) &&
+	    !strncasecmp(data, name, sizeof(name) - 1))
+		s->version = strtoull(data + sizeof(name) - 1, NULL, 10);
+	return size * n;
+}
+
+/* The multi interface, unlike a plain blocking call, can be woken. */
+static enum az_status run_call(struct store *s, long *status)
+{
+	CURLcode result = CURLE_OK;
+	int running = 1;
+	CURLMsg *m;
+	int left;
+
+	curl_multi_add_handle(s->multi, s->easy);
+	while (running) {
+		if (__atomic_load_n(&s->interrupted, __ATOMIC_ACQUIRE) ||
+		    curl_multi_perform(s->multi, &running) != CURLM_OK)
+			break;
+		if (running)
+			curl_multi_poll(s->multi, NULL, 0, 1000, NULL);
+	}
+	while ((m = curl_multi_info_read(s->multi, &left)))
+		if (m->msg == CURLMSG_DONE)
+			result = m->data.result;
+	curl_multi_remove_handle(s->multi, s->easy);
+	if (running)
+		return az_fail(AZ_AGAIN, "call to the store interrupted");
+	if (result == CURLE_OPERATION_TIMEDOUT)
+		return az_fail(AZ_TIMEOUT, "store: %s",
+			       curl_easy_strerror(result));
+	if (result != CURLE_OK)
+		return az_fail(AZ_IO, "store: %s", curl_easy_strerror(result));
+	curl_easy_getinfo(s->easy, CURLINFO_RESPONSE_CODE, status);
+	return AZ_OK;
+}
+
+/* Calls the store; *status is the HTTP status if AZ_OK. */
+static enum az_status call(struct store *s, const char *path,
+			   const char *condition, const void *body,
+			   uint32_t len_bytes, long timeout_ms, long *status)
+{
+	struct curl_slist *headers = NULL;
+	char url[1024];
+	enum az_status r;
+
+	snprintf(url, sizeof(url), "%s%s", s->url, path);
+	buf_free(&s->answer);
+	s->version = 0;
+	curl_easy_reset(s->easy);
+	curl_easy_setopt(s->easy, CURLOPT_URL, url);
+	curl_easy_setopt(s->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(s->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(s->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(s->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(s->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	curl_easy_setopt(s->easy, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(s->easy, CURLOPT_WRITEDATA, s);
+	curl_easy_setopt(s->easy, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(s->easy, CURLOPT_HEADERDATA, s);
+	if (condition)
+		headers = curl_slist_append(headers, condition);
+	if (body) {
+		headers = curl_slist_append(headers, "Expect:");
+		curl_easy_setopt(s->easy, CURLOPT_CUSTOMREQUEST, "PUT");
+		curl_easy_setopt(s->easy, CURLOPT_POSTFIELDSIZE,
+				 (long)len_bytes);
+		curl_easy_setopt(s->easy, CURLOPT_POSTFIELDS, body);
+	}
+	curl_easy_setopt(s->easy, CURLOPT_HTTPHEADER, headers);
+	r = run_call(s, status);
+	curl_slist_free_all(headers);
+	counter_add(s->calls, 1);
+	if (r != AZ_OK)
+		counter_add(s->failures, 1);
+	buf_append(&s->answer, "", 1);
+	s->answer.len_bytes--;
+	return r;
+}
+
+static enum az_status unexpected(struct store *s, const char *what, long status)
+{
+	counter_add(s->failures, 1);
+	return az_fail(AZ_IO, "store: status %ld for %s", status, what);
+}
+
+enum az_status store_get(struct store *s, const char *key,
+			 struct store_object *out)
+{
+	char path[64 + CONF_KEY_MAX_BYTES];
+	enum az_status r;
+	long status = 0;
+
+	memset(out, 0, sizeof(*out));
+	snprintf(out->key, sizeof(out->key), "%s", key);
+	snprintf(path, sizeof(path), "/v1/objects/%s", key);
+	r = call(s, path, NULL, NULL, 0, CALL_TIMEOUT_MS, &status);
+	if (r != AZ_OK)
+		return r;
+	out->version = s->version;
+	if (status == 404)
+		return az_fail(AZ_NOT_FOUND, "store: no object %s", key);
+	if (status != 200 || !s->version)
+		return unexpected(s, path, status);
+	if (memchr(s->answer.data, '\0', s->answer.len_bytes))
+		return az_fail(AZ_INVALID, "object %s has a zero byte", key);
+	out->value = s->answer;
+	memset(&s->answer, 0, sizeof(s->answer));
+	return AZ_OK;
+}
+
+enum az_status store_put(struct store *s, const char *key, uint64_t if_version,
+			 const void *value, uint32_t len_bytes,
+			 uint64_t *version)
+{
+	char path[64 + CONF_KEY_MAX_BYTES];
+	char condition[64];
+	enum az_status r;
+	long status = 0;
+
+	if (if_version)
+		snprintf(condition, sizeof(condition), "If-Match: %" PRIu64,
+			 if_version);
+	else
+		snprintf(condition, sizeof(condition), "If-None-Match: *");
+	snprintf(path, sizeof(path), "/v1/objects/%s", key);
+	r = call(s, path, condition, value, len_bytes, CALL_TIMEOUT_MS,
+		 &status);
+	if (r != AZ_OK)
+		return r;
+	if (status == 412)
+		return az_fail(AZ_CONFLICT, "object %s was changed", key);
+	if (status / 100 != 2 || !s->version)
+		return unexpected(s, path, status);
+	*version = s->version;
+	return AZ_OK;
+}
+
+/* ---- JSON answers ---- */
+
+static json_t *read_json(struct store *s, const char *array, uint64_t *revision,
+			 json_t **list)
+{
+	json_error_t e;
+	json_t *root = json_loadb((const char *)s->answer.data,
+				  s->answer.len_bytes, 0, &e);
+	json_t *r = json_object_get(root, "revision");
+
+	*list = json_object_get(root, array);
+	if (json_is_integer(r) && json_is_array(*list)) {
+		*revision = (uint64_t)json_integer_value(r);
+		return root;
+	}
+	json_decref(root);
+	counter_add(s->failures, 1);
+	return NULL;
+}
+
+static enum az_status read_list(struct store *s, const char *array,
+				struct store_list *out)
+{
+	json_t *list;
+	json_t *root = read_json(s, array, &out->revision, &list);
+	json_t *o;
+	size_t i;
+
+	if (!root)
+		return az_fail(AZ_IO, "store: malformed list");
+	out->objects = calloc(json_array_size(list) + 1, sizeof(*out->objects));
+	if (!out->objects)
+		abort();
+	json_array_foreach(list, i, o)
+	{
+		const char *key = json_string_value(json_object_get(o, "key"));
+		json_t *v = json_object_get(o, "version");
+		struct store_object *to = &out->objects[out->count];
+
+		if (!key || strlen(key) >= sizeof(to->key) ||
+		    !json_is_integer(v))
+			continue;
+		strcpy(to->key, key);
+		to->version = (uint64_t)json_integer_value(v);
+		to->deleted = json_is_true(json_object_get(o, "deleted"));
+		out->count++;
+	}
+	json_decref(root);
+	return AZ_OK;
+}
+
+enum az_status store_list(struct store *s, const char *prefix,
+			  struct store_list *out)
+{
+	char path[64 + CONF_KEY_MAX_BYTES];
+	enum az_status r;
+	long status = 0;
+
+	memset(out, 0, sizeof(*out));
+	snprintf(path, sizeof(path), "/v1/objects?prefix=%s", prefix);
+	r = call(s, path, NULL, NULL, 0, CALL_TIMEOUT_MS, &status);
+	if (r != AZ_OK)
+		return r;
+	if (status != 200)
+		return unexpected(s, path, status);
+	return read_list(s, "objects", out);
+}
+
+enum az_status store_watch(struct store *s, const char *prefix, uint64_t after,
+			   uint32_t wait_ms, struct store_list *out)
+{
+	char path[128 + CONF_KEY_MAX_BYTES];
+	enum az_status r;
+	long status = 0;
+
+	memset(out, 0, sizeof(*out));
+	snprintf(path, sizeof(path),
+		 "/v1/watch?prefix=%s&after=%" PRIu64 "&wait_ms=%u", prefix,
+		 after, wait_ms);
+	r = call(s, path, NULL, NULL, 0, wait_ms + CALL_TIMEOUT_MS, &status);
+	if (r != AZ_OK)
+		return r;
+	if (status != 200)
+		return unexpected(s, path, status);
+	return read_list(s, "changed", out);
+}
+
+enum az_status store_vms(struct store *s, uint64_t known_revision,
+			 struct store_vms *out)
+{
+	char condition[64];
+	enum az_status r;
+	long status = 0;
+	json_t *list;
+	json_t *root;
+	json_t *o;
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	snprintf(condition, sizeof(condition), "If-None-Match: \"%" PRIu64 "\"",
+		 known_revision);
+	r = call(s, "/v1/vms", known_revision ? condition : NULL, NULL, 0,
+		 CALL_TIMEOUT_MS, &status);
+	if (r != AZ_OK)
+		return r;
+	if (status == 304)
+		return AZ_AGAIN;
+	if (status != 200)
+		return unexpected(s, "/v1/vms", status);
+	root = read_json(s, "vms", &out->revision, &list);
+	if (!root)
+		return az_fail(AZ_IO, "store: malformed VM list");
+	out->list = calloc(json_array_size(list) + 1, sizeof(*out->list));
+	if (!out->list)
+		abort();
+	json_array_foreach(list, i, o)
+	{
+		const char *name =
+			json_string_value(json_object_get(o, "name"));
+		const char *ip = json_string_value(json_object_get(o, "ip"));
+		const char *state =
+			json_string_value(json_object_get(o, "state"));
+		struct store_vm *v = &out->list[out->count];
+		struct in_addr in;
+
+		if (!name || !ip || !state || inet_pton(AF_INET, ip, &in) != 1)
+			continue;
+		snprintf(v->name, sizeof(v->name), "%s", name);
+		v->ip = ntohl(in.s_addr);
+		v->leaving = !strcmp(state, "leaving");
+		out->count++;
+	}
+	json_decref(root);
+	return out->revision == known_revision ? AZ_AGAIN : AZ_OK;
+}
+
+/* ---- conditional update ---- */
+
+enum az_status store_update(struct store *s, const char *key,
+			    uint64_t if_version, const char *text,
+			    uint64_t write_id, bool deleted, uint64_t *version,
+			    uint64_t *other_id)
+{
+	struct store_object now;
+	struct buf value = { 0 };
+	bool was_deleted;
+	enum az_status r = AZ_IO;
+	enum az_status back;
+
+	*other_id = 0;
+	conf_header(&value, write_id, deleted);
+	if (!deleted)
+		buf_append(&value, text, (uint32_t)strlen(text));
+	/* The condition makes a repeated write harmless. A conflict may be with
+	 * this write's own first copy, whose reply was lost. */
+	for (uint32_t i = 0; i < 5 && r != AZ_OK && r != AZ_CONFLICT; i++)
+		r = store_put(s, key, if_version, value.data, value.len_bytes,
+			      version);
+	buf_free(&value);
+	if (r != AZ_CONFLICT)
+		return r;
+	back = store_get(s, key, &now);
+	if (back == AZ_OK) {
+		conf_header_parse((char *)now.value.data, other_id,
+				  &was_deleted);
+		*version = now.version;
+		store_object_free(&now);
+		if (*other_id == write_id)
+			return AZ_OK;
+	} else if (back != AZ_NOT_FOUND) {
+		return back;
+	}
+	return az_fail(AZ_CONFLICT,
+		       "object %s was changed by write %016" PRIx64, key,
+		       *other_id);
+}
--- /dev/null
+++ b/conf/table.c
@@ -0,0 +1,542 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <apr_hash.h>
+#include <apr_strings.h>
+
+#include "conf/conf.h"
+
+/** Objects that make one part of a snapshot, and that part. */
+struct conf_unit {
+	struct conf_unit *next;
+	const char *name;
+	struct conf_object *base;
+	struct conf_object *site;
+	struct conf_object *operator_decisions;
+	uint64_t signature; /**< of what `parts` was built from */
+	struct conf_parts parts; /**< in force */
+	uint64_t next_signature;
+	struct conf_parts next_parts; /**< being built */
+	bool rebuilt;
+};
+
+struct conf_table {
+	apr_pool_t *pool;
+	char site[CONF_NAME_MAX_BYTES];
+	apr_hash_t *by_key;
+	uint32_t count;
+	uint32_t capacity;
+	struct conf_object **objects;
+	apr_hash_t *units;
+	struct conf_unit *first;
+	struct conf_unit *fleet;
+	struct conf_object *leaving_object;
+	uint32_t leaving_count;
+	uint32_t *leaving; /**< sorted addresses */
+	uint64_t digest;
+	uint64_t buckets[CONF_BUCKETS];
+	bool in_force;
+	bool operator_changed; /**< since the last snapshot */
+};
+
+struct conf_table *conf_table_create(const char *site)
+{
+	apr_pool_t *pool;
+	struct conf_table *t;
+
+	if (apr_pool_create_unmanaged_ex(&pool, NULL, NULL) != APR_SUCCESS)
+		abort();
+	t = apr_pcalloc(pool, sizeof(*t));
+	t->pool = pool;
+	snprintf(t->site, sizeof(t->site), "%s", site);
+	t->by_key = apr_hash_make(pool);
+	t->units = apr_hash_make(pool);
+	return t;
+}
+
+static struct conf_text *text_new(const char *data, uint32_t len_bytes)
+{
+	struct conf_text *x = malloc(sizeof(*x) + len_bytes + 1);
+
+	if (!x)
+		abort();
+	x->references = 1;
+	x->len_bytes = len_bytes;
+	memcpy(x->data, data, len_bytes);
+	x->data[len_bytes] = '\0';
+	return x;
+}
+
+static void text_release(struct conf_text *x)
+{
+	if (x && !--x->references)
+		free(x);
+}
+
+void conf_table_destroy(struct conf_table *t)
+{
+	for (struct conf_unit *u = t->first; u; u = u->next)
+		conf_parts_release(&u->parts);
+	for (uint32_t i = 0; i < t->count; i++) {
+		text_release(t->objects[i]->text);
+		text_release(t->objects[i]->good_text);
+		free(t->objects[i]);
+	}
+	free(t->objects);
+	free(t->leaving);
+	apr_pool_destroy(t->pool);
+}
+
+uint32_t conf_table_size(const struct conf_table *t)
+{
+	return t->count;
+}
+
+const struct conf_object *conf_table_at(const struct conf_table *t, uint32_t i)
+{
+	return t->objects[i];
+}
+
+const struct conf_object *conf_table_find(const struct conf_table *t,
+					  const char *key)
+{
+	return apr_hash_get(t->by_key, key, APR_HASH_KEY_STRING);
+}
+
+static struct conf_unit *unit_named(struct conf_table *t, const char *name)
+{
+	struct conf_unit *u = apr_hash_get(t->units, name, APR_HASH_KEY_STRING);
+
+	if (u)
+		return u;
+	u = apr_pcalloc(t->pool, sizeof(*u));
+	u->name = apr_pstrdup(t->pool, name);
+	u->next = t->first;
+	t->first = u;
+	apr_hash_set(t->units, u->name, APR_HASH_KEY_STRING, u);
+	if (!strcmp(name, "fleet"))
+		t->fleet = u;
+	return u;
+}
+
+static void place_object(struct conf_table *t, struct conf_object *o)
+{
+	struct conf_key k = conf_key_parse(o->key);
+
+	if (k.kind == OBJECT_PLATFORM)
+		t->leaving_object = o;
+	if (k.kind == OBJECT_OTHER || k.kind == OBJECT_PLATFORM ||
+	    (k.kind == OBJECT_SITE && strcmp(k.site, t->site) != 0))
+		return;
+	o->unit = unit_named(t, k.unit);
+	if (k.kind == OBJECT_BASE)
+		o->unit->base = o;
+	else if (k.kind == OBJECT_SITE)
+		o->unit->site = o;
+	else
+		o->unit->operator_decisions = o;
+}
+
+static struct conf_object *object_named(struct conf_table *t, const char *key)
+{
+	struct conf_object *o =
+		apr_hash_get(t->by_key, key, APR_HASH_KEY_STRING);
+
+	if (o)
+		return o;
+	if (t->count == t->capacity) {
+		t->capacity = t->capacity ? 2 * t->capacity : 64;
+		t->objects =
+			realloc(t->objects, t->capacity * sizeof(*t->objects));
+	}
+	o = calloc(1, sizeof(*o));
+	if (!o || !t->objects)
+		abort();
+	o->key = apr_pstrdup(t->pool, key);
+	t->objects[t->count++] = o;
+	apr_hash_set(t->by_key, o->key, APR_HASH_KEY_STRING, o);
+	place_object(t, o);
+	return o;
+}
+
+/* ---- versions ---- */
+
+uint32_t conf_bucket(const char *key)
+{
+	return (uint32_t)(hash_string(key) % CONF_BUCKETS);
+}
+
+static uint64_t object_digest(const struct conf_object *o)
+{
+	return o->version ? hash_bytes(&o->version, sizeof(o->version),
+				       hash_string(o->key)) :
+			    0;
+}
+
+static int by_ip(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* The list is one address a line, as the platform's reader writes it. */
+static void read_leaving(struct conf_table *t)
+{
+	const struct conf_text *x = t->leaving_object->text;
+	const char *p = x ? x->data : "";
+	struct in_addr in;
+	char line[INET_ADDRSTRLEN];
+
+	free(t->leaving);
+	t->leaving_count = 0;
+	t->leaving = calloc(x ? x->len_bytes / 8 + 1 : 1, sizeof(uint32_t));
+	if (!t->leaving)
+		abort();
+	while (*p) {
+		size_t n = strcspn(p, "\n");
+
+		if (n >= 7 && n < sizeof(line)) {
+			memcpy(line, p, n);
+			line[n] = '\0';
+			if (inet_pton(AF_INET, line, &in) == 1)
+				t->leaving[t->leaving_count++] =
+					ntohl(in.s_addr);
+		}
+		p += n + (p[n] == '\n');
+	}
+	qsort(t->leaving, t->leaving_count, sizeof(uint32_t), by_ip);
+}
+
+bool conf_table_put(struct conf_table *t, const char *key, uint64_t version,
+		    const char *text, uint32_t len_bytes)
+{
+	const struct conf_object *held = conf_table_find(t, key);
+	struct conf_object *o;
+	uint64_t change;
+
+	if (conf_key_parse(key).kind == OBJECT_OTHER ||
+	    strlen(key) >= CONF_KEY_MAX_BYTES ||
+	    len_bytes > CONF_OBJECT_MAX_BYTES ||
+	    version <= (held ? held->version : 0))
+		return false;
+	o = object_named(t, key);
+	change = -object_digest(o);
+	text_release(o->text);
+	o->version = version;
+	o->deleted = !text;
+	o->text = text ? text_new(text, len_bytes) : NULL;
+	change += object_digest(o);
+	t->digest += change;
+	t->buckets[conf_bucket(key)] += change;
+	if (o == t->leaving_object)
+		read_leaving(t);
+	if (o == t->leaving_object ||
+	    (o->unit && o->unit->operator_decisions == o))
+		t->operator_changed = true;
+	return true;
+}
+
+void conf_table_put_good(struct conf_table *t, const char *key,
+			 uint64_t version, const char *text, uint32_t len_bytes)
+{
+	struct conf_object *o;
+
+	if (t->in_force || conf_key_parse(key).kind == OBJECT_OTHER ||
+	    strlen(key) >= CONF_KEY_MAX_BYTES ||
+	    len_bytes > CONF_OBJECT_MAX_BYTES)
+		return;
+	o = object_named(t, key);
+	if (version <= o->good_version)
+		return;
+	text_release(o->good_text);
+	o->good_version = version;
+	o->good_text = text ? text_new(text, len_bytes) : NULL;
+}
+
+bool conf_table_want(struct conf_table *t, const char *key, uint64_t version,
+		     int64_t now_us, int64_t until_us)
+{
+	const struct conf_object *held = conf_table_find(t, key);
+	struct conf_object *o;
+
+	if (conf_key_parse(key).kind == OBJECT_OTHER ||
+	    strlen(key) >= CONF_KEY_MAX_BYTES ||
+	    version <= (held ? held->version : 0))
+		return false;
+	o = object_named(t, key);
+	if (o->wanted_version >= version && now_us < o->wanted_until_us)
+		return false;
+	o->wanted_version = version;
+	o->wanted_until_us = until_us;
+	return true;
+}
+
+uint64_t conf_table_digest(const struct conf_table *t)
+{
+	return t->digest;
+}
+
+uint64_t conf_table_bucket(const struct conf_table *t, uint32_t bucket)
+{
+	return t->buckets[bucket];
+}
+
+/* ---- building ---- */
+
+/** One try to build a snapshot. */
+struct attempt {
+	struct conf_table *table;
+	bool good; /**< of the objects in force, not of the newest */
+	struct conf_errors *errors;
+	struct conf_fleet *fleet;
+	uint64_t fleet_signature;
+};
+
+static const struct conf_text *text_of(const struct attempt *a,
+				       const struct conf_object *o)
+{
+	if (!o)
+		return NULL;
+	if (!a->good)
+		return o->text;
+	return o->good_text;
+}
+
+static uint64_t version_of(const struct attempt *a, const struct conf_object *o)
+{
+	if (!o)
+		return 0;
+	return a->good ? o->good_version : o->version;
+}
+
+/* A deleted base object takes its overlay with it; without one, an overlay
+ * stands alone. */
+static bool unit_is_present(const struct attempt *a, const struct conf_unit *u)
+{
+	if (version_of(a, u->base))
+		return text_of(a, u->base);
+	return text_of(a, u->site);
+}
+
+static void read_layer(const struct attempt *a, struct ini_doc *d,
+		       const struct conf_object *o)
+{
+	const struct conf_text *x = text_of(a, o);
+
+	if (x)
+		ini_doc_read(d, o->key, x->data, a->errors);
+}
+
+/* The unit's document must make its own part and nothing else. */
+static void check_contents(const struct attempt *a, const struct conf_unit *u,
+			   const struct conf_parts *p)
+{
+	bool service = !strncmp(u->name, "service/", 8);
+	bool good = p->service_count == service;
+	char name[16];
+
+	if (service && p->service_count)
+		good = good &&
+		       !strcmp(p->services[0]->service.name, u->name + 8);
+	for (uint32_t i = 0; i < CONF_SHARDS; i++) {
+		snprintf(name, sizeof(name), "org/%02u", i);
+		good = good && (!p->shards[i] || !strcmp(name, u->name));
+	}
+	if (!good)
+		conf_error_add(a->errors, u->name, 0,
+			       "holds sections of another object");
+}
+
+static bool is_leaving(const struct conf_table *t, uint32_t ip)
+{
+	return t->leaving_count &&
+	       bsearch(&ip, t->leaving, t->leaving_count, sizeof(ip), by_ip);
+}
+
+/* Workers on VMs that the platform lists as leaving get no new work. */
+static void mark_leaving(struct conf_parts *p, const struct conf_table *t)
+{
+	for (uint32_t i = 0; i < p->service_count; i++) {
+		struct conf_part *v = p->services[i];
+
+		for (uint32_t w = 0; w < v->service.worker_count; w++)
+			if (v->workers[w].admin == WORKER_IN_SERVICE &&
+			    is_leaving(t, v->workers[w].ip))
+				v->workers[w].admin = WORKER_DRAINING;
+	}
+}
+
+/* Part of a signature that changes only when one of the unit's workers starts
+ * or ceases to leave. */
+static uint64_t leaving_signature(const struct conf_unit *u,
+				  const struct conf_table *t)
+{
+	uint64_t sum = 0;
+
+	if (!t->leaving_count || !u->parts.service_count)
+		return 0;
+	for (uint32_t w = 0; w < u->parts.services[0]->service.worker_count;
+	     w++) {
+		const struct conf_worker *x = &u->parts.services[0]->workers[w];
+
+		if (is_leaving(t, x->ip))
+			sum += hash_bytes(&x->id, sizeof(x->id), 1);
+	}
+	return sum;
+}
+
+static void build_unit(struct attempt *a, struct conf_unit *u)
+{
+	const struct conf_object *op = u->operator_decisions;
+	uint64_t versions[] = { version_of(a, u->base), version_of(a, u->site),
+				op ? op->version : 0,
+				leaving_signature(u, a->table),
+				u == a->table->fleet ? 0 : a->fleet_signature };
+	uint32_t before = a->errors->count;
+	struct ini_doc *d;
+
+	u->next_signature = hash_bytes(versions, sizeof(versions), 0);
+	u->rebuilt = u->next_signature != u->signature;
+	if (!u->rebuilt)
+		return;
+	memset(&u->next_parts, 0, sizeof(u->next_parts));
+	if (!unit_is_present(a, u) && u != a->table->fleet)
+		return;
+	d = ini_doc_create();
+	read_layer(a, d, u->base);
+	read_layer(a, d, u->site);
+	if (a->errors->count == before &&
+	    conf_build(d, a->fleet, versions[0],
+		       op && op->text ? op->text->data : NULL, &u->next_parts,
+		       a->errors) == AZ_OK) {
+		check_contents(a, u, &u->next_parts);
+		mark_leaving(&u->next_parts, a->table);
+	}
+	ini_doc_destroy(d);
+}
+
+static const struct conf_parts *parts_of(const struct conf_unit *u)
+{
+	return u->rebuilt ? &u->next_parts : &u->parts;
+}
+
+static enum az_status assemble(struct attempt *a, struct conf **out)
+{
+	struct conf_table *t = a->table;
+	struct conf_parts all = { .fleet = a->fleet, .digest = t->digest };
+	enum az_status s;
+	uint32_t n = 0;
+
+	for (struct conf_unit *u = t->first; u; u = u->next)
+		n += parts_of(u)->service_count;
+	all.services = calloc(n + 1, sizeof(*all.services));
+	if (!all.services)
+		abort();
+	for (struct conf_unit *u = t->first; u; u = u->next) {
+		const struct conf_parts *p = parts_of(u);
+
+		if (p->service_count)
+			all.services[all.service_count++] = p->services[0];
+		for (uint32_t i = 0; i < CONF_SHARDS; i++)
+			if (p->shards[i])
+				all.shards[i] = p->shards[i];
+	}
+	/* A mixed set has no version of its own that another could equal. */
+	if (a->good)
+		all.digest = ~t->digest;
+	s = conf_assemble(&all, out, a->errors);
+	free(all.services);
+	return s;
+}
+
+static void finish(struct attempt *a, bool taken)
+{
+	for (struct conf_unit *u = a->table->first; u; u = u->next) {
+		if (!u->rebuilt)
+			continue;
+		conf_parts_release(taken ? &u->parts : &u->next_parts);
+		if (taken) {
+			u->parts = u->next_parts;
+			u->signature = u->next_signature;
+		}
+		memset(&u->next_parts, 0, sizeof(u->next_parts));
+		u->rebuilt = false;
+	}
+}
+
+static enum az_status try_build(struct attempt *a, struct conf **out)
+{
+	struct conf_table *t = a->table;
+	struct conf_fleet *none = NULL;
+	enum az_status s = AZ_INVALID;
+
+	unit_named(t, "fleet");
+	build_unit(a, t->fleet);
+	a->fleet = parts_of(t->fleet)->fleet;
+	a->fleet_signature = t->fleet->next_signature;
+	for (struct conf_unit *u = t->first; u && a->fleet != none; u = u->next)
+		if (u != t->fleet)
+			build_unit(a, u);
+	if (!a->errors->count)
+		s = assemble(a, out);
+	else
+		az_fail(s, "%s:%d: %s", a->errors->list[0].file,
+			a->errors->list[0].line, a->errors->list[0].reason);
+	finish(a, s == AZ_OK);
+	if (s == AZ_OK)
+		t->operator_changed = false;
+	return s;
+}
+
+static void mark_good(struct conf_table *t)
+{
+	t->in_force = true;
+	for (uint32_t i = 0; i < t->count; i++) {
+		struct conf_object *o = t->objects[i];
+
+		if (o->good_version == o->version)
+			continue;
+		text_release(o->good_text);
+		o->good_version = o->version;
+		o->good_text = o->text;
+		if (o->text)
+			o->text->references++;
+	}
+}
+
+static bool has_good(const struct conf_table *t)
+{
+	for (uint32_t i = 0; i < t->count; i++)
+		if (t->objects[i]->good_version)
+			return true;
+	return false;
+}
+
+enum az_status conf_table_build(struct conf_table *t, struct conf **out,
+				struct conf_errors *errors)
+{
+	struct conf_errors *ignored;
+	struct attempt a = { .table = t, .errors = errors };
+	enum az_status s;
+
+	*out = NULL;
+	errors->count = 0;
+	s = try_build(&a, out);
+	if (s == AZ_OK) {
+		mark_good(t);
+		return AZ_OK;
+	}
+	if (!has_good(t) || (t->in_force && !t->operator_changed))
+		return s;
+	ignored = calloc(1, sizeof(*ignored));
+	if (!ignored)
+		abort();
+	a = (struct attempt){ .table = t, .good = true, .errors = ignored };
+	if (try_build(&a, out) == AZ_OK)
+		t->in_force = true;
+	free(ignored);
+	return s;
+}
