conf: the duty, the thread that watches the store, links to peers

The store's thread makes the blocking calls and asks the duty which objects of a list it wants; the duty tells its children in the relay tree, serves and asks peers and puts changes in force together after 20 ms. Offers carry keys and versions, so that a value crosses a link once.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -421,14 +421,18 @@
 bool conf_record_read(const char **at, const char *end, struct conf_record *r);
 void conf_record_write(struct buf *out, const struct conf_record *r);
 
-/** "offer ORIGIN" with records, or "buckets" with a digest for each. */
-void conf_offer_write(struct buf *out, uint64_t origin);
+/** What a CONF_LIST says first: an offer with records, or a question. */
+struct conf_list_head {
+	bool is_offer;
+	uint64_t origin; /**< of an offer: member that brought the change */
+	uint64_t from; /**< of an offer: member to ask for it */
+	uint64_t buckets[CONF_BUCKETS]; /**< of a question: own digests */
+};
+
+void conf_offer_write(struct buf *out, uint64_t origin, uint64_t from);
 void conf_buckets_write(struct buf *out, const struct conf_table *t);
-/** Reads the first line of a CONF_LIST; *at moves behind it. For buckets,
- * `buckets` is filled and true returned in *is_buckets. */
 enum az_status conf_list_read(const char **at, const char *end,
-			      uint64_t *origin, bool *is_buckets,
-			      uint64_t buckets[CONF_BUCKETS]);
+			      struct conf_list_head *out);
 /** Answer to buckets: records of the objects in those that differ. */
 void conf_list_answer(struct buf *out, const struct conf_table *t,
 		      const uint64_t buckets[CONF_BUCKETS]);
@@ -497,10 +501,44 @@
 			    uint64_t write_id, bool deleted, uint64_t *version,
 			    uint64_t *other_id);
 
+/* ---- the thread that watches the store (watch.c) ---- */
+
+#define CONF_WATCH_WAIT_MS 2000
+
+struct conf_watch_sink;
+
+/** Run in the watching thread. */
+struct conf_watch_sink_ops {
+	/** Leaves in the list what is to be fetched. */
+	void (*choose)(struct conf_watch_sink *k, struct store_list *l);
+	/** Takes the contents of `l`; objects with values, or deleted. */
+	void (*values)(struct conf_watch_sink *k, struct store_list *l);
+	/** Takes the contents of `v`. */
+	void (*vms)(struct conf_watch_sink *k, struct store_vms *v);
+	/** The store answered (true) or failed. */
+	void (*state)(struct conf_watch_sink *k, bool ok);
+};
+
+struct conf_watch_sink {
+	const struct conf_watch_sink_ops *ops;
+};
+
+struct conf_watch;
+
+struct conf_watch *conf_watch_create(const char *url, uint32_t vms_interval_ms,
+				     struct conf_watch_sink *sink,
+				     apr_pool_t *pool);
+enum az_status conf_watch_start(struct conf_watch *w);
+/** Starts or ends watching; a wait under way is let run out. Any thread. */
+void conf_watch_set(struct conf_watch *w, bool watching);
+/** Interrupts the thread and joins it. */
+void conf_watch_stop(struct conf_watch *w);
+
 /* ---- the duty (conf_duty.c) ---- */
 
 /** What the duty needs of members and peers. */
 struct conf_links;
+struct conf_duty;
 
 struct conf_links_ops {
 	const struct member_view *(*view)(struct conf_links *l);
@@ -512,6 +550,8 @@
 		    struct reply_to *reply);
 	void (*platform_list)(struct conf_links *l, const uint64_t *live,
 			      uint32_t live_count);
+	/** Digests of members go to `d` from now on. */
+	void (*attach)(struct conf_links *l, struct conf_duty *d);
 };
 
 struct conf_links {
@@ -525,8 +565,6 @@
 struct conf_links *conf_links_create(struct membership *m, struct peer *p,
 				     apr_pool_t *pool);
 
-struct conf_duty;
-
 struct conf_settings {
 	const char *store_url; /**< NULL: only peers */
 	const char *site; /**< whose overlay applies; "" for none */
@@ -541,9 +579,10 @@
 				   struct timer_service *timers,
 				   apr_pool_t *pool);
 enum az_status conf_duty_start(struct conf_duty *d);
+/** Call once no member, peer or administration thread can reach it. */
 void conf_duty_stop(struct conf_duty *d);
 /** Serves a peer's CONF_LIST, or CONF_GET if `get`; takes the contents of
- * `body`. `from` is the caller's member id, 0 if unknown. Any thread. */
+ * `body`. Any thread. */
 void conf_duty_serve(struct conf_duty *d, bool get, struct buf *body,
 		     struct reply_to *reply);
 /** A member spread a digest that differs from this daemon's. Any thread. */
--- /dev/null
+++ b/conf/conf_duty.c
@@ -0,0 +1,747 @@
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <arpa/inet.h>
+
+#include "conf/conf.h"
+#include "member/member.h"
+
+#define RING_SLOTS 1024
+#define TICK_US (250 * US_PER_MS)
+/* The first view of a restarted daemon lacks its peers; waiting for them keeps
+ * it from reading the whole configuration from the store. */
+#define WATCH_DELAY_US (500 * US_PER_MS)
+/* Changes that arrive together are put in force together. */
+#define BUILD_DELAY_US (20 * US_PER_MS)
+#define BUILD_DELAY_MAX_US US_PER_S
+#define ASK_TIMEOUT_US (2 * US_PER_S)
+#define ANSWER_BYTES (2U << 20)
+/* More objects at once are a load, which peers get by asking, not a change. */
+#define RELAY_MAX_OBJECTS 32
+
+struct conf_duty {
+	struct duty duty;
+	struct conf_settings settings;
+	struct conf_watch_sink sink;
+	struct conf_watch *watch;
+	struct conf_table *table;
+	struct conf_asking asking;
+	bool watcher;
+	int64_t store_ok_us; /**< atomic; 0: never */
+	int32_t store_ok; /**< atomic */
+	int64_t dirty_us; /**< first change not yet in force; 0: none */
+	uint32_t gets; /**< CONF_GETs under way */
+	uint64_t in_force;
+	struct conf_errors errors;
+	struct counter *builds;
+	struct counter *build_failures;
+	struct counter *taken;
+	struct counter *behind;
+};
+
+static struct conf_duty *of(struct duty *d)
+{
+	return az_container_of(d, struct conf_duty, duty);
+}
+
+/* ---- putting objects in force ---- */
+
+static void build(struct conf_duty *d)
+{
+	struct conf *c;
+	enum az_status s = conf_table_build(d->table, &c, &d->errors);
+
+	d->dirty_us = 0;
+	counter_add(d->builds, 1);
+	if (s != AZ_OK) {
+		counter_add(d->build_failures, 1);
+		log_write(LOG_ERROR, "conf",
+			  "configuration does not check and is not in force "
+			  "errors=%u first=%s",
+			  d->errors.count, az_last_message());
+	}
+	if (!c)
+		return;
+	d->in_force = conf_digest(c);
+	conf_current_set(d->settings.current, c);
+	log_write(LOG_INFO, "conf",
+		  "configuration in force digest=%016" PRIx64 " objects=%u",
+		  d->in_force, conf_table_size(d->table));
+}
+
+static void mark_dirty(struct conf_duty *d)
+{
+	if (!d->dirty_us)
+		d->dirty_us = d->duty.now_us;
+	duty_arm(&d->duty, d->duty.now_us + BUILD_DELAY_US);
+	d->settings.links->ops->set_digest(d->settings.links,
+					   conf_table_digest(d->table));
+	conf_asking_moved(&d->asking);
+}
+
+static void build_if_due(struct conf_duty *d, int64_t now_us)
+{
+	int64_t wait = d->gets ? BUILD_DELAY_MAX_US : BUILD_DELAY_US;
+
+	if (d->dirty_us && now_us >= d->dirty_us + wait)
+		build(d);
+}
+
+/* ---- asking peers ---- */
+
+/** A call to a peer and its answer. */
+struct ask {
+	struct reply_to reply;
+	struct msg msg;
+	struct conf_duty *to;
+	bool get;
+	bool more; /**< of a CONF_GET: newer objects are left to ask for */
+	bool is_offer; /**< no answer is expected */
+	bool relay; /**< of a CONF_GET: tell the children */
+	uint64_t origin;
+	uint64_t member_id;
+	uint64_t digest; /**< of the member, if known */
+	struct answer *answer;
+};
+
+static void ask_answer(struct reply_to *to, struct answer *a)
+{
+	struct ask *k = az_container_of(to, struct ask, reply);
+
+	k->answer = a;
+	duty_send(&k->to->duty, &k->msg);
+}
+
+static void ask_drop(struct msg *m)
+{
+	struct ask *k = az_container_of(m, struct ask, msg);
+
+	answer_free(k->answer);
+	free(k);
+}
+
+static void ask_run(struct msg *m, struct duty *to);
+
+static const struct reply_ops ask_reply_ops = { ask_answer };
+static const struct msg_ops ask_msg_ops = { "conf-answer", ask_run, ask_drop };
+
+static struct ask *ask_new(struct conf_duty *d, const struct member *m)
+{
+	struct ask *k = calloc(1, sizeof(*k));
+
+	if (!k)
+		abort();
+	k->reply.ops = &ask_reply_ops;
+	k->msg.ops = &ask_msg_ops;
+	k->to = d;
+	k->member_id = m->id;
+	return k;
+}
+
+static void ask_send(struct conf_duty *d, struct ask *k, const struct member *m,
+		     struct buf *body)
+{
+	d->gets += k->get;
+	d->settings.links->ops->ask(d->settings.links, m, k->get, body,
+				    d->duty.now_us + ASK_TIMEOUT_US, &k->reply);
+	buf_free(body);
+}
+
+static void ask_list(struct conf_duty *d, const struct member *m,
+		     uint64_t digest)
+{
+	struct ask *k = ask_new(d, m);
+	struct buf body = { 0 };
+
+	k->digest = digest;
+	conf_buckets_write(&body, d->table);
+	d->asking.list_until_us = d->duty.now_us + ASK_TIMEOUT_US;
+	ask_send(d, k, m, &body);
+}
+
+/** What a list of a peer's objects showed. */
+struct listed {
+	bool any;
+	bool newer; /**< than what is held, though it may be asked for */
+};
+
+/* Asks `m` for the records' newer objects that are not asked for yet. */
+static struct listed ask_get(struct conf_duty *d, const struct member *m,
+			     const char *at, const char *end, uint64_t origin)
+{
+	struct ask *k = ask_new(d, m);
+	struct listed seen = { 0 };
+	struct buf body = { 0 };
+	struct conf_record r;
+	uint32_t n = 0;
+
+	while (n < CONF_ASK_MAX_OBJECTS && conf_record_read(&at, end, &r)) {
+		const struct conf_object *held =
+			conf_table_find(d->table, r.key);
+
+		seen.any = true;
+		seen.newer |= r.version > (held ? held->version : 0);
+		if (!conf_table_want(d->table, r.key, r.version, d->duty.now_us,
+				     d->duty.now_us + ASK_TIMEOUT_US))
+			continue;
+		conf_record_write(&body, &r);
+		n++;
+	}
+	if (!n) {
+		free(k);
+		return seen;
+	}
+	k->get = true;
+	k->more = n == CONF_ASK_MAX_OBJECTS;
+	k->origin = origin;
+	k->relay = n <= RELAY_MAX_OBJECTS;
+	ask_send(d, k, m, &body);
+	return seen;
+}
+
+/* Tells this daemon's children in the relay tree what it has taken. */
+static void offer(struct conf_duty *d, uint64_t origin, const struct buf *taken)
+{
+	struct conf_links *l = d->settings.links;
+	const struct member *children[CONF_RELAY_CHILDREN];
+	const struct member_view *v = l->ops->view(l);
+	uint32_t n = conf_relay_children(v, d->settings.member_id, origin,
+					 d->settings.dc, children);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct ask *k = ask_new(d, children[i]);
+		struct buf body = { 0 };
+
+		k->is_offer = true;
+		conf_offer_write(&body, origin, d->settings.member_id);
+		buf_append(&body, taken->data, taken->len_bytes);
+		ask_send(d, k, children[i], &body);
+	}
+	l->ops->release_view(l, v);
+}
+
+static void note_taken(struct conf_duty *d, struct buf *taken, const char *key,
+		       uint64_t version, bool deleted)
+{
+	struct conf_record r = { .version = version, .deleted = deleted };
+
+	snprintf(r.key, sizeof(r.key), "%s", key);
+	conf_record_write(taken, &r);
+	counter_add(d->taken, 1);
+}
+
+static const struct member *member_by_id(const struct member_view *v,
+					 uint64_t id)
+{
+	for (uint32_t i = 0; i < v->member_count; i++)
+		if (v->members[i].id == id)
+			return &v->members[i];
+	return NULL;
+}
+
+static void take_list(struct conf_duty *d, struct ask *k)
+{
+	struct conf_links *l = d->settings.links;
+	const char *at = (const char *)k->answer->body.data;
+	const struct member_view *v;
+	const struct member *m;
+	struct listed seen;
+
+	d->asking.list_until_us = 0;
+	if (k->answer->kind != ERR_NONE)
+		return;
+	v = l->ops->view(l);
+	m = member_by_id(v, k->member_id);
+	if (m) {
+		seen = ask_get(d, m, at, at + k->answer->body.len_bytes,
+			       d->settings.member_id);
+		if (!seen.newer && k->digest)
+			conf_asking_behind(&d->asking, k->digest);
+		/* A peer that has nothing may itself have just started. */
+		if (!seen.newer)
+			d->asking.loaded |= seen.any || d->in_force;
+	}
+	l->ops->release_view(l, v);
+}
+
+static void ask_again(struct conf_duty *d, const struct ask *k)
+{
+	struct conf_links *l = d->settings.links;
+	const struct member_view *v = l->ops->view(l);
+	const struct member *m = member_by_id(v, k->member_id);
+
+	if (m)
+		ask_list(d, m, 0);
+	l->ops->release_view(l, v);
+}
+
+static void take_values(struct conf_duty *d, struct ask *k)
+{
+	const char *at = (const char *)k->answer->body.data;
+	const char *end = at + k->answer->body.len_bytes;
+	struct buf taken = { 0 };
+	struct conf_record r;
+	bool any = false;
+
+	if (k->answer->kind != ERR_NONE)
+		return;
+	while (conf_record_read(&at, end, &r)) {
+		const char *text = r.deleted ? NULL : r.text;
+
+		if (r.deleted != !r.text)
+			continue;
+		any = true;
+		if (r.good)
+			conf_table_put_good(d->table, r.key, r.version, text,
+					    r.len_bytes);
+		else if (conf_table_put(d->table, r.key, r.version, text,
+					r.len_bytes))
+			note_taken(d, &taken, r.key, r.version, r.deleted);
+	}
+	if (taken.len_bytes) {
+		mark_dirty(d);
+		if (k->relay && d->asking.loaded)
+			offer(d, k->origin, &taken);
+	}
+	buf_free(&taken);
+	if (any && (k->more || !d->asking.loaded))
+		ask_again(d, k);
+}
+
+static void ask_run(struct msg *m, struct duty *to)
+{
+	struct ask *k = az_container_of(m, struct ask, msg);
+	struct conf_duty *d = of(to);
+
+	d->gets -= k->get;
+	if (!k->is_offer) {
+		if (k->get)
+			take_values(d, k);
+		else
+			take_list(d, k);
+	}
+	ask_drop(m);
+}
+
+/* ---- serving peers ---- */
+
+struct serve {
+	struct msg msg;
+	bool get;
+	struct buf body;
+	struct reply_to *reply;
+};
+
+static void serve_drop(struct msg *m)
+{
+	struct serve *s = az_container_of(m, struct serve, msg);
+
+	s->reply->ops->answer(s->reply, answer_new(ERR_OVERLOADED));
+	buf_free(&s->body);
+	free(s);
+}
+
+static void take_offer(struct conf_duty *d, const struct conf_list_head *h,
+		       const char *at, const char *end)
+{
+	struct conf_links *l = d->settings.links;
+	const struct member_view *v = l->ops->view(l);
+	const struct member *m = member_by_id(v, h->from);
+
+	if (m)
+		ask_get(d, m, at, end, h->origin);
+	l->ops->release_view(l, v);
+}
+
+static void serve_run(struct msg *m, struct duty *to)
+{
+	struct serve *s = az_container_of(m, struct serve, msg);
+	struct conf_duty *d = of(to);
+	const char *at = s->body.data ? (const char *)s->body.data : "";
+	const char *end = at + s->body.len_bytes;
+	struct answer *a = answer_new(ERR_NONE);
+	struct conf_list_head h;
+
+	if (s->get) {
+		conf_get_answer(&a->body, d->table, at, end, ANSWER_BYTES);
+	} else if (conf_list_read(&at, end, &h) != AZ_OK) {
+		answer_free(a);
+		a = answer_new(ERR_BAD_REQUEST);
+	} else if (h.is_offer) {
+		take_offer(d, &h, at, end);
+	} else {
+		conf_list_answer(&a->body, d->table, h.buckets);
+	}
+	s->reply->ops->answer(s->reply, a);
+	buf_free(&s->body);
+	free(s);
+}
+
+void conf_duty_serve(struct conf_duty *d, bool get, struct buf *body,
+		     struct reply_to *reply)
+{
+	static const struct msg_ops ops = { "conf-serve", serve_run,
+					    serve_drop };
+	struct serve *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		abort();
+	s->msg.ops = &ops;
+	s->get = get;
+	s->body = *body;
+	memset(body, 0, sizeof(*body));
+	s->reply = reply;
+	duty_send(&d->duty, &s->msg);
+}
+
+/* ---- digests of members ---- */
+
+struct heard {
+	struct msg msg;
+	struct member from;
+	uint64_t digest;
+};
+
+static void heard_drop(struct msg *m)
+{
+	free(az_container_of(m, struct heard, msg));
+}
+
+static void heard_run(struct msg *m, struct duty *to)
+{
+	struct heard *h = az_container_of(m, struct heard, msg);
+	struct conf_duty *d = of(to);
+
+	if (conf_asking_digest(&d->asking, conf_table_digest(d->table),
+			       h->digest, d->duty.now_us))
+		ask_list(d, &h->from, h->digest);
+	heard_drop(m);
+}
+
+void conf_duty_digest(struct conf_duty *d, const struct member *from,
+		      uint64_t digest)
+{
+	static const struct msg_ops ops = { "conf-digest", heard_run,
+					    heard_drop };
+	struct heard *h = calloc(1, sizeof(*h));
+
+	if (!h)
+		abort();
+	h->msg.ops = &ops;
+	h->from = *from;
+	h->digest = digest;
+	duty_send(&d->duty, &h->msg);
+}
+
+/* ---- the store's thread ---- */
+
+/** A message whose sender waits for it. */
+struct sync_msg {
+	struct msg msg;
+	pthread_mutex_t lock;
+	pthread_cond_t done_changed;
+	bool done;
+	bool ran;
+	void (*work)(struct conf_duty *d, void *arg);
+	void *arg;
+};
+
+static void sync_end(struct sync_msg *s, bool ran)
+{
+	pthread_mutex_lock(&s->lock);
+	s->done = true;
+	s->ran = ran;
+	pthread_cond_signal(&s->done_changed);
+	pthread_mutex_unlock(&s->lock);
+}
+
+static void sync_run(struct msg *m, struct duty *to)
+{
+	struct sync_msg *s = az_container_of(m, struct sync_msg, msg);
+
+	s->work(of(to), s->arg);
+	sync_end(s, true);
+}
+
+static void sync_drop(struct msg *m)
+{
+	sync_end(az_container_of(m, struct sync_msg, msg), false);
+}
+
+/* Runs `work` in the duty's thread and waits; false if it was not run. */
+static bool run_in_duty(struct conf_duty *d,
+			void (*work)(struct conf_duty *d, void *arg), void *arg)
+{
+	static const struct msg_ops ops = { "conf-sync", sync_run, sync_drop };
+	struct sync_msg s = { .msg.ops = &ops, .work = work, .arg = arg };
+
+	pthread_mutex_init(&s.lock, NULL);
+	pthread_cond_init(&s.done_changed, NULL);
+	duty_send(&d->duty, &s.msg);
+	pthread_mutex_lock(&s.lock);
+	while (!s.done)
+		pthread_cond_wait(&s.done_changed, &s.lock);
+	pthread_mutex_unlock(&s.lock);
+	pthread_mutex_destroy(&s.lock);
+	pthread_cond_destroy(&s.done_changed);
+	return s.ran;
+}
+
+static void choose_work(struct conf_duty *d, void *arg)
+{
+	struct store_list *l = arg;
+	uint32_t lower = 0;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < l->count; i++) {
+		const struct conf_object *held =
+			conf_table_find(d->table, l->objects[i].key);
+
+		lower += held && l->objects[i].version < held->version;
+		if (conf_table_want(d->table, l->objects[i].key,
+				    l->objects[i].version, d->duty.now_us,
+				    d->duty.now_us + ASK_TIMEOUT_US))
+			l->objects[n++] = l->objects[i];
+	}
+	l->count = n;
+	counter_set(d->behind, lower);
+	if (lower)
+		log_write(LOG_WARN, "conf",
+			  "store lists older versions than are held, which "
+			  "are kept objects=%u",
+			  lower);
+}
+
+static void sink_choose(struct conf_watch_sink *k, struct store_list *l)
+{
+	struct conf_duty *d = az_container_of(k, struct conf_duty, sink);
+
+	if (!run_in_duty(d, choose_work, l))
+		l->count = 0;
+}
+
+struct values {
+	struct msg msg;
+	struct store_list list;
+};
+
+static void values_drop(struct msg *m)
+{
+	struct values *v = az_container_of(m, struct values, msg);
+
+	store_list_free(&v->list);
+	free(v);
+}
+
+static void values_run(struct msg *m, struct duty *to)
+{
+	struct values *v = az_container_of(m, struct values, msg);
+	struct conf_duty *d = of(to);
+	struct buf taken = { 0 };
+
+	for (uint32_t i = 0; i < v->list.count; i++) {
+		struct store_object *o = &v->list.objects[i];
+		const char *text = o->deleted ? NULL : (char *)o->value.data;
+
+		if (o->version && conf_table_put(d->table, o->key, o->version,
+						 text, o->value.len_bytes))
+			note_taken(d, &taken, o->key, o->version, o->deleted);
+	}
+	if (taken.len_bytes) {
+		mark_dirty(d);
+		if (d->asking.loaded && v->list.count <= RELAY_MAX_OBJECTS)
+			offer(d, d->settings.member_id, &taken);
+	}
+	buf_free(&taken);
+	values_drop(m);
+}
+
+static void send_values(struct conf_duty *d, struct store_list *l)
+{
+	static const struct msg_ops ops = { "conf-values", values_run,
+					    values_drop };
+	struct values *v = calloc(1, sizeof(*v));
+
+	if (!v)
+		abort();
+	v->msg.ops = &ops;
+	v->list = *l;
+	memset(l, 0, sizeof(*l));
+	duty_send(&d->duty, &v->msg);
+}
+
+static void sink_values(struct conf_watch_sink *k, struct store_list *l)
+{
+	send_values(az_container_of(k, struct conf_duty, sink), l);
+}
+
+static void sink_vms(struct conf_watch_sink *k, struct store_vms *v)
+{
+	struct conf_duty *d = az_container_of(k, struct conf_duty, sink);
+	struct store_list l = { .count = 1 };
+	uint64_t *live = calloc(v->count + 1, sizeof(*live));
+	uint32_t n = 0;
+
+	l.objects = calloc(1, sizeof(*l.objects));
+	if (!live || !l.objects)
+		abort();
+	strcpy(l.objects->key, CONF_LEAVING_KEY);
+	l.objects->version = v->revision;
+	for (uint32_t i = 0; i < v->count; i++) {
+		struct in_addr in = { .s_addr = htonl(v->list[i].ip) };
+		char ip[INET_ADDRSTRLEN];
+
+		if (v->list[i].leaving)
+			buf_printf(&l.objects->value, "%s\n",
+				   inet_ntop(AF_INET, &in, ip, sizeof(ip)));
+		else
+			live[n++] = hash_string(v->list[i].name);
+	}
+	buf_append(&l.objects->value, "", 1);
+	l.objects->value.len_bytes--;
+	d->settings.links->ops->platform_list(d->settings.links, live, n);
+	free(live);
+	store_vms_free(v);
+	send_values(d, &l);
+}
+
+static void sink_state(struct conf_watch_sink *k, bool ok)
+{
+	struct conf_duty *d = az_container_of(k, struct conf_duty, sink);
+
+	__atomic_store_n(&d->store_ok, ok, __ATOMIC_RELAXED);
+	if (ok)
+		__atomic_store_n(&d->store_ok_us, clock_now_us(),
+				 __ATOMIC_RELAXED);
+}
+
+/* ---- the loop ---- */
+
+static void on_timer(struct duty *duty, int64_t now_us)
+{
+	struct conf_duty *d = of(duty);
+	struct conf_links *l = d->settings.links;
+	const struct member_view *v = l->ops->view(l);
+	const struct member *m = NULL;
+
+	d->watcher = now_us >= d->asking.started_us + WATCH_DELAY_US &&
+		     conf_is_watcher(v, d->settings.member_id, d->settings.dc);
+	if (d->watch)
+		conf_watch_set(d->watch, d->watcher);
+	d->asking.store_ok_us =
+		__atomic_load_n(&d->store_ok_us, __ATOMIC_RELAXED);
+	d->asking.loaded |= d->asking.store_ok_us > d->asking.started_us;
+	if (conf_asking_start(&d->asking, now_us)) {
+		m = conf_pick_member(v, d->settings.member_id, d->settings.dc,
+				     false, random_u64());
+		if (!m)
+			m = conf_pick_member(v, d->settings.member_id,
+					     d->settings.dc, true,
+					     random_u64());
+	} else if (conf_asking_remote(&d->asking, d->watcher, now_us)) {
+		m = conf_pick_member(v, d->settings.member_id, d->settings.dc,
+				     true, random_u64());
+	}
+	if (m)
+		ask_list(d, m, 0);
+	l->ops->release_view(l, v);
+	build_if_due(d, now_us);
+	duty_arm(duty,
+		 d->dirty_us ? now_us + BUILD_DELAY_US : now_us + TICK_US);
+}
+
+struct conf_duty *conf_duty_create(const struct conf_settings *s,
+				   struct timer_service *timers,
+				   apr_pool_t *pool)
+{
+	static const struct duty_ops ops = { "conf", on_timer, NULL };
+	static const struct conf_watch_sink_ops sink = { sink_choose,
+							 sink_values, sink_vms,
+							 sink_state };
+	struct conf_duty *d = apr_pcalloc(pool, sizeof(*d));
+
+	d->settings = *s;
+	d->sink.ops = &sink;
+	if (duty_init(&d->duty, &ops, RING_SLOTS, timers) != AZ_OK)
+		return NULL;
+	if (s->store_url) {
+		d->watch = conf_watch_create(s->store_url, s->vms_interval_ms,
+					     &d->sink, pool);
+		if (!d->watch)
+			return NULL;
+	}
+	d->table = conf_table_create(s->site ? s->site : "");
+	d->builds = counter_get("conf_builds");
+	d->build_failures = counter_get("conf_build_failures");
+	d->taken = counter_get("conf_objects_taken");
+	d->behind = counter_get("conf_store_older_objects");
+	return d;
+}
+
+enum az_status conf_duty_start(struct conf_duty *d)
+{
+	enum az_status s;
+
+	d->asking.started_us = clock_now_us();
+	d->asking.store_ok_us = d->asking.started_us;
+	d->store_ok_us = d->asking.started_us;
+	d->settings.links->ops->attach(d->settings.links, d);
+	s = duty_start(&d->duty);
+	if (s == AZ_OK && d->watch)
+		s = conf_watch_start(d->watch);
+	if (s == AZ_OK)
+		duty_arm(&d->duty, clock_now_us());
+	return s;
+}
+
+void conf_duty_stop(struct conf_duty *d)
+{
+	if (d->watch)
+		conf_watch_stop(d->watch);
+	duty_stop(&d->duty);
+	duty_destroy(&d->duty);
+	conf_table_destroy(d->table);
+}
+
+/* ---- status ---- */
+
+static void status_work(struct conf_duty *d, void *arg)
+{
+	struct conf_duty_status *s = arg;
+
+	s->digest = conf_table_digest(d->table);
+	s->digest_in_force = d->in_force;
+	s->watcher = d->watcher;
+	s->store_ok = __atomic_load_n(&d->store_ok, __ATOMIC_RELAXED);
+	s->objects = calloc(conf_table_size(d->table) + 1, sizeof(*s->objects));
+	if (!s->objects)
+		abort();
+	for (uint32_t i = 0; i < conf_table_size(d->table); i++) {
+		const struct conf_object *o = conf_table_at(d->table, i);
+		struct store_object *to = &s->objects[s->object_count];
+
+		if (!o->version)
+			continue;
+		snprintf(to->key, sizeof(to->key), "%s", o->key);
+		to->version = o->version;
+		to->deleted = o->deleted;
+		s->object_count++;
+	}
+}
+
+enum az_status conf_duty_status(struct conf_duty *d,
+				struct conf_duty_status *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (!run_in_duty(d, status_work, out))
+		return az_fail(AZ_AGAIN, "conf is busy or stopping");
+	return AZ_OK;
+}
+
+void conf_duty_status_free(struct conf_duty_status *s)
+{
+	free(s->objects);
+	s->objects = NULL;
+}
--- /dev/null
+++ b/conf/watch.c
@@ -0,0 +1,245 @@
+#include <stdlib.h>
+#include <string.h>
+#include <apr_thread_cond.h>
+#include <apr_thread_mutex.h>
+
+#include "conf/conf.h"
+
+/* Values handed over at once, so that the first are in use early. */
+#define BATCH_OBJECTS 64
+/* A list now and then finds what a watch of a restored store has lost. */
+#define LIST_INTERVAL_US (60 * US_PER_S)
+
+struct conf_watch {
+	struct store *store;
+	struct conf_watch_sink *sink;
+	apr_thread_mutex_t *lock;
+	apr_thread_cond_t *changed;
+	apr_thread_t *thread;
+	bool watching;
+	bool stopping;
+	/* Used by the thread only. */
+	uint64_t revision; /**< 0: list first */
+	int64_t listed_us;
+	uint64_t vms_revision;
+	uint32_t vms_interval_ms;
+	int64_t vms_us;
+	uint32_t failures;
+};
+
+struct conf_watch *conf_watch_create(const char *url, uint32_t vms_interval_ms,
+				     struct conf_watch_sink *sink,
+				     apr_pool_t *pool)
+{
+	struct conf_watch *w = apr_pcalloc(pool, sizeof(*w));
+
+	w->store = store_create(url);
+	w->sink = sink;
+	w->vms_interval_ms = vms_interval_ms;
+	if (!w->store ||
+	    apr_thread_mutex_create(&w->lock, APR_THREAD_MUTEX_DEFAULT, pool) !=
+		    APR_SUCCESS ||
+	    apr_thread_cond_create(&w->changed, pool) != APR_SUCCESS)
+		return NULL;
+	return w;
+}
+
+static bool is_stopping(struct conf_watch *w)
+{
+	bool s;
+
+	apr_thread_mutex_lock(w->lock);
+	s = w->stopping;
+	apr_thread_mutex_unlock(w->lock);
+	return s;
+}
+
+/* Waits until the thread is to watch; false if it is to end. */
+static bool wait_for_turn(struct conf_watch *w)
+{
+	bool go;
+
+	apr_thread_mutex_lock(w->lock);
+	while (!w->watching && !w->stopping) {
+		w->revision = 0;
+		apr_thread_cond_wait(w->changed, w->lock);
+	}
+	go = !w->stopping;
+	apr_thread_mutex_unlock(w->lock);
+	return go;
+}
+
+static void back_off(struct conf_watch *w)
+{
+	int64_t until =
+		clock_now_us() + conf_backoff_us(++w->failures, random_u64());
+
+	w->revision = 0;
+	log_write(w->failures == 1 ? LOG_WARN : LOG_DEBUG, "conf",
+		  "store failed failures=%u reason=%s", w->failures,
+		  az_last_message());
+	w->sink->ops->state(w->sink, false);
+	apr_thread_mutex_lock(w->lock);
+	while (!w->stopping && clock_now_us() < until)
+		apr_thread_cond_timedwait(w->changed, w->lock,
+					  until - clock_now_us());
+	apr_thread_mutex_unlock(w->lock);
+}
+
+static enum az_status fetch_one(struct conf_watch *w, struct store_object *o)
+{
+	struct store_object now;
+	uint64_t write_id;
+	enum az_status r;
+
+	if (o->deleted)
+		return AZ_OK;
+	r = store_get(w->store, o->key, &now);
+	if (r == AZ_NOT_FOUND || r == AZ_INVALID) {
+		/* Gone since: a later list or watch tells its version. */
+		o->version = 0;
+		return AZ_OK;
+	}
+	if (r != AZ_OK)
+		return r;
+	*o = now;
+	conf_header_parse((char *)o->value.data, &write_id, &o->deleted);
+	return AZ_OK;
+}
+
+static void hand_over(struct conf_watch *w, struct store_object *list,
+		      uint32_t count)
+{
+	struct store_list batch = { .count = count };
+
+	batch.objects = calloc(count, sizeof(*batch.objects));
+	if (!batch.objects)
+		abort();
+	memcpy(batch.objects, list, count * sizeof(*list));
+	memset(list, 0, count * sizeof(*list));
+	w->sink->ops->values(w->sink, &batch);
+}
+
+/* Fetches what the sink wants of a list. */
+static enum az_status fetch(struct conf_watch *w, struct store_list *l)
+{
+	enum az_status r = AZ_OK;
+	uint32_t from = 0;
+
+	if (l->count)
+		w->sink->ops->choose(w->sink, l);
+	for (uint32_t i = 0; i < l->count && r == AZ_OK; i++) {
+		r = fetch_one(w, &l->objects[i]);
+		if (r == AZ_OK && i + 1 - from < BATCH_OBJECTS &&
+		    i + 1 < l->count)
+			continue;
+		if (i + (r == AZ_OK) > from)
+			hand_over(w, l->objects + from,
+				  i + (r == AZ_OK) - from);
+		from = i + 1;
+	}
+	store_list_free(l);
+	return r;
+}
+
+static enum az_status list_or_watch(struct conf_watch *w)
+{
+	int64_t now_us = clock_now_us();
+	struct store_list l;
+	enum az_status r;
+	uint64_t before = w->revision;
+
+	if (now_us >= w->listed_us + LIST_INTERVAL_US)
+		w->revision = 0;
+	if (w->revision) {
+		r = store_watch(w->store, CONF_PREFIX, w->revision,
+				CONF_WATCH_WAIT_MS, &l);
+	} else {
+		r = store_list(w->store, CONF_PREFIX, &l);
+		w->listed_us = now_us;
+	}
+	if (r != AZ_OK)
+		return r;
+	/* A store that was restored from an older copy begins anew. */
+	w->revision = l.revision >= before ? l.revision : 0;
+	return fetch(w, &l);
+}
+
+static enum az_status read_vms(struct conf_watch *w)
+{
+	int64_t now_us = clock_now_us();
+	struct store_vms v;
+	enum az_status r;
+
+	if (!w->vms_interval_ms ||
+	    now_us < w->vms_us + w->vms_interval_ms * US_PER_MS)
+		return AZ_OK;
+	w->vms_us = now_us;
+	r = store_vms(w->store, w->vms_revision, &v);
+	if (r == AZ_OK) {
+		w->vms_revision = v.revision;
+		w->sink->ops->vms(w->sink, &v);
+	} else {
+		store_vms_free(&v);
+	}
+	return r == AZ_AGAIN ? AZ_OK : r;
+}
+
+static void *APR_THREAD_FUNC watch_main(apr_thread_t *thread, void *arg)
+{
+	struct conf_watch *w = arg;
+	enum az_status r;
+
+	while (wait_for_turn(w)) {
+		r = list_or_watch(w);
+		if (r == AZ_OK)
+			r = read_vms(w);
+		if (r != AZ_OK) {
+			if (!is_stopping(w))
+				back_off(w);
+			continue;
+		}
+		if (w->failures)
+			log_write(LOG_INFO, "conf", "store answers again");
+		w->failures = 0;
+		w->sink->ops->state(w->sink, true);
+	}
+	return NULL;
+}
+
+enum az_status conf_watch_start(struct conf_watch *w)
+{
+	apr_pool_t *pool = apr_thread_mutex_pool_get(w->lock);
+
+	w->listed_us = -LIST_INTERVAL_US;
+	w->vms_us = -LIST_INTERVAL_US;
+	if (apr_thread_create(&w->thread, NULL, watch_main, w, pool) !=
+	    APR_SUCCESS)
+		return az_fail(AZ_IO, "conf: cannot start the store's thread");
+	return AZ_OK;
+}
+
+void conf_watch_set(struct conf_watch *w, bool watching)
+{
+	apr_thread_mutex_lock(w->lock);
+	if (w->watching != watching)
+		apr_thread_cond_signal(w->changed);
+	w->watching = watching;
+	apr_thread_mutex_unlock(w->lock);
+}
+
+void conf_watch_stop(struct conf_watch *w)
+{
+	apr_status_t rv;
+
+	apr_thread_mutex_lock(w->lock);
+	w->stopping = true;
+	apr_thread_cond_signal(w->changed);
+	apr_thread_mutex_unlock(w->lock);
+	store_interrupt(w->store);
+	if (w->thread)
+		apr_thread_join(&rv, w->thread);
+	w->thread = NULL;
+	store_destroy(w->store);
+	w->store = NULL;
+}
--- a/conf/wire.c
+++ b/conf/wire.c
@@ -62,9 +62,9 @@
 	return !memchr(r->text, '\0', r->len_bytes);
 }
 
-void conf_offer_write(struct buf *out, uint64_t origin)
+void conf_offer_write(struct buf *out, uint64_t origin, uint64_t from)
 {
-	buf_printf(out, "offer %016" PRIx64 "\n", origin);
+	buf_printf(out, "offer %016" PRIx64 " %016" PRIx64 "\n", origin, from);
 }
 
 void conf_buckets_write(struct buf *out, const struct conf_table *t)
@@ -75,21 +75,22 @@
 }
 
 enum az_status conf_list_read(const char **at, const char *end,
-			      uint64_t *origin, bool *is_buckets,
-			      uint64_t buckets[CONF_BUCKETS])
+			      struct conf_list_head *out)
 {
 	char line[LINE_BYTES];
 
+	memset(out, 0, sizeof(*out));
 	if (!take_line(at, end, line))
 		return az_fail(AZ_INVALID, "empty CONF_LIST");
-	*is_buckets = !strcmp(line, "buckets");
-	if (!*is_buckets)
-		return sscanf(line, "offer %" SCNx64, origin) == 1 ?
-			       AZ_OK :
-			       az_fail(AZ_INVALID, "malformed CONF_LIST");
+	out->is_offer = sscanf(line, "offer %" SCNx64 " %" SCNx64, &out->origin,
+			       &out->from) == 2;
+	if (out->is_offer)
+		return AZ_OK;
+	if (strcmp(line, "buckets") != 0)
+		return az_fail(AZ_INVALID, "malformed CONF_LIST");
 	for (uint32_t i = 0; i < CONF_BUCKETS; i++)
 		if (!take_line(at, end, line) ||
-		    sscanf(line, "%" SCNx64, &buckets[i]) != 1)
+		    sscanf(line, "%" SCNx64, &out->buckets[i]) != 1)
 			return az_fail(AZ_INVALID, "malformed CONF_LIST");
 	return AZ_OK;
 }
