azhctl and the administration API

azhctl checks with the daemon's own build code what every site would have in force, then writes only changed objects by conditional update with a write id. Objects that gain a route are written first: until the losing object follows, the set does not check, and readers keep the last good one.

--- /dev/null
+++ b/cmd/azhctl/azhctl.c
@@ -0,0 +1,730 @@
+/**
+ * @file
+ * Checks and applies the fleet's configuration, records operator decisions, and
+ * shows what the store and the daemons hold.
+ */
+#include <argp.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <curl/curl.h>
+#include <jansson.h>
+#include <apr_general.h>
+
+#include "conf/conf.h"
+
+/** Exit status; listed in --help and docs/operators/configuration.md. */
+enum exit_code {
+	EXIT_DONE,
+	EXIT_UNREACHABLE, /**< store or daemon; a write may be incomplete */
+	EXIT_BAD_INPUT, /**< nothing was written */
+	EXIT_CONFLICT, /**< another write came first */
+	EXIT_TIMED_OUT,
+};
+
+#define ARGS_MAX 256
+#define WAIT_POLL_US 200000
+/* Decisions about other workers of a service are merged this often. */
+#define DECIDE_TRIES 10
+
+struct options {
+	const char *store;
+	const char *daemons; /**< "IP:PORT,..." */
+	const char *token_file;
+	const char *site;
+	const char *if_digest;
+	uint32_t timeout_s;
+	bool force;
+	const char *command;
+	const char *args[ARGS_MAX];
+	uint32_t arg_count;
+};
+
+static struct conf_errors errors;
+
+static void print_errors(void)
+{
+	uint32_t n =
+		errors.count < CONF_ERRORS_MAX ? errors.count : CONF_ERRORS_MAX;
+
+	for (uint32_t i = 0; i < n; i++)
+		fprintf(stderr, "%s:%d: %s\n", errors.list[i].file,
+			errors.list[i].line, errors.list[i].reason);
+	if (errors.count > n)
+		fprintf(stderr, "and %u more errors\n", errors.count - n);
+}
+
+static enum exit_code fail(enum az_status s)
+{
+	fprintf(stderr, "azhctl: %s\n", az_last_message());
+	switch (s) {
+	case AZ_CONFLICT:
+		return EXIT_CONFLICT;
+	case AZ_INVALID:
+	case AZ_NOT_FOUND:
+		return EXIT_BAD_INPUT;
+	case AZ_TIMEOUT:
+	default:
+		return EXIT_UNREACHABLE;
+	}
+}
+
+static enum exit_code bad_input(const char *reason)
+{
+	fprintf(stderr, "azhctl: %s\n", reason);
+	return EXIT_BAD_INPUT;
+}
+
+/* ---- check ---- */
+
+static enum exit_code check_files(const char *base, const char *overlay)
+{
+	struct conf *c;
+
+	if (conf_load_files(base, overlay, &c, &errors) != AZ_OK) {
+		print_errors();
+		return EXIT_BAD_INPUT;
+	}
+	conf_release(c);
+	return EXIT_DONE;
+}
+
+/* "SITE=FILE" or "FILE". */
+static const char *file_of(const char *arg)
+{
+	const char *eq = strchr(arg, '=');
+
+	return eq ? eq + 1 : arg;
+}
+
+static enum exit_code check(const struct options *o)
+{
+	enum exit_code worst = EXIT_DONE;
+
+	if (!o->arg_count)
+		return bad_input("check: name a base file");
+	worst = check_files(o->args[0], NULL);
+	for (uint32_t i = 1; i < o->arg_count; i++)
+		if (check_files(o->args[0], file_of(o->args[i])) != EXIT_DONE)
+			worst = EXIT_BAD_INPUT;
+	if (worst == EXIT_DONE)
+		printf("ok\n");
+	return worst;
+}
+
+/* ---- apply ---- */
+
+static char *read_whole(const char *path)
+{
+	FILE *f = fopen(path, "r");
+	struct buf b = { 0 };
+	char chunk[65536];
+	size_t n;
+
+	while (f && (n = fread(chunk, 1, sizeof(chunk), f)))
+		buf_append(&b, chunk, (uint32_t)n);
+	if (f)
+		fclose(f);
+	buf_append(&b, "", 1);
+	return (char *)b.data;
+}
+
+/** What one file leads to. */
+struct change {
+	struct conf_split *want;
+	uint32_t want_count;
+	struct conf_step *steps;
+	uint32_t step_count;
+};
+
+/* Plans the objects of the base file, or of a site's overlay over it. */
+static enum az_status plan_file(const struct store_list *held, const char *base,
+				const char *overlay, const char *site,
+				struct change *out)
+{
+	char prefix[CONF_KEY_MAX_BYTES] = CONF_PREFIX "base/";
+	struct ini_doc *d = ini_doc_create();
+	char *text = read_whole(base);
+	enum az_status r;
+
+	ini_doc_read(d, base, text, &errors);
+	free(text);
+	if (site) {
+		text = read_whole(overlay);
+		ini_doc_read(d, overlay, text, &errors);
+		free(text);
+		snprintf(prefix, sizeof(prefix), CONF_PREFIX "site/%s/", site);
+	}
+	r = conf_split(d, site, &out->want, &out->want_count);
+	ini_doc_destroy(d);
+	if (r == AZ_OK)
+		out->step_count = conf_plan(held, prefix, out->want,
+					    out->want_count, &out->steps);
+	return r;
+}
+
+static enum exit_code write_steps(struct store *s,
+				  const struct conf_step *steps, uint32_t count,
+				  uint64_t write_id)
+{
+	uint64_t version;
+	uint64_t other;
+
+	for (uint32_t i = 0; i < count; i++) {
+		enum az_status r = store_update(
+			s, steps[i].key, steps[i].if_version, steps[i].text,
+			write_id, steps[i].deleted, &version, &other);
+
+		if (r != AZ_OK) {
+			fprintf(stderr,
+				"azhctl: write %016" PRIx64 " stopped at %s "
+				"after %u of %u objects\n",
+				write_id, steps[i].key, i, count);
+			return fail(r);
+		}
+		printf("%s %s version %" PRIu64 "\n",
+		       steps[i].deleted ? "deleted" : "wrote", steps[i].key,
+		       version);
+	}
+	return EXIT_DONE;
+}
+
+static enum exit_code print_digest(struct store *s)
+{
+	struct store_list l;
+	enum az_status r = store_list(s, CONF_PREFIX, &l);
+
+	if (r != AZ_OK)
+		return fail(r);
+	printf("digest %016" PRIx64 "\n", conf_store_digest(&l));
+	store_list_free(&l);
+	return EXIT_DONE;
+}
+
+static int by_phase(const void *a, const void *b)
+{
+	const struct conf_step *x = a;
+	const struct conf_step *y = b;
+
+	return x->phase < y->phase ? -1 : x->phase > y->phase;
+}
+
+static enum exit_code apply_to(struct store *s, const struct options *o,
+			       const struct store_list *held)
+{
+	struct change *changes = calloc(o->arg_count, sizeof(*changes));
+	uint64_t write_id = random_u64();
+	struct conf_step *all = NULL;
+	enum exit_code code = EXIT_DONE;
+	enum az_status r = AZ_OK;
+	uint32_t n = 0;
+
+	if (!changes)
+		abort();
+	for (uint32_t i = 0; i < o->arg_count && r == AZ_OK; i++) {
+		char site[CONF_NAME_MAX_BYTES] = "";
+
+		if (i)
+			snprintf(site, sizeof(site), "%.*s",
+				 (int)strcspn(o->args[i], "="), o->args[i]);
+		r = plan_file(held, o->args[0], file_of(o->args[i]),
+			      i ? site : NULL, &changes[i]);
+		all = realloc(all,
+			      (n + changes[i].step_count + 1) * sizeof(*all));
+		if (!all)
+			abort();
+		if (changes[i].step_count)
+			memcpy(all + n, changes[i].steps,
+			       changes[i].step_count * sizeof(*all));
+		n += changes[i].step_count;
+	}
+	qsort(all, n, sizeof(*all), by_phase);
+	if (r != AZ_OK) {
+		code = fail(r);
+	} else if (conf_check_sites(held, all, n, &errors) != AZ_OK) {
+		print_errors();
+		code = EXIT_BAD_INPUT;
+	} else {
+		code = write_steps(s, all, n, write_id);
+	}
+	if (code == EXIT_DONE)
+		printf("write %016" PRIx64 " objects %u\n", write_id, n);
+	for (uint32_t i = 0; i < o->arg_count; i++) {
+		conf_split_free(changes[i].want, changes[i].want_count);
+		free(changes[i].steps);
+	}
+	free(changes);
+	free(all);
+	return code;
+}
+
+static enum exit_code apply(const struct options *o, struct store *s)
+{
+	enum exit_code code = EXIT_DONE;
+	struct store_list held;
+	enum az_status r;
+
+	if (!o->arg_count)
+		return bad_input("apply: name a base file");
+	for (uint32_t i = 1; i < o->arg_count; i++)
+		if (!strchr(o->args[i], '=') || *o->args[i] == '=')
+			return bad_input("apply: overlays are SITE=FILE");
+	code = check(o);
+	if (code != EXIT_DONE)
+		return code;
+	r = conf_store_read(s, &held);
+	if (r != AZ_OK)
+		return fail(r);
+	if (o->if_digest &&
+	    strtoull(o->if_digest, NULL, 16) != conf_store_digest(&held)) {
+		fprintf(stderr,
+			"azhctl: the store has changed: digest %016" PRIx64
+			"\n",
+			conf_store_digest(&held));
+		code = EXIT_CONFLICT;
+	} else {
+		code = apply_to(s, o, &held);
+	}
+	store_list_free(&held);
+	return code == EXIT_DONE ? print_digest(s) : code;
+}
+
+/* ---- show ---- */
+
+static enum exit_code show(const struct options *o, struct store *s)
+{
+	struct store_list l;
+	uint64_t write_id;
+	bool deleted;
+	enum az_status r = conf_store_read(s, &l);
+
+	if (r != AZ_OK)
+		return fail(r);
+	for (uint32_t i = 0; i < l.count; i++) {
+		const struct store_object *x = &l.objects[i];
+
+		conf_header_parse((char *)x->value.data, &write_id, &deleted);
+		if (!o->arg_count)
+			printf("%s version %" PRIu64 " write %016" PRIx64
+			       " bytes %u%s\n",
+			       x->key, x->version, write_id, x->value.len_bytes,
+			       deleted ? " deleted" : "");
+		else if (!strcmp(x->key, o->args[0]))
+			printf("%s", (char *)x->value.data);
+	}
+	if (!o->arg_count)
+		printf("digest %016" PRIx64 "\n", conf_store_digest(&l));
+	store_list_free(&l);
+	return EXIT_DONE;
+}
+
+/* ---- drain, eject, restore ---- */
+
+static void operator_key(char out[CONF_KEY_MAX_BYTES], const char *worker)
+{
+	snprintf(out, CONF_KEY_MAX_BYTES, CONF_PREFIX "operator/%.*s",
+		 (int)strcspn(worker, "/"), worker);
+}
+
+/* True if taking one more worker out leaves too few in service. */
+static bool breaks_floor(const struct conf_service *s, const char *name)
+{
+	uint32_t in_service = 0;
+
+	for (uint32_t i = 0; i < s->worker_count; i++)
+		in_service += s->workers[i].admin == WORKER_IN_SERVICE &&
+			      strcmp(s->workers[i].name, name) != 0;
+	return in_service * 100 < s->worker_count * s->floor_percent;
+}
+
+/* Checks a decision against the configuration that the store holds. */
+static enum az_status check_decision(const struct options *o,
+				     const struct store_list *held,
+				     enum worker_admin admin)
+{
+	struct conf_table *t = conf_table_create(o->site ? o->site : "");
+	const char *slash = strchr(o->args[0], '/');
+	enum az_status r = AZ_NOT_FOUND;
+	char service[CONF_NAME_MAX_BYTES];
+	const struct conf_service *v;
+	struct conf *c;
+
+	for (uint32_t i = 0; i < held->count; i++)
+		conf_table_put(t, held->objects[i].key, 1,
+			       held->objects[i].deleted ?
+				       NULL :
+				       (char *)held->objects[i].value.data,
+			       held->objects[i].value.len_bytes);
+	snprintf(service, sizeof(service), "%.*s", (int)(slash - o->args[0]),
+		 o->args[0]);
+	conf_table_build(t, &c, &errors);
+	v = c ? conf_find_service(c, service) : NULL;
+	for (uint32_t i = 0; v && i < v->worker_count; i++)
+		if (!strcmp(v->workers[i].name, slash + 1))
+			r = AZ_OK;
+	if (r != AZ_OK)
+		az_fail(r, "the store has no worker %s (see --site)",
+			o->args[0]);
+	else if (admin != WORKER_IN_SERVICE && !o->force &&
+		 breaks_floor(v, slash + 1))
+		r = az_fail(AZ_INVALID,
+			    "%s would leave less than the floor of %u %% in "
+			    "service (--force overrides)",
+			    o->args[0], v->floor_percent);
+	conf_release(c);
+	conf_table_destroy(t);
+	return r;
+}
+
+static enum az_status read_decisions(struct store *s, const char *key,
+				     struct store_object *out)
+{
+	enum az_status r = store_get(s, key, out);
+
+	if (r != AZ_NOT_FOUND)
+		return r;
+	memset(out, 0, sizeof(*out));
+	return AZ_OK;
+}
+
+/* Merges the decision into the object. A change to another worker is no
+ * conflict and is merged with; one to the same worker is. */
+static enum az_status write_decision(struct store *s, const char *worker,
+				     enum worker_admin admin)
+{
+	enum worker_admin first = WORKER_IN_SERVICE;
+	char key[CONF_KEY_MAX_BYTES];
+	enum az_status r = AZ_CONFLICT;
+	uint64_t other = 0;
+
+	operator_key(key, worker);
+	for (uint32_t i = 0; i < DECIDE_TRIES && r == AZ_CONFLICT; i++) {
+		struct buf text = { 0 };
+		struct store_object now;
+		enum worker_admin held;
+		uint64_t version;
+
+		r = read_decisions(s, key, &now);
+		if (r != AZ_OK)
+			return r;
+		held = conf_decision((char *)now.value.data, worker);
+		if (!i)
+			first = held;
+		if (held != first && held != admin)
+			r = az_fail(AZ_CONFLICT,
+				    "the decision about %s was changed by "
+				    "write %016" PRIx64,
+				    worker, other);
+		if (r == AZ_OK && held != admin) {
+			conf_decide((char *)now.value.data, worker, admin,
+				    &text);
+			r = store_update(s, key, now.version, (char *)text.data,
+					 random_u64(), false, &version, &other);
+		} else if (r == AZ_CONFLICT) {
+			i = DECIDE_TRIES;
+		}
+		buf_free(&text);
+		store_object_free(&now);
+	}
+	return r;
+}
+
+static enum exit_code decide(const struct options *o, struct store *s)
+{
+	enum worker_admin admin =
+		!strcmp(o->command, "drain") ? WORKER_DRAINING :
+		!strcmp(o->command, "eject") ? WORKER_EJECTED :
+					       WORKER_IN_SERVICE;
+	struct store_list held;
+	enum az_status r;
+
+	if (o->arg_count != 1 || !strchr(o->args[0], '/'))
+		return bad_input("name one SERVICE/WORKER");
+	r = conf_store_read(s, &held);
+	if (r != AZ_OK)
+		return fail(r);
+	r = check_decision(o, &held, admin);
+	store_list_free(&held);
+	if (r == AZ_OK)
+		r = write_decision(s, o->args[0], admin);
+	return r == AZ_OK ? print_digest(s) : fail(r);
+}
+
+/* ---- status and wait ---- */
+
+static size_t take_body(char *data, size_t size, size_t n, void *arg)
+{
+	buf_append(arg, data, (uint32_t)(size * n));
+	return size * n;
+}
+
+/* GET of a daemon's administration API. */
+static enum az_status admin_get(const char *address, const char *path,
+				const char *token, struct buf *out)
+{
+	CURL *h = curl_easy_init();
+	struct curl_slist *headers = NULL;
+	char line[512];
+	long status = 0;
+	CURLcode r;
+
+	if (!h)
+		return az_fail(AZ_NO_MEMORY, "libcurl failed");
+	snprintf(line, sizeof(line), "Authorization: Bearer %s", token);
+	headers = curl_slist_append(headers, line);
+	snprintf(line, sizeof(line), "http://%s%s", address, path);
+	curl_easy_setopt(h, CURLOPT_URL, line);
+	curl_easy_setopt(h, CURLOPT_PROXY, "");
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, 3000L);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, out);
+	r = curl_easy_perform(h);
+	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
+	curl_slist_free_all(headers);
+	curl_easy_cleanup(h);
+	if (r != CURLE_OK)
+		return az_fail(AZ_IO, "daemon %s: %s", address,
+			       curl_easy_strerror(r));
+	if (status != 200)
+		return az_fail(AZ_IO, "daemon %s: status %ld", address, status);
+	return AZ_OK;
+}
+
+static char *read_token(const struct options *o)
+{
+	char *text = o->token_file ? read_whole(o->token_file) : strdup("");
+
+	if (text)
+		text[strcspn(text, "\r\n")] = '\0';
+	return text;
+}
+
+/* Calls `each` for every daemon given; stops at the first that is false. */
+static bool each_daemon(const struct options *o,
+			bool (*each)(const char *address, const char *token,
+				     void *arg),
+			void *arg)
+{
+	char *list = strdup(o->daemons);
+	char *token = read_token(o);
+	char *rest = NULL;
+	bool good = true;
+
+	for (char *a = strtok_r(list, ",", &rest); a && good;
+	     a = strtok_r(NULL, ",", &rest))
+		good = each(a, token, arg);
+	free(list);
+	free(token);
+	return good;
+}
+
+static bool print_status(const char *address, const char *token, void *arg)
+{
+	enum exit_code *code = arg;
+	struct buf b = { 0 };
+	enum az_status r = admin_get(address, "/status", token, &b);
+
+	if (r == AZ_OK)
+		printf("%.*s\n", (int)b.len_bytes, (char *)b.data);
+	else
+		*code = fail(r);
+	buf_free(&b);
+	return true;
+}
+
+static bool has_digest(const char *address, const char *token, void *arg)
+{
+	const char *want = arg;
+	struct buf b = { 0 };
+	bool good = false;
+	const char *have;
+	json_t *root;
+
+	if (admin_get(address, "/status", token, &b) == AZ_OK) {
+		root = json_loadb((char *)b.data, b.len_bytes, 0, NULL);
+		have = json_string_value(
+			json_object_get(json_object_get(root, "configuration"),
+					"digest_in_force"));
+		good = have && !strcmp(have, want);
+		if (!good)
+			az_fail(AZ_TIMEOUT, "daemon %s has digest %s in force",
+				address, have ? have : "none");
+		json_decref(root);
+	}
+	buf_free(&b);
+	return good;
+}
+
+static enum exit_code wait_for(const struct options *o, struct store *s)
+{
+	int64_t until_us = clock_now_us() + o->timeout_s * US_PER_S;
+	char want[32];
+	struct store_list l;
+	enum az_status r;
+
+	if (o->arg_count) {
+		snprintf(want, sizeof(want), "%s", o->args[0]);
+	} else {
+		r = store_list(s, CONF_PREFIX, &l);
+		if (r != AZ_OK)
+			return fail(r);
+		snprintf(want, sizeof(want), "%016" PRIx64,
+			 conf_store_digest(&l));
+		store_list_free(&l);
+	}
+	while (!each_daemon(o, has_digest, want)) {
+		if (clock_now_us() >= until_us) {
+			fprintf(stderr, "azhctl: %s, expected %s\n",
+				az_last_message(), want);
+			return EXIT_TIMED_OUT;
+		}
+		usleep(WAIT_POLL_US);
+	}
+	printf("digest %s in force\n", want);
+	return EXIT_DONE;
+}
+
+/* ---- command line ---- */
+
+static const char doc[] =
+	"Administers the configuration of a fleet.\v"
+	"Commands:\n"
+	"  check BASE [OVERLAY...]        check files\n"
+	"  apply BASE [SITE=OVERLAY...]   write what has changed to the store\n"
+	"  show [KEY]                     list the store's objects, or print one\n"
+	"  drain SERVICE/WORKER           no new work to a worker that leaves\n"
+	"  eject SERVICE/WORKER           take a worker out until restored\n"
+	"  restore SERVICE/WORKER         put it back into service\n"
+	"  status                         status page of each daemon given\n"
+	"  wait [DIGEST]                  until each daemon has it in force\n"
+	"\n"
+	"Exit status: 0 done; 1 store or daemon unreachable, run the command "
+	"again; 2 bad input, nothing was written; 3 another write came first; "
+	"4 wait timed out; 64 usage.";
+
+static const struct argp_option argp_options[] = {
+	{ "store", 's', "URL", 0, "the platform's object API", 0 },
+	{ "daemons", 'd', "ADDRESSES", 0,
+	  "administration addresses, IP:PORT separated by commas", 0 },
+	{ "token-file", 't', "FILE", 0, "token of the administration API", 0 },
+	{ "site", 'i', "SITE", 0, "site whose overlay applies, for decisions",
+	  0 },
+	{ "if-digest", 'g', "DIGEST", 0,
+	  "apply only if the store still has this digest", 0 },
+	{ "timeout", 'w', "SECONDS", 0, "of wait; default 30", 0 },
+	{ "force", 'f', NULL, 0, "take workers out below the floor", 0 },
+	{ 0 },
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct options *o = state->input;
+
+	switch (key) {
+	case 's':
+		o->store = arg;
+		return 0;
+	case 'd':
+		o->daemons = arg;
+		return 0;
+	case 't':
+		o->token_file = arg;
+		return 0;
+	case 'i':
+		o->site = arg;
+		return 0;
+	case 'g':
+		o->if_digest = arg;
+		return 0;
+	case 'w':
+		o->timeout_s = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case 'f':
+		o->force = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		if (!o->command)
+			o->command = arg;
+		else if (o->arg_count < ARGS_MAX)
+			o->args[o->arg_count++] = arg;
+		else
+			argp_error(state, "too many arguments");
+		return 0;
+	case ARGP_KEY_END:
+		if (!o->command)
+			argp_error(state, "name a command");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/** A command and what it needs. */
+struct command {
+	const char *name;
+	enum exit_code (*run)(const struct options *o, struct store *s);
+	bool needs_daemons;
+};
+
+static enum exit_code run_check(const struct options *o, struct store *s)
+{
+	(void)s;
+	return check(o);
+}
+
+static enum exit_code run_status(const struct options *o, struct store *s)
+{
+	enum exit_code code = EXIT_DONE;
+
+	(void)s;
+	each_daemon(o, print_status, &code);
+	return code;
+}
+
+static bool needs_store(const struct options *o)
+{
+	return strcmp(o->command, "check") != 0 &&
+	       strcmp(o->command, "status") != 0 &&
+	       !(o->arg_count && !strcmp(o->command, "wait"));
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		argp_options, parse_option, "COMMAND [ARGUMENT...]", doc, NULL,
+		NULL,	      NULL
+	};
+	static const struct command commands[] = {
+		{ "check", run_check, false },	{ "apply", apply, false },
+		{ "show", show, false },	{ "drain", decide, false },
+		{ "eject", decide, false },	{ "restore", decide, false },
+		{ "status", run_status, true }, { "wait", wait_for, true },
+	};
+	struct options o = { .timeout_s = 30 };
+	const struct command *c = NULL;
+	struct store *s = NULL;
+	enum exit_code code;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &o);
+	for (uint32_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		if (!strcmp(commands[i].name, o.command))
+			c = &commands[i];
+	if (!c)
+		return bad_input("unknown command (see --help)");
+	if (c->needs_daemons && !o.daemons)
+		return bad_input("name the daemons with --daemons");
+	apr_initialize();
+	if (needs_store(&o)) {
+		if (!o.store)
+			return bad_input("name the store with --store");
+		s = store_create(o.store);
+		if (!s)
+			return bad_input("libcurl failed");
+	}
+	code = c->run(&o, s);
+	store_destroy(s);
+	return code;
+}
--- /dev/null
+++ b/conf/apply.c
@@ -0,0 +1,284 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf/conf.h"
+
+/* Order of writing: see docs/decisions/configuration.md. */
+enum phase {
+	PHASE_FLEET,
+	PHASE_GAINS, /**< services that gain a route */
+	PHASE_SERVICES,
+	PHASE_ORGANISATIONS,
+	PHASE_DELETED,
+};
+
+enum az_status conf_store_read(struct store *s, struct store_list *out)
+{
+	enum az_status r = store_list(s, CONF_PREFIX, out);
+	struct store_object now;
+	uint64_t write_id;
+	uint32_t n = 0;
+
+	if (r != AZ_OK)
+		return r;
+	for (uint32_t i = 0; i < out->count; i++) {
+		if (conf_key_parse(out->objects[i].key).kind == OBJECT_OTHER)
+			continue;
+		r = store_get(s, out->objects[i].key, &now);
+		if (r == AZ_NOT_FOUND)
+			continue;
+		if (r != AZ_OK) {
+			out->count = n;
+			store_list_free(out);
+			return r;
+		}
+		conf_header_parse((char *)now.value.data, &write_id,
+				  &now.deleted);
+		out->objects[n++] = now;
+	}
+	out->count = n;
+	return AZ_OK;
+}
+
+uint64_t conf_store_digest(const struct store_list *l)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < l->count; i++)
+		if (conf_key_parse(l->objects[i].key).kind != OBJECT_OTHER)
+			sum += conf_version_digest(l->objects[i].key,
+						   l->objects[i].version);
+	return sum;
+}
+
+/* ---- plan ---- */
+
+static const struct store_object *held_object(const struct store_list *l,
+					      const char *key)
+{
+	for (uint32_t i = 0; i < l->count; i++)
+		if (!strcmp(l->objects[i].key, key))
+			return &l->objects[i];
+	return NULL;
+}
+
+/* Text of an object behind its header line; "" if deleted. */
+static const char *contents(const struct store_object *o)
+{
+	uint64_t write_id;
+	bool deleted;
+	const char *text = (const char *)o->value.data;
+
+	if (o->deleted)
+		return "";
+	if (!conf_header_parse(text, &write_id, &deleted))
+		return text;
+	return strchr(text, '\n') + 1;
+}
+
+/* True if `new_text` has a path or method line that `old_text` has not. */
+static bool gains_route(const char *old_text, const char *new_text)
+{
+	char line[1100];
+
+	for (const char *p = new_text; *p;) {
+		size_t n = strcspn(p, "\n");
+
+		if ((!strncmp(p, "path ", 5) || !strncmp(p, "methods ", 8)) &&
+		    n + 2 < sizeof(line)) {
+			snprintf(line, sizeof(line), "%.*s\n", (int)n, p);
+			if (!strstr(old_text, line))
+				return true;
+		}
+		p += n + (p[n] == '\n');
+	}
+	return false;
+}
+
+static enum phase phase_of(const char *key, const char *old_text,
+			   const char *new_text)
+{
+	struct conf_key k = conf_key_parse(key);
+
+	if (!strcmp(k.unit, "fleet"))
+		return PHASE_FLEET;
+	if (!strncmp(k.unit, "org/", 4))
+		return PHASE_ORGANISATIONS;
+	return gains_route(old_text, new_text) ? PHASE_GAINS : PHASE_SERVICES;
+}
+
+static int by_phase(const void *a, const void *b)
+{
+	const struct conf_step *x = a;
+	const struct conf_step *y = b;
+
+	if (x->phase != y->phase)
+		return x->phase < y->phase ? -1 : 1;
+	return strcmp(x->key, y->key);
+}
+
+static bool is_wanted(const struct conf_split *want, uint32_t count,
+		      const char *key)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (!strcmp(want[i].key, key))
+			return true;
+	return false;
+}
+
+uint32_t conf_plan(const struct store_list *held, const char *prefix,
+		   const struct conf_split *want, uint32_t want_count,
+		   struct conf_step **out)
+{
+	struct conf_step *s = calloc(want_count + held->count + 1, sizeof(*s));
+	uint32_t n = 0;
+
+	if (!s)
+		abort();
+	for (uint32_t i = 0; i < want_count; i++) {
+		const struct store_object *o = held_object(held, want[i].key);
+		const char *text = (const char *)want[i].text.data;
+
+		if (o && !o->deleted && !strcmp(contents(o), text))
+			continue;
+		snprintf(s[n].key, sizeof(s[n].key), "%s", want[i].key);
+		s[n].if_version = o ? o->version : 0;
+		s[n].text = text;
+		s[n].phase = phase_of(s[n].key, o ? contents(o) : "", text);
+		n++;
+	}
+	for (uint32_t i = 0; i < held->count; i++) {
+		const struct store_object *o = &held->objects[i];
+
+		if (o->deleted ||
+		    strncmp(o->key, prefix, strlen(prefix)) != 0 ||
+		    is_wanted(want, want_count, o->key))
+			continue;
+		snprintf(s[n].key, sizeof(s[n].key), "%s", o->key);
+		s[n].if_version = o->version;
+		s[n].deleted = true;
+		s[n].text = "";
+		s[n].phase = PHASE_DELETED;
+		n++;
+	}
+	qsort(s, n, sizeof(*s), by_phase);
+	*out = s;
+	return n;
+}
+
+/* ---- check ---- */
+
+/* What a daemon of the site would build, by the daemon's own code. */
+static enum az_status check_site(const char *site,
+				 const struct store_list *held,
+				 const struct conf_step *steps, uint32_t count,
+				 struct conf_errors *errors)
+{
+	struct conf_table *t = conf_table_create(site);
+	enum az_status r;
+	struct conf *c;
+
+	for (uint32_t i = 0; i < held->count; i++) {
+		const struct store_object *o = &held->objects[i];
+
+		conf_table_put(t, o->key, 1,
+			       o->deleted ? NULL : (char *)o->value.data,
+			       o->value.len_bytes);
+	}
+	for (uint32_t i = 0; i < count; i++)
+		conf_table_put(t, steps[i].key, 2,
+			       steps[i].deleted ? NULL : steps[i].text,
+			       (uint32_t)strlen(steps[i].text));
+	r = conf_table_build(t, &c, errors);
+	conf_release(c);
+	conf_table_destroy(t);
+	return r;
+}
+
+enum az_status conf_check_sites(const struct store_list *held,
+				const struct conf_step *steps, uint32_t count,
+				struct conf_errors *errors)
+{
+	enum az_status r = check_site("", held, steps, count, errors);
+	char(*seen)[CONF_NAME_MAX_BYTES];
+	uint32_t seen_count = 0;
+
+	seen = calloc(held->count + count + 1, sizeof(*seen));
+	if (!seen)
+		abort();
+	for (uint32_t i = 0; i < held->count + count && r == AZ_OK; i++) {
+		const char *key = i < held->count ? held->objects[i].key :
+						    steps[i - held->count].key;
+		struct conf_key k = conf_key_parse(key);
+		uint32_t at = 0;
+
+		if (k.kind != OBJECT_SITE)
+			continue;
+		while (at < seen_count && strcmp(seen[at], k.site) != 0)
+			at++;
+		if (at < seen_count)
+			continue;
+		strcpy(seen[seen_count++], k.site);
+		r = check_site(k.site, held, steps, count, errors);
+	}
+	free(seen);
+	return r;
+}
+
+/* ---- operator decisions ---- */
+
+enum worker_admin conf_decision(const char *text, const char *worker)
+{
+	enum worker_admin admin = WORKER_IN_SERVICE;
+	struct conf_errors *errors = calloc(1, sizeof(*errors));
+	struct ini_doc *d = ini_doc_create();
+	const struct ini_section *s;
+	const struct ini_key *k;
+
+	if (!errors)
+		abort();
+	if (text)
+		ini_doc_read(d, "operator", text, errors);
+	s = ini_doc_find(d, "worker", worker);
+	k = s ? ini_section_key(s, "admin") : NULL;
+	if (k && !strcmp(k->value, "draining"))
+		admin = WORKER_DRAINING;
+	else if (k && !strcmp(k->value, "ejected"))
+		admin = WORKER_EJECTED;
+	ini_doc_destroy(d);
+	free(errors);
+	return admin;
+}
+
+static void write_decision(struct buf *out, const char *worker,
+			   const char *admin)
+{
+	buf_printf(out, "[worker %s]\nadmin = %s\n", worker, admin);
+}
+
+void conf_decide(const char *text, const char *worker, enum worker_admin admin,
+		 struct buf *out)
+{
+	static const char *const names[] = { NULL, "draining", "ejected" };
+	struct conf_errors *errors = calloc(1, sizeof(*errors));
+	struct ini_doc *d = ini_doc_create();
+
+	if (!errors)
+		abort();
+	if (text)
+		ini_doc_read(d, "operator", text, errors);
+	for (const struct ini_section *s = d->first; s; s = s->next) {
+		const struct ini_key *k = ini_section_key(s, "admin");
+
+		if (!strcmp(s->kind, "worker") && k &&
+		    strcmp(s->name, worker) != 0)
+			write_decision(out, s->name, k->value);
+	}
+	if (names[admin])
+		write_decision(out, worker, names[admin]);
+	buf_append(out, "", 1);
+	out->len_bytes--;
+	ini_doc_destroy(d);
+	free(errors);
+}
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -343,8 +343,12 @@
  * as asked for until `until_us`. */
 bool conf_table_want(struct conf_table *t, const char *key, uint64_t version,
 		     int64_t now_us, int64_t until_us);
+/** One object's part of a digest; a digest is the sum of them. */
+uint64_t conf_version_digest(const char *key, uint64_t version);
 /** Over keys and versions held; equal digests mean equal versions. */
 uint64_t conf_table_digest(const struct conf_table *t);
+/** Same without what is not in the store; a snapshot's digest is this one. */
+uint64_t conf_table_store_digest(const struct conf_table *t);
 #define CONF_BUCKETS 64
 uint32_t conf_bucket(const char *key);
 /** Digest of the objects whose key falls into a bucket. */
@@ -501,6 +505,36 @@
 			    uint64_t write_id, bool deleted, uint64_t *version,
 			    uint64_t *other_id);
 
+/* ---- changes to the store (apply.c) ---- */
+
+/** One conditional write. */
+struct conf_step {
+	char key[CONF_KEY_MAX_BYTES];
+	uint64_t if_version; /**< 0: only if absent */
+	bool deleted;
+	uint32_t phase; /**< written in rising order */
+	const char *text; /**< without header line; "" if deleted */
+};
+
+/** Reads the configuration with its values; deleted objects are marked. */
+enum az_status conf_store_read(struct store *s, struct store_list *out);
+/** Digest that daemons report once these objects are in force. */
+uint64_t conf_store_digest(const struct store_list *l);
+/** Steps from what the store holds under `prefix` to `want`, in the order of
+ * writing; the caller frees the array. Texts are borrowed from `want`. */
+uint32_t conf_plan(const struct store_list *held, const char *prefix,
+		   const struct conf_split *want, uint32_t want_count,
+		   struct conf_step **out);
+/** Checks what each site would have in force after the steps. */
+enum az_status conf_check_sites(const struct store_list *held,
+				const struct conf_step *steps, uint32_t count,
+				struct conf_errors *errors);
+/** Text of an operator object with one worker's decision set. */
+void conf_decide(const char *text, const char *worker, enum worker_admin admin,
+		 struct buf *out);
+/** The decision about a worker in an operator object's text (NULL: none). */
+enum worker_admin conf_decision(const char *text, const char *worker);
+
 /* ---- the thread that watches the store (watch.c) ---- */
 
 #define CONF_WATCH_WAIT_MS 2000
--- a/conf/table.c
+++ b/conf/table.c
@@ -35,6 +35,7 @@
 	uint32_t leaving_count;
 	uint32_t *leaving; /**< sorted addresses */
 	uint64_t digest;
+	uint64_t store_digest;
 	uint64_t buckets[CONF_BUCKETS];
 	bool in_force;
 	bool operator_changed; /**< since the last snapshot */
@@ -167,11 +168,11 @@
 	return (uint32_t)(hash_string(key) % CONF_BUCKETS);
 }
 
-static uint64_t object_digest(const struct conf_object *o)
+uint64_t conf_version_digest(const char *key, uint64_t version)
 {
-	return o->version ? hash_bytes(&o->version, sizeof(o->version),
-				       hash_string(o->key)) :
-			    0;
+	return version ?
+		       hash_bytes(&version, sizeof(version), hash_string(key)) :
+		       0;
 }
 
 static int by_ip(const void *a, const void *b)
@@ -223,13 +224,15 @@
 	    version <= (held ? held->version : 0))
 		return false;
 	o = object_named(t, key);
-	change = -object_digest(o);
+	change = -conf_version_digest(key, o->version);
 	text_release(o->text);
 	o->version = version;
 	o->deleted = !text;
 	o->text = text ? text_new(text, len_bytes) : NULL;
-	change += object_digest(o);
+	change += conf_version_digest(key, version);
 	t->digest += change;
+	if (o != t->leaving_object)
+		t->store_digest += change;
 	t->buckets[conf_bucket(key)] += change;
 	if (o == t->leaving_object)
 		read_leaving(t);
@@ -279,6 +282,11 @@
 	return t->digest;
 }
 
+uint64_t conf_table_store_digest(const struct conf_table *t)
+{
+	return t->store_digest;
+}
+
 uint64_t conf_table_bucket(const struct conf_table *t, uint32_t bucket)
 {
 	return t->buckets[bucket];
@@ -426,7 +434,8 @@
 static enum az_status assemble(struct attempt *a, struct conf **out)
 {
 	struct conf_table *t = a->table;
-	struct conf_parts all = { .fleet = a->fleet, .digest = t->digest };
+	struct conf_parts all = { .fleet = a->fleet,
+				  .digest = t->store_digest };
 	enum az_status s;
 	uint32_t n = 0;
 
@@ -446,7 +455,7 @@
 	}
 	/* A mixed set has no version of its own that another could equal. */
 	if (a->good)
-		all.digest = ~t->digest;
+		all.digest = ~t->store_digest;
 	s = conf_assemble(&all, out, a->errors);
 	free(all.services);
 	return s;
