conf: tests of objects, relay, store client and two duties

The duties run against an in-process stand-in for the store; a change reaches a peer without store access, and a daemon restarted during an outage gets the newest versions from its peer. Stopping and destroying a duty are separate now, as a peer's reply can arrive after the stop.

--- a/conf/conf.c
+++ b/conf/conf.c
@@ -475,6 +475,14 @@
 	struct conf *conf;
 };
 
+static apr_status_t release_current(void *data)
+{
+	struct conf_current *cur = data;
+
+	conf_release(cur->conf);
+	return APR_SUCCESS;
+}
+
 struct conf_current *conf_current_create(apr_pool_t *pool)
 {
 	struct conf_current *cur = apr_pcalloc(pool, sizeof(*cur));
@@ -483,6 +491,8 @@
 				    pool) != APR_SUCCESS)
 		abort();
 	cur->conf = conf_empty();
+	apr_pool_cleanup_register(pool, cur, release_current,
+				  apr_pool_cleanup_null);
 	return cur;
 }
 
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -613,8 +613,10 @@
 				   struct timer_service *timers,
 				   apr_pool_t *pool);
 enum az_status conf_duty_start(struct conf_duty *d);
-/** Call once no member, peer or administration thread can reach it. */
+/** Ends both threads; what still arrives is dropped by conf_duty_destroy(). */
 void conf_duty_stop(struct conf_duty *d);
+/** Call once no member, peer or administration thread can reach it. */
+void conf_duty_destroy(struct conf_duty *d);
 /** Serves a peer's CONF_LIST, or CONF_GET if `get`; takes the contents of
  * `body`. Any thread. */
 void conf_duty_serve(struct conf_duty *d, bool get, struct buf *body,
@@ -633,7 +635,8 @@
 	struct store_object *objects; /**< without values */
 };
 
-/** Waits for the duty's thread; AZ_AGAIN if it is not running. */
+/** Waits for the duty's thread, which must not be stopped meanwhile. AZ_AGAIN
+ * if its ring is full. */
 enum az_status conf_duty_status(struct conf_duty *d,
 				struct conf_duty_status *out);
 void conf_duty_status_free(struct conf_duty_status *s);
--- a/conf/conf_duty.c
+++ b/conf/conf_duty.c
@@ -701,6 +701,14 @@
 	if (d->watch)
 		conf_watch_stop(d->watch);
 	duty_stop(&d->duty);
+}
+
+void conf_duty_destroy(struct conf_duty *d)
+{
+	struct msg *m;
+
+	while ((m = ring_pop(d->duty.ring)))
+		m->ops->drop(m);
 	duty_destroy(&d->duty);
 	conf_table_destroy(d->table);
 }
--- a/conf/conf_test.c
+++ b/conf/conf_test.c
@@ -3,8 +3,12 @@
 #include <string.h>
 #include <CUnit/Basic.h>
 #include <apr_general.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <sched.h>
 
 #include "conf/conf.h"
+#include "member/member.h"
 
 static struct conf_errors errors;
 
@@ -248,6 +252,805 @@
 			AZ_IO);
 }
 
+/* ---- version table ---- */
+
+static const char *const fleet_text = "[data_centre a1]\nregion = a\n";
+static const char *const shop_text =
+	"[service shop]\n[worker shop/w1]\naddress = 10.0.0.1:80\n"
+	"data_centre = a1\n[worker shop/w2]\naddress = 10.0.0.2:80\n"
+	"data_centre = a1\n";
+
+static bool put(struct conf_table *t, const char *key, uint64_t version,
+		const char *text)
+{
+	return conf_table_put(t, key, version, text,
+			      text ? (uint32_t)strlen(text) : 0);
+}
+
+static struct conf_table *shop_table(void)
+{
+	struct conf_table *t = conf_table_create("here");
+
+	put(t, "azurehold/base/fleet", 3, fleet_text);
+	put(t, "azurehold/base/service/shop", 5, shop_text);
+	return t;
+}
+
+static struct conf *built(struct conf_table *t, enum az_status expected)
+{
+	struct conf *c;
+
+	CU_ASSERT_EQUAL(conf_table_build(t, &c, &errors), expected);
+	return c;
+}
+
+/* Guards against a configuration that reverts when the store, or a peer,
+ * serves an older copy, and a deletion undone by one. */
+static void test_versions_never_fall(void)
+{
+	const char *key = "azurehold/base/service/shop";
+	struct conf_table *t = shop_table();
+	uint64_t digest = conf_table_digest(t);
+
+	CU_ASSERT(!put(t, key, 5, "[service shop]\nhedge = yes\n"));
+	CU_ASSERT(!put(t, key, 4, "[service shop]\n"));
+	CU_ASSERT(!put(t, "azurehold/status/x", 9, "x"));
+	CU_ASSERT_EQUAL(conf_table_digest(t), digest);
+	CU_ASSERT(put(t, key, 7, NULL));
+	CU_ASSERT(!put(t, key, 6, shop_text));
+	CU_ASSERT(conf_table_find(t, key)->deleted);
+	CU_ASSERT_NOT_EQUAL(conf_table_digest(t), digest);
+	CU_ASSERT(!conf_table_want(t, key, 7, 0, 10));
+	CU_ASSERT(conf_table_want(t, key, 8, 0, 10));
+	CU_ASSERT(!conf_table_want(t, key, 8, 9, 20));
+	CU_ASSERT(conf_table_want(t, key, 8, 10, 20));
+	conf_table_destroy(t);
+}
+
+/* Guards against a broken set that replaces a good one, an operator's decision
+ * that waits for it to be repaired, and a set that is never tried again. */
+static void test_broken_set_keeps_last_good(void)
+{
+	struct conf_table *t = shop_table();
+	struct conf *first = built(t, AZ_OK);
+	struct conf *c;
+	const struct conf_service *s;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(first);
+	put(t, "azurehold/base/service/bank", 1, "[service bank]\nbare = 7\n");
+	CU_ASSERT_PTR_NULL(built(t, AZ_INVALID));
+	put(t, "azurehold/operator/shop", 1,
+	    "[worker shop/w2]\nadmin = ejected\n[worker shop/gone]\n"
+	    "admin = draining\n");
+	c = built(t, AZ_INVALID);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	s = conf_find_service(c, "shop");
+	CU_ASSERT_EQUAL(s->workers[0].admin, WORKER_IN_SERVICE);
+	CU_ASSERT_EQUAL(s->workers[1].admin, WORKER_EJECTED);
+	CU_ASSERT_PTR_NULL(conf_find_service(c, "bank"));
+	conf_release(c);
+	put(t, "azurehold/base/service/bank", 2, "[service bank]\n");
+	c = built(t, AZ_OK);
+	CU_ASSERT_PTR_NOT_NULL(conf_find_service(c, "bank"));
+	CU_ASSERT_EQUAL(conf_digest(c), conf_table_store_digest(t));
+	conf_release(c);
+	conf_release(first);
+	conf_table_destroy(t);
+}
+
+/* Guards against a restarted daemon that has nothing in force because the
+ * newest set happens not to check. */
+static void test_start_takes_what_is_in_force_elsewhere(void)
+{
+	struct conf_table *t = conf_table_create("here");
+	const char *key = "azurehold/base/service/shop";
+	struct conf *c;
+
+	conf_table_put_good(t, key, 5, shop_text, (uint32_t)strlen(shop_text));
+	put(t, key, 6, "[service shop]\nbare = 7\n");
+	conf_table_put_good(t, "azurehold/base/fleet", 3, fleet_text,
+			    (uint32_t)strlen(fleet_text));
+	put(t, "azurehold/base/fleet", 3, fleet_text);
+	c = built(t, AZ_INVALID);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	CU_ASSERT_EQUAL(conf_find_service(c, "shop")->worker_count, 2);
+	conf_release(c);
+	conf_table_destroy(t);
+}
+
+/* Guards against a change that rebuilds, or copies, parts it does not touch,
+ * and against one that is not seen: overlays, leaving VMs, deletions. */
+static void test_change_rebuilds_its_part_only(void)
+{
+	struct conf_table *t = shop_table();
+	struct conf *a;
+	struct conf *b;
+
+	put(t, "azurehold/base/service/bank", 1, "[service bank]\n");
+	a = built(t, AZ_OK);
+	put(t, "azurehold/site/here/service/bank", 1,
+	    "[service bank]\nhedge = yes\n");
+	put(t, "azurehold/site/there/service/shop", 1,
+	    "[service shop]\nhedge = yes\n");
+	b = built(t, AZ_OK);
+	CU_ASSERT_PTR_EQUAL(conf_find_service(a, "shop"),
+			    conf_find_service(b, "shop"));
+	CU_ASSERT(!conf_find_service(a, "bank")->hedge);
+	CU_ASSERT(conf_find_service(b, "bank")->hedge);
+	CU_ASSERT(!conf_find_service(b, "shop")->hedge);
+	conf_release(a);
+	put(t, CONF_LEAVING_KEY, 1, "10.0.0.1\n10.0.0.22\n");
+	put(t, "azurehold/base/service/bank", 2, NULL);
+	a = built(t, AZ_OK);
+	CU_ASSERT_PTR_NULL(conf_find_service(a, "bank"));
+	CU_ASSERT_EQUAL(conf_find_service(a, "shop")->workers[0].admin,
+			WORKER_DRAINING);
+	CU_ASSERT_EQUAL(conf_find_service(a, "shop")->workers[1].admin,
+			WORKER_IN_SERVICE);
+	CU_ASSERT_EQUAL(conf_find_service(b, "shop")->workers[0].admin,
+			WORKER_IN_SERVICE);
+	conf_release(a);
+	conf_release(b);
+	conf_table_destroy(t);
+}
+
+/* ---- watchers, relay, asking ---- */
+
+#define MEMBERS 400
+
+static struct member members[MEMBERS];
+static struct member_view view = { .members = members };
+
+static void make_view(uint32_t count, uint32_t dcs)
+{
+	memset(members, 0, sizeof(members));
+	view.member_count = count;
+	for (uint32_t i = 0; i < count; i++) {
+		members[i].id = (uint64_t)i * 1000 + 7;
+		members[i].dc = i % dcs;
+	}
+}
+
+/* Guards against a data centre without watchers, or with one watcher too many
+ * for the store's rates. */
+static void test_two_watchers_each_data_centre(void)
+{
+	uint32_t watchers = 0;
+
+	make_view(60, 3);
+	for (uint32_t i = 0; i < 60; i++)
+		watchers += conf_is_watcher(&view, members[i].id, i % 3);
+	CU_ASSERT_EQUAL(watchers, 6);
+	for (uint32_t i = 0; i < 60; i++)
+		members[i].stopping = i > 2;
+	CU_ASSERT(conf_is_watcher(&view, members[0].id, 0));
+	/* A daemon whose view does not list it yet must not take no part. */
+	make_view(1, 1);
+	CU_ASSERT(conf_is_watcher(&view, 5, 0));
+}
+
+/* Guards against members that the relay tree leaves out or tells twice. */
+static void test_relay_tree_reaches_all_once(void)
+{
+	const struct member *out[CONF_RELAY_CHILDREN];
+	static uint32_t told[MEMBERS];
+
+	for (uint32_t count = 2; count <= 400; count += 199) {
+		make_view(count, 2);
+		memset(told, 0, sizeof(told));
+		for (uint32_t i = 0; i < count; i += 2) {
+			uint32_t n = conf_relay_children(&view, members[i].id,
+							 members[10 % count].id,
+							 0, out);
+
+			for (uint32_t j = 0; j < n; j++)
+				told[out[j] - members]++;
+		}
+		for (uint32_t i = 0; i < count; i++)
+			CU_ASSERT_EQUAL(told[i], i % 2 == 0 && i != 10 % count);
+	}
+}
+
+/* Guards against a digest that is asked about forever, or never again. */
+static void test_asking_and_backoff(void)
+{
+	struct conf_asking a = { .list_until_us = 5 };
+
+	CU_ASSERT(!conf_asking_digest(&a, 1, 2, 4));
+	CU_ASSERT(conf_asking_digest(&a, 1, 2, 5));
+	CU_ASSERT(!conf_asking_digest(&a, 2, 2, 5));
+	conf_asking_behind(&a, 2);
+	CU_ASSERT(!conf_asking_digest(&a, 1, 2, 5));
+	conf_asking_moved(&a);
+	CU_ASSERT(conf_asking_digest(&a, 1, 2, 5));
+	CU_ASSERT(conf_asking_start(&a, 0));
+	CU_ASSERT(!conf_asking_start(&a, 1));
+	CU_ASSERT(conf_asking_start(&a, US_PER_S));
+	a.loaded = true;
+	CU_ASSERT(!conf_asking_start(&a, 9 * US_PER_S));
+	CU_ASSERT(!conf_asking_remote(&a, true, 2 * US_PER_S));
+	CU_ASSERT(!conf_asking_remote(&a, false, 9 * US_PER_S));
+	CU_ASSERT(conf_asking_remote(&a, true, 9 * US_PER_S));
+	CU_ASSERT(!conf_asking_remote(&a, true, 9 * US_PER_S));
+	for (uint32_t n = 1; n < 40; n++) {
+		CU_ASSERT(conf_backoff_us(n, random_u64()) >= 100 * US_PER_MS);
+		CU_ASSERT(conf_backoff_us(n, random_u64()) <= 10 * US_PER_S);
+	}
+}
+
+/* Guards against records that are read differently from how they were written,
+ * and malformed ones that are read at all. */
+static void test_wire_texts(void)
+{
+	static const char *const bad[] = {
+		"object k 1 0 9\nabc", "object k 1 2 0\n",  "x k 1 0 0\n",
+		"object k x 0 0\n",    "object k 1 0 0",    "\n",
+		"object k 1 0 0 z\n",  "object k 1 0 -1\n",
+	};
+	struct conf_table *t = shop_table();
+	uint64_t none[CONF_BUCKETS] = { 0 };
+	struct conf_list_head h;
+	struct conf_record r;
+	struct buf b = { 0 };
+	struct buf v = { 0 };
+	const char *at;
+	const char *end;
+
+	conf_buckets_write(&b, t);
+	at = (char *)b.data;
+	CU_ASSERT_EQUAL(conf_list_read(&at, at + b.len_bytes, &h), AZ_OK);
+	CU_ASSERT(!h.is_offer);
+	buf_free(&b);
+	conf_list_answer(&b, t, h.buckets);
+	CU_ASSERT_EQUAL(b.len_bytes, 0);
+	conf_list_answer(&b, t, none);
+	at = (char *)b.data;
+	conf_get_answer(&v, t, at, at + b.len_bytes, 1U << 20);
+	at = (char *)v.data;
+	end = at + v.len_bytes;
+	CU_ASSERT_FATAL(conf_record_read(&at, end, &r));
+	CU_ASSERT_STRING_EQUAL(r.key, "azurehold/base/fleet");
+	CU_ASSERT_EQUAL(r.version, 3);
+	CU_ASSERT_EQUAL(r.len_bytes, strlen(fleet_text));
+	CU_ASSERT(!memcmp(r.text, fleet_text, r.len_bytes));
+	CU_ASSERT(conf_record_read(&at, end, &r));
+	CU_ASSERT(!conf_record_read(&at, end, &r));
+	for (uint32_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		at = bad[i];
+		CU_ASSERT(!conf_record_read(&at, at + strlen(at), &r));
+	}
+	at = "buckets\n1\n2\n";
+	CU_ASSERT_EQUAL(conf_list_read(&at, at + 12, &h), AZ_INVALID);
+	buf_free(&b);
+	buf_free(&v);
+	conf_table_destroy(t);
+}
+
+/* ---- splitting and planning ---- */
+
+static struct ini_doc *read_doc(const char *a, const char *b)
+{
+	struct ini_doc *d = ini_doc_create();
+
+	ini_doc_read(d, "a", a, &errors);
+	if (b)
+		ini_doc_read(d, "b", b, &errors);
+	return d;
+}
+
+static const char *split_text(const struct conf_split *l, uint32_t n,
+			      const char *key)
+{
+	for (uint32_t i = 0; i < n; i++)
+		if (!strcmp(l[i].key, key))
+			return (char *)l[i].text.data;
+	return "";
+}
+
+static void hold(struct store_list *l, const char *key, uint64_t version,
+		 const char *text)
+{
+	struct store_object *o;
+
+	l->objects = realloc(l->objects, (l->count + 1) * sizeof(*l->objects));
+	o = &l->objects[l->count++];
+	memset(o, 0, sizeof(*o));
+	strcpy(o->key, key);
+	o->version = version;
+	conf_header(&o->value, 1, false);
+	buf_append(&o->value, text, (uint32_t)strlen(text) + 1);
+	o->value.len_bytes--;
+}
+
+/* Guards against an apply that rewrites unchanged objects, leaks tokens, puts
+ * an overlay's route into the wrong object, or forgets what was removed. */
+static void test_split_and_plan(void)
+{
+	struct ini_doc *d = read_doc(base, "[route list]\ndeadline_ms = 5\n");
+	struct store_list held = { 0 };
+	struct conf_split *l;
+	struct conf_step *s;
+	uint32_t n;
+
+	CU_ASSERT_EQUAL(conf_split(d, "x", &l, &n), AZ_OK);
+	CU_ASSERT_EQUAL(n, 1);
+	CU_ASSERT_STRING_EQUAL(
+		split_text(l, n, "azurehold/site/x/service/shop"),
+		"[route list]\ndeadline_ms = 5\n");
+	conf_split_free(l, n);
+	ini_doc_destroy(d);
+	d = read_doc(base, NULL);
+	CU_ASSERT_EQUAL(conf_split(d, NULL, &l, &n), AZ_OK);
+	CU_ASSERT_EQUAL(n, 4);
+	for (uint32_t i = 0; i < n; i++)
+		CU_ASSERT_PTR_NULL(strstr((char *)l[i].text.data, "secret"));
+	hold(&held, "azurehold/base/service/shop", 4,
+	     split_text(l, n, "azurehold/base/service/shop"));
+	hold(&held, "azurehold/base/service/bank", 6, "[service bank]\n");
+	hold(&held, "azurehold/base/service/old", 8, "[service old]\n");
+	hold(&held, "azurehold/site/x/service/old", 9, "[service old]\n");
+	CU_ASSERT_EQUAL(conf_plan(&held, "azurehold/base/", l, n, &s), 4);
+	CU_ASSERT_STRING_EQUAL(s[0].key, "azurehold/base/fleet");
+	CU_ASSERT_EQUAL(s[0].if_version, 0);
+	CU_ASSERT_STRING_EQUAL(s[1].key, "azurehold/base/service/bank");
+	CU_ASSERT_EQUAL(s[1].if_version, 6);
+	CU_ASSERT_STRING_EQUAL(s[3].key, "azurehold/base/service/old");
+	CU_ASSERT(s[3].deleted);
+	CU_ASSERT_EQUAL(conf_check_sites(&held, s, 4, &errors), AZ_OK);
+	free(s);
+	hold(&held, "azurehold/site/y/service/shop", 2,
+	     "[worker shop/w9]\nslots = 2\n");
+	CU_ASSERT_EQUAL(conf_check_sites(&held, NULL, 0, &errors), AZ_INVALID);
+	conf_split_free(l, n);
+	store_list_free(&held);
+	ini_doc_destroy(d);
+}
+
+/* Guards against readers that see a moved route in no service: any order of
+ * two writes must leave either the old set, the new set, or one that does not
+ * check. */
+static void test_moved_route_is_never_absent(void)
+{
+	struct conf_table *t = conf_table_create("");
+	const char *route = "path = /r\nmethods = GET\n";
+	char with[2][200];
+	const char *keys[] = { "azurehold/base/service/p",
+			       "azurehold/base/service/q" };
+	struct conf_split want[2] = { 0 };
+	struct store_list held = { 0 };
+	struct conf_step *s;
+	struct conf *c;
+
+	for (int32_t i = 0; i < 2; i++)
+		snprintf(with[i], sizeof(with[i]),
+			 "[service %c]\n[route r%c]\nservice = %c\n%s", 'p' + i,
+			 'p' + i, 'p' + i, route);
+	hold(&held, keys[0], 1, with[0]);
+	hold(&held, keys[1], 1, "[service q]\n");
+	put(t, keys[0], 1, with[0]);
+	put(t, keys[1], 1, "[service q]\n");
+	conf_release(built(t, AZ_OK));
+	strcpy(want[0].key, keys[0]);
+	buf_append(&want[0].text, "[service p]\n", 13);
+	strcpy(want[1].key, keys[1]);
+	buf_append(&want[1].text, with[1], (uint32_t)strlen(with[1]) + 1);
+	CU_ASSERT_EQUAL(conf_plan(&held, "azurehold/base/", want, 2, &s), 2);
+	put(t, s[0].key, 2, s[0].text);
+	CU_ASSERT_PTR_NULL(built(t, AZ_INVALID));
+	put(t, s[1].key, 2, s[1].text);
+	c = built(t, AZ_OK);
+	CU_ASSERT_STRING_EQUAL(route_name(c, "GET", "/r"), "rq");
+	conf_release(c);
+	free(s);
+	buf_free(&want[0].text);
+	buf_free(&want[1].text);
+	store_list_free(&held);
+	conf_table_destroy(t);
+}
+
+/* Guards against a decision that drops those about other workers. */
+static void test_decisions_are_merged(void)
+{
+	struct buf a = { 0 };
+	struct buf b = { 0 };
+
+	conf_decide(NULL, "s/w1", WORKER_DRAINING, &a);
+	conf_decide((char *)a.data, "s/w2", WORKER_EJECTED, &b);
+	CU_ASSERT_EQUAL(conf_decision((char *)b.data, "s/w1"), WORKER_DRAINING);
+	CU_ASSERT_EQUAL(conf_decision((char *)b.data, "s/w2"), WORKER_EJECTED);
+	buf_free(&a);
+	conf_decide((char *)b.data, "s/w1", WORKER_IN_SERVICE, &a);
+	CU_ASSERT_EQUAL(conf_decision((char *)a.data, "s/w1"),
+			WORKER_IN_SERVICE);
+	CU_ASSERT_EQUAL(conf_decision((char *)a.data, "s/w2"), WORKER_EJECTED);
+	buf_free(&a);
+	buf_free(&b);
+}
+
+/* ---- a small stand-in for the store ---- */
+
+#define FAKE_MAX 32
+
+static struct {
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	struct store_object objects[FAKE_MAX];
+	uint32_t count;
+	uint64_t revision;
+	bool down;
+	bool lose_reply; /**< of the next write */
+	struct MHD_Daemon *daemon;
+	char url[64];
+} fake = { .lock = PTHREAD_MUTEX_INITIALIZER,
+	   .changed = PTHREAD_COND_INITIALIZER };
+
+static struct store_object *fake_find(const char *key)
+{
+	for (uint32_t i = 0; i < fake.count; i++)
+		if (!strcmp(fake.objects[i].key, key))
+			return &fake.objects[i];
+	return NULL;
+}
+
+static void fake_set(const char *key, const char *text, uint32_t len)
+{
+	struct store_object *o = fake_find(key);
+
+	if (!o) {
+		o = &fake.objects[fake.count++];
+		strcpy(o->key, key);
+	}
+	buf_free(&o->value);
+	buf_append(&o->value, text, len);
+	o->version = ++fake.revision;
+	pthread_cond_broadcast(&fake.changed);
+}
+
+static void fake_store(const char *key, const char *text)
+{
+	pthread_mutex_lock(&fake.lock);
+	fake_set(key, text, (uint32_t)strlen(text));
+	pthread_mutex_unlock(&fake.lock);
+}
+
+static void fake_list(struct buf *out, const char *name, uint64_t after)
+{
+	const char *comma = "";
+
+	buf_printf(out, "{\"revision\":%llu,\"%s\":[",
+		   (unsigned long long)fake.revision, name);
+	for (uint32_t i = 0; i < fake.count; i++) {
+		if (fake.objects[i].version <= after)
+			continue;
+		buf_printf(out, "%s{\"key\":\"%s\",\"version\":%llu}", comma,
+			   fake.objects[i].key,
+			   (unsigned long long)fake.objects[i].version);
+		comma = ",";
+	}
+	buf_printf(out, "]}");
+}
+
+static uint64_t argument(struct MHD_Connection *c, const char *name)
+{
+	const char *v =
+		MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, name);
+
+	return v ? strtoull(v, NULL, 10) : 0;
+}
+
+static void fake_watch(struct MHD_Connection *c, struct buf *out)
+{
+	uint64_t after = argument(c, "after");
+	struct timespec until;
+
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_sec += (time_t)(argument(c, "wait_ms") / 1000);
+	while (fake.revision <= after && !fake.down &&
+	       !pthread_cond_timedwait(&fake.changed, &fake.lock, &until))
+		;
+	fake_list(out, "changed", after);
+}
+
+static uint32_t fake_put(struct MHD_Connection *c, const char *key,
+			 const struct buf *body, uint64_t *version)
+{
+	const char *match =
+		MHD_lookup_connection_value(c, MHD_HEADER_KIND, "If-Match");
+	struct store_object *o = fake_find(key);
+
+	if (match ? !o || o->version != strtoull(match, NULL, 10) : !!o)
+		return 412;
+	fake_set(key, (char *)body->data, body->len_bytes);
+	*version = fake.revision;
+	return 200;
+}
+
+static uint32_t fake_answer(struct MHD_Connection *c, const char *path,
+			    const char *method, const struct buf *body,
+			    struct buf *out, uint64_t *version)
+{
+	const struct store_object *o;
+
+	if (!strcmp(path, "/v1/objects")) {
+		fake_list(out, "objects", 0);
+	} else if (!strcmp(path, "/v1/watch")) {
+		fake_watch(c, out);
+	} else if (!strcmp(path, "/v1/vms")) {
+		buf_printf(out, "{\"revision\":1,\"vms\":[{\"name\":\"a\","
+				"\"ip\":\"10.0.0.2\",\"state\":\"leaving\"}]}");
+	} else if (!strcmp(method, "PUT")) {
+		return fake_put(c, path + 12, body, version);
+	} else {
+		o = fake_find(path + 12);
+		if (!o)
+			return 404;
+		buf_append(out, o->value.data, o->value.len_bytes);
+		*version = o->version;
+	}
+	return 200;
+}
+
+static enum MHD_Result fake_handle(void *cls, struct MHD_Connection *c,
+				   const char *path, const char *method,
+				   const char *http, const char *data,
+				   size_t *data_bytes, void **state)
+{
+	struct buf *body = *state;
+	struct MHD_Response *r;
+	struct buf out = { 0 };
+	uint64_t version = 0;
+	enum MHD_Result done = MHD_NO;
+	char text[32];
+	uint32_t status;
+
+	(void)cls;
+	(void)http;
+	if (!body) {
+		*state = calloc(1, sizeof(*body));
+		return MHD_YES;
+	}
+	if (*data_bytes) {
+		buf_append(body, data, (uint32_t)*data_bytes);
+		*data_bytes = 0;
+		return MHD_YES;
+	}
+	pthread_mutex_lock(&fake.lock);
+	status = fake.down ? 503 :
+			     fake_answer(c, path, method, body, &out, &version);
+	if (!fake.lose_reply || strcmp(method, "PUT") != 0) {
+		r = MHD_create_response_from_buffer(out.len_bytes, out.data,
+						    MHD_RESPMEM_MUST_COPY);
+		snprintf(text, sizeof(text), "%llu",
+			 (unsigned long long)version);
+		MHD_add_response_header(r, "Object-Version", text);
+		done = MHD_queue_response(c, status, r);
+		MHD_destroy_response(r);
+	} else {
+		fake.lose_reply = false;
+	}
+	pthread_mutex_unlock(&fake.lock);
+	buf_free(&out);
+	return done;
+}
+
+static void fake_completed(void *cls, struct MHD_Connection *c, void **state,
+			   enum MHD_RequestTerminationCode why)
+{
+	(void)cls;
+	(void)c;
+	(void)why;
+	if (*state)
+		buf_free(*state);
+	free(*state);
+	*state = NULL;
+}
+
+static void fake_start(void)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+
+	fake.daemon = MHD_start_daemon(
+		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
+		0, NULL, NULL, fake_handle, NULL, MHD_OPTION_SOCK_ADDR, &at,
+		MHD_OPTION_NOTIFY_COMPLETED, fake_completed, NULL,
+		MHD_OPTION_END);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake.daemon);
+	snprintf(fake.url, sizeof(fake.url), "http://127.0.0.1:%u",
+		 MHD_get_daemon_info(fake.daemon, MHD_DAEMON_INFO_BIND_PORT)
+			 ->port);
+}
+
+static void fake_stop(void)
+{
+	MHD_stop_daemon(fake.daemon);
+	for (uint32_t i = 0; i < fake.count; i++)
+		buf_free(&fake.objects[i].value);
+	memset(fake.objects, 0, sizeof(fake.objects));
+	fake.count = 0;
+	fake.revision = 0;
+	fake.down = false;
+}
+
+/* Guards against a lost reply that is taken for a lost race or written twice,
+ * and a loser of a race who is not told by whom. */
+static void test_conditional_updates(void)
+{
+	struct store *s;
+	struct store_vms vms;
+	uint64_t version;
+	uint64_t other;
+
+	fake_start();
+	s = store_create(fake.url);
+	fake.lose_reply = true;
+	CU_ASSERT_EQUAL(store_update(s, "k", 0, "text\n", 0x11, false, &version,
+				     &other),
+			AZ_OK);
+	CU_ASSERT_EQUAL(version, 1);
+	CU_ASSERT_EQUAL(fake.revision, 1);
+	CU_ASSERT_EQUAL(store_update(s, "k", 0, "mine\n", 0x22, false, &version,
+				     &other),
+			AZ_CONFLICT);
+	CU_ASSERT_EQUAL(other, 0x11);
+	CU_ASSERT_EQUAL(store_update(s, "k", 1, "mine\n", 0x22, false, &version,
+				     &other),
+			AZ_OK);
+	CU_ASSERT_EQUAL(store_update(s, "k", 1, "late\n", 0x33, false, &version,
+				     &other),
+			AZ_CONFLICT);
+	CU_ASSERT_EQUAL(other, 0x22);
+	CU_ASSERT_EQUAL(store_vms(s, 0, &vms), AZ_OK);
+	CU_ASSERT(vms.count == 1 && vms.list[0].leaving);
+	store_vms_free(&vms);
+	CU_ASSERT_EQUAL(store_vms(s, 1, &vms), AZ_AGAIN);
+	store_vms_free(&vms);
+	store_interrupt(s);
+	CU_ASSERT_EQUAL(store_put(s, "k", 2, "x", 1, &version), AZ_AGAIN);
+	store_destroy(s);
+	fake_stop();
+}
+
+/* ---- duties that are each other's peers ---- */
+
+struct node {
+	struct conf_links links;
+	struct conf_duty *duty;
+	struct conf_current *current;
+};
+
+static struct node nodes[2];
+
+static const struct member_view *node_view(struct conf_links *l)
+{
+	(void)l;
+	return &view;
+}
+
+static void node_release(struct conf_links *l, const struct member_view *v)
+{
+	(void)l;
+	(void)v;
+}
+
+static void node_digest(struct conf_links *l, uint64_t digest)
+{
+	(void)l;
+	(void)digest;
+}
+
+static void node_ask(struct conf_links *l, const struct member *to, bool get,
+		     const struct buf *body, int64_t deadline_us,
+		     struct reply_to *reply)
+{
+	struct conf_duty *d =
+		__atomic_load_n(&nodes[to - members].duty, __ATOMIC_ACQUIRE);
+	struct buf copy = { 0 };
+
+	(void)l;
+	(void)deadline_us;
+	if (!d) {
+		reply->ops->answer(reply, answer_new(ERR_PEER_UNREACHABLE));
+		return;
+	}
+	buf_append(&copy, body->data, body->len_bytes);
+	conf_duty_serve(d, get, &copy, reply);
+}
+
+static void node_list(struct conf_links *l, const uint64_t *live, uint32_t n)
+{
+	(void)l;
+	(void)live;
+	(void)n;
+}
+
+static void node_attach(struct conf_links *l, struct conf_duty *d)
+{
+	(void)l;
+	(void)d;
+}
+
+static const struct conf_links_ops node_ops = { node_view,   node_release,
+						node_digest, node_ask,
+						node_list,   node_attach };
+
+static void node_start(uint32_t i, const char *url,
+		       struct timer_service *timers, apr_pool_t *pool)
+{
+	struct conf_settings s = { .store_url = url,
+				   .site = "here",
+				   .member_id = members[i].id,
+				   .vms_interval_ms = 100,
+				   .links = &nodes[i].links };
+	struct conf_duty *d;
+
+	nodes[i].links.ops = &node_ops;
+	nodes[i].current = s.current = conf_current_create(pool);
+	d = conf_duty_create(&s, timers, pool);
+	__atomic_store_n(&nodes[i].duty, d, __ATOMIC_RELEASE);
+	CU_ASSERT_EQUAL(conf_duty_start(d), AZ_OK);
+}
+
+/* Waits until a node has a worker of the shop in that state. */
+static void await(uint32_t i, uint32_t worker, enum worker_admin admin)
+{
+	bool done = false;
+
+	while (!done) {
+		struct conf *c = conf_current_get(nodes[i].current);
+		const struct conf_service *s = conf_find_service(c, "shop");
+
+		done = s && s->workers[worker].admin == admin;
+		conf_release(c);
+		sched_yield();
+	}
+}
+
+/* Guards against a change that stays at the watcher, a restart during an
+ * outage that finds nothing, and a duty that cannot be stopped while it waits
+ * for the store. */
+static void test_change_reaches_peer_and_restart(void)
+{
+	struct timer_service *timers;
+	struct conf_duty_status status;
+	struct conf_duty *old;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	timers = timer_service_create(pool);
+	timer_service_start(timers);
+	make_view(2, 1);
+	fake_start();
+	fake_store("azurehold/base/fleet", fleet_text);
+	fake_store("azurehold/base/service/shop", shop_text);
+	node_start(0, fake.url, timers, pool);
+	node_start(1, NULL, timers, pool);
+	await(1, 1, WORKER_DRAINING);
+	fake_store("azurehold/operator/shop",
+		   "[worker shop/w1]\nadmin = ejected\n");
+	await(0, 0, WORKER_EJECTED);
+	await(1, 0, WORKER_EJECTED);
+	pthread_mutex_lock(&fake.lock);
+	fake.down = true;
+	pthread_cond_broadcast(&fake.changed);
+	pthread_mutex_unlock(&fake.lock);
+	CU_ASSERT_EQUAL(conf_duty_status(nodes[0].duty, &status), AZ_OK);
+	CU_ASSERT_EQUAL(status.object_count, 4);
+	conf_duty_status_free(&status);
+	old = nodes[1].duty;
+	conf_duty_stop(old);
+	node_start(1, fake.url, timers, pool);
+	await(1, 0, WORKER_EJECTED);
+	timer_service_stop(timers);
+	conf_duty_stop(nodes[1].duty);
+	conf_duty_stop(nodes[0].duty);
+	conf_duty_destroy(old);
+	conf_duty_destroy(nodes[0].duty);
+	conf_duty_destroy(nodes[1].duty);
+	fake_stop();
+	apr_pool_destroy(pool);
+}
+
 int main(void)
 {
 	CU_pSuite s;
@@ -262,6 +1065,19 @@
 	CU_add_test(s, "errors", test_each_error_names_line_and_reason);
 	CU_add_test(s, "all errors", test_all_errors_are_counted);
 	CU_add_test(s, "sample file", test_sample_file_is_good);
+	CU_add_test(s, "versions", test_versions_never_fall);
+	CU_add_test(s, "broken set", test_broken_set_keeps_last_good);
+	CU_add_test(s, "start", test_start_takes_what_is_in_force_elsewhere);
+	CU_add_test(s, "parts", test_change_rebuilds_its_part_only);
+	CU_add_test(s, "watchers", test_two_watchers_each_data_centre);
+	CU_add_test(s, "relay tree", test_relay_tree_reaches_all_once);
+	CU_add_test(s, "asking", test_asking_and_backoff);
+	CU_add_test(s, "wire", test_wire_texts);
+	CU_add_test(s, "split and plan", test_split_and_plan);
+	CU_add_test(s, "moved route", test_moved_route_is_never_absent);
+	CU_add_test(s, "decisions", test_decisions_are_merged);
+	CU_add_test(s, "conditional updates", test_conditional_updates);
+	CU_add_test(s, "duties", test_change_reaches_peer_and_restart);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
 }
