--- /dev/null
+++ b/admin/admin_test.c
@@ -0,0 +1,191 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <CUnit/Basic.h>
+#include <apr_general.h>
+#include <apr_strings.h>
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "admin/admin.h"
+
+static apr_pool_t *pool;
+static struct admin *admin;
+
+struct source {
+	struct admin_source source;
+	int32_t drains;
+};
+
+static void source_status(struct admin_source *s, apr_pool_t *p,
+			  struct admin_status *out)
+{
+	(void)s;
+	out->name = "d1";
+	out->incarnation = 0xabc;
+	out->in_flight = 4;
+	out->member_count = 1;
+	out->members = apr_pcalloc(p, sizeof(*out->members));
+	out->members[0] = (struct admin_member){ "d\"2", "alive", 7, false };
+	out->cell_count = 1;
+	out->cells = apr_pcalloc(p, sizeof(*out->cells));
+	out->cells[0] = (struct admin_cell){ 9, "shop", 3, 2 };
+	out->has_conf = true;
+	out->conf.digest_in_force = 0x1f;
+	out->conf.object_count = 1;
+	out->conf.objects = calloc(1, sizeof(*out->conf.objects));
+	strcpy(out->conf.objects[0].key, "azurehold/base/fleet");
+	out->conf.objects[0].version = 12;
+}
+
+static bool source_healthy(struct admin_source *s)
+{
+	return !az_container_of(s, struct source, source)->drains;
+}
+
+static void source_drain(struct admin_source *s)
+{
+	az_container_of(s, struct source, source)->drains++;
+}
+
+static const struct admin_source_ops source_ops = { source_status,
+						    source_healthy,
+						    source_drain };
+static struct source source = { { &source_ops }, 0 };
+
+static size_t take(char *data, size_t size, size_t n, void *arg)
+{
+	buf_append(arg, data, (uint32_t)(size * n));
+	return size * n;
+}
+
+/* Calls the API; `post` NULL for a GET. The body is freed unless `out`. */
+static long call(const char *path, const char *header, const char *post,
+		 struct buf *out)
+{
+	CURL *h = curl_easy_init();
+	struct curl_slist *headers = NULL;
+	struct buf body = { 0 };
+	long status = 0;
+	char url[128];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u%s", admin_port(admin),
+		 path);
+	if (header)
+		headers = curl_slist_append(headers, header);
+	curl_easy_setopt(h, CURLOPT_URL, url);
+	curl_easy_setopt(h, CURLOPT_PROXY, "");
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, take);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, out ? out : &body);
+	if (post)
+		curl_easy_setopt(h, CURLOPT_POSTFIELDS, post);
+	if (curl_easy_perform(h) == CURLE_OK)
+		curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
+	curl_slist_free_all(headers);
+	curl_easy_cleanup(h);
+	buf_free(&body);
+	return status;
+}
+
+static const char *const good = "Authorization: Bearer s3cret";
+
+/* Guards against a page that answers without the token, and a planned stop by
+ * anyone who reaches the port. */
+static void test_token_is_required(void)
+{
+	static const char *const paths[] = { "/counters", "/status", "/nothing",
+					     "/drain" };
+	static const char *const bad[] = {
+		NULL,
+		"Authorization: Bearer",
+		"Authorization: Bearer s3cre",
+		"Authorization: Bearer s3cretx",
+		"Authorization: Basic s3cret",
+	};
+
+	for (uint32_t i = 0; i < 4; i++)
+		for (uint32_t j = 0; j < 5; j++)
+			CU_ASSERT_EQUAL(call(paths[i], bad[j],
+					     i == 3 ? "" : NULL, NULL),
+					401);
+	CU_ASSERT_EQUAL(source.drains, 0);
+	CU_ASSERT_EQUAL(call("/health", NULL, NULL, NULL), 200);
+	CU_ASSERT_PTR_NULL(
+		admin_create(&(struct admin_settings){ .token = "" }, pool));
+}
+
+/* Guards against a status page that is no JSON or lacks what azhctl reads. */
+static void test_status_and_counters(void)
+{
+	struct buf b = { 0 };
+	json_t *root;
+	json_t *conf;
+
+	CU_ASSERT_EQUAL(call("/status", good, NULL, &b), 200);
+	root = json_loadb((char *)b.data, b.len_bytes, 0, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(root);
+	conf = json_object_get(root, "configuration");
+	CU_ASSERT_STRING_EQUAL(
+		json_string_value(json_object_get(conf, "digest_in_force")),
+		"000000000000001f");
+	CU_ASSERT_EQUAL(json_integer_value(json_object_get(
+				json_object_get(conf, "objects"),
+				"azurehold/base/fleet")),
+			12);
+	CU_ASSERT_EQUAL(json_array_size(json_object_get(root, "cells")), 1);
+	CU_ASSERT_EQUAL(json_array_size(json_object_get(root, "members")), 1);
+	json_decref(root);
+	buf_free(&b);
+	CU_ASSERT_EQUAL(call("/counters", good, NULL, &b), 200);
+	buf_append(&b, "", 1);
+	CU_ASSERT_PTR_NOT_NULL(strstr((char *)b.data, "admin_requests "));
+	buf_free(&b);
+}
+
+static void test_log_level_and_bad_requests(void)
+{
+	char large[200];
+
+	memset(large, 'x', sizeof(large) - 1);
+	large[sizeof(large) - 1] = '\0';
+	CU_ASSERT_EQUAL(call("/log-level", good, "error\n", NULL), 200);
+	CU_ASSERT_EQUAL(call("/log-level", good, "loud", NULL), 400);
+	CU_ASSERT_EQUAL(call("/log-level", good, large, NULL), 413);
+	CU_ASSERT_EQUAL(call("/log-level", good, NULL, NULL), 405);
+	CU_ASSERT_EQUAL(call("/drain", good, NULL, NULL), 405);
+	CU_ASSERT_EQUAL(call("/nothing", good, NULL, NULL), 404);
+	CU_ASSERT_EQUAL(source.drains, 0);
+}
+
+/* Guards against a planned stop that is not passed on, or a balancer that is
+ * still told that the daemon is healthy. */
+static void test_drain(void)
+{
+	CU_ASSERT_EQUAL(call("/drain", good, "", NULL), 202);
+	CU_ASSERT_EQUAL(source.drains, 1);
+	CU_ASSERT_EQUAL(call("/health", NULL, NULL, NULL), 503);
+}
+
+int main(void)
+{
+	struct admin_settings settings = { .ip = 0x7f000001,
+					   .token = "s3cret",
+					   .source = &source.source };
+	CU_pSuite s;
+
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	admin = admin_create(&settings, pool);
+	if (!admin || admin_start(admin) != AZ_OK)
+		return 1;
+	CU_initialize_registry();
+	s = CU_add_suite("admin", NULL, NULL);
+	CU_add_test(s, "token", test_token_is_required);
+	CU_add_test(s, "status", test_status_and_counters);
+	CU_add_test(s, "bad requests", test_log_level_and_bad_requests);
+	CU_add_test(s, "drain", test_drain);
+	CU_basic_run_tests();
+	admin_stop(admin);
+	return CU_get_number_of_failures() != 0;
+}
