member: measurements in model time

A network stand-in (delays, loss, one-way cuts) drives the protocol with its real encoding. Two faults found by it are fixed:

- Groups of one or two daemons in a data centre spent the transmissions of a rumour on each other, so that a report had not reached all of 10 daemons after 60 s.
- The comparison of ranges always sent the same two report lists of a range; it now starts at a random member.

--- a/member/member.h
+++ b/member/member.h
@@ -123,7 +123,7 @@
 #define SWIM_DATAGRAM_AIM_BYTES 600
 #define SWIM_HEADER_BYTES 68
 #define SWIM_UPDATES_MAX 40
-#define SWIM_REPORT_LISTS_MAX 2
+#define SWIM_REPORT_LISTS_MAX 4
 #define SWIM_HASHES_MAX 32
 #define SWIM_PROBES_MAX 48
 #define SWIM_RELAYS_MAX 64
--- /dev/null
+++ b/member/member_measure.c
@@ -0,0 +1,409 @@
+/*
+ * Measurements of the membership protocol in model time. Prints lines of name,
+ * value, unit. usage: member_measure [seed [largest]]
+ */
+#include <time.h>
+
+#include "member/member_model.h"
+
+#define KILLS 100
+#define UPDATES 50
+#define CUT_PAIRS_PERCENT 5
+
+static uint64_t seed = 1;
+
+static void print(const char *name, uint32_t n, double value, const char *unit)
+{
+	printf("member.%s.%u %.3f %s\n", name, n, value, unit);
+	fflush(stdout);
+}
+
+static int by_value(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void print_times(const char *name, uint32_t n, int64_t *list,
+			uint32_t count)
+{
+	char text[64];
+
+	qsort(list, count, sizeof(*list), by_value);
+	snprintf(text, sizeof(text), "%s.median", name);
+	print(text, n, (double)list[count / 2] / 1e6, "s");
+	snprintf(text, sizeof(text), "%s.worst", name);
+	/* A negative time is one that did not end. */
+	print(text, n, list[0] < 0 ? -1 : (double)list[count - 1] / 1e6, "s");
+}
+
+static struct model *fleet(uint32_t n)
+{
+	uint32_t dcs = n < 100 ? 6 : 10;
+	struct model *m = model_new(n, dcs, 3, seed);
+
+	model_start_all(m);
+	model_run(m, 5 * US_PER_S);
+	return m;
+}
+
+/* ---- detection of a kill ---- */
+
+static uint32_t victim;
+
+static bool one_lost_it(struct model *m)
+{
+	for (uint32_t i = 0; i < m->count; i++)
+		if (m->daemons[i].swim && !model_sees(m, i, victim))
+			return true;
+	return false;
+}
+
+static bool all_lost_it(struct model *m)
+{
+	for (uint32_t i = 0; i < m->count; i++)
+		if (m->daemons[i].swim && model_sees(m, i, victim))
+			return false;
+	return true;
+}
+
+static bool victim_is_back(struct model *m)
+{
+	for (uint32_t i = 0; i < m->count; i++)
+		if (!model_sees(m, i, victim) || !model_sees(m, victim, i))
+			return false;
+	return true;
+}
+
+/* Checks all pairs, beginning with the one that failed last. */
+static bool all_pairs(struct model *m,
+		      bool (*ok)(struct model *m, uint32_t i, uint32_t j))
+{
+	static uint64_t at;
+	uint64_t pairs = (uint64_t)m->count * m->count;
+
+	for (uint64_t k = 0; k < pairs; k++, at++) {
+		at %= pairs;
+		if (!ok(m, (uint32_t)(at / m->count),
+			(uint32_t)(at % m->count)))
+			return false;
+	}
+	return true;
+}
+
+static bool sees(struct model *m, uint32_t i, uint32_t j)
+{
+	return model_sees(m, i, j);
+}
+
+static bool all_see_all(struct model *m)
+{
+	return all_pairs(m, sees);
+}
+
+/* Every view has lost the killed home when and only when all agree on the next
+ * one, as the choice is a function of the view. */
+static void measure_kills(uint32_t n, uint32_t kills, uint32_t loss)
+{
+	struct model *m = fleet(n);
+	int64_t first_us[KILLS];
+	int64_t all_us[KILLS];
+	int64_t join_us[KILLS];
+
+	m->loss_percent = loss;
+	for (uint32_t k = 0; k < kills; k++) {
+		victim = model_below(m, n);
+		model_run(m, model_below(m, US_PER_S));
+		model_kill(m, victim);
+		first_us[k] = model_until(m, 60 * US_PER_S, one_lost_it);
+		all_us[k] = model_until(m, 60 * US_PER_S, all_lost_it);
+		if (all_us[k] >= 0)
+			all_us[k] += first_us[k];
+		model_start(m, victim);
+		join_us[k] = model_until(m, 60 * US_PER_S, victim_is_back);
+		model_run(m, 2 * US_PER_S);
+	}
+	print_times(loss ? "loss20.detect_first" : "detect_first", n, first_us,
+		    kills);
+	print_times(loss ? "loss20.cell_without_home" : "cell_without_home", n,
+		    all_us, kills);
+	print_times(loss ? "loss20.restart_seen_by_all" : "restart_seen_by_all",
+		    n, join_us, kills);
+	model_free(m);
+}
+
+/* ---- false deaths ---- */
+
+static uint64_t false_deaths;
+
+static bool one_way_cut(struct model *m, uint32_t from, uint32_t to)
+{
+	uint32_t minute = (uint32_t)(m->now_us / (60 * US_PER_S));
+	uint32_t a = 1 + minute % m->dcs;
+	uint32_t b = 1 + minute / m->dcs % (m->dcs - 1);
+
+	/* One data centre cannot reach another for a minute, then others. */
+	if (b >= a)
+		b++;
+	return m->daemons[from].dc == a && m->daemons[to].dc == b;
+}
+
+static void count_deaths(struct model *m)
+{
+	for (uint32_t i = 0; i < m->count; i++) {
+		false_deaths += m->daemons[i].swim->counts.declared_dead;
+		m->daemons[i].swim->counts.declared_dead = 0;
+	}
+}
+
+static void cut_pairs(struct model *m)
+{
+	for (uint32_t i = 0; i < m->count * m->count; i++)
+		m->pair_cut[i] = model_below(m, 100) < CUT_PAIRS_PERCENT;
+}
+
+static void print_hour(struct model *m, const char *name, uint32_t n)
+{
+	uint64_t accusations = 0;
+	char text[64];
+
+	for (uint32_t i = 0; i < n; i++)
+		accusations += m->daemons[i].swim->counts.accusations;
+	snprintf(text, sizeof(text), "%s.false_deaths", name);
+	print(text, n, (double)false_deaths, "count/h");
+	snprintf(text, sizeof(text), "%s.accusations", name);
+	print(text, n, (double)accusations, "count/h");
+	model_free(m);
+}
+
+static void measure_loss_hour(uint32_t n)
+{
+	struct model *m = fleet(n);
+
+	false_deaths = 0;
+	m->loss_percent = 20;
+	model_run(m, 3600 * US_PER_S);
+	count_deaths(m);
+	print_hour(m, "loss20", n);
+}
+
+static void measure_cuts_hour(uint32_t n)
+{
+	struct model *m = fleet(n);
+
+	false_deaths = 0;
+	m->pair_cut = model_alloc((size_t)n * n);
+	m->cut = one_way_cut;
+	for (uint32_t i = 0; i < 60; i++) {
+		cut_pairs(m);
+		model_run(m, 60 * US_PER_S);
+	}
+	count_deaths(m);
+	print_hour(m, "oneway", n);
+}
+
+/* ---- traffic ---- */
+
+static void measure_bytes(uint32_t n, int64_t for_us)
+{
+	struct model *m = fleet(n);
+	uint64_t bytes = 0;
+	uint64_t region_bytes = 0;
+	uint64_t datagrams = 0;
+	uint32_t longest = 0;
+	uint64_t memory;
+	double s = (double)for_us / 1e6;
+
+	for (uint32_t i = 0; i < n; i++) {
+		m->daemons[i].bytes = 0;
+		m->daemons[i].region_bytes = 0;
+		m->daemons[i].datagrams = 0;
+	}
+	model_run(m, for_us);
+	for (uint32_t i = 0; i < n; i++) {
+		bytes += m->daemons[i].bytes;
+		region_bytes += m->daemons[i].region_bytes;
+		datagrams += m->daemons[i].datagrams;
+		if (m->daemons[i].longest_bytes > longest)
+			longest = m->daemons[i].longest_bytes;
+	}
+	print("bytes_per_daemon", n, (double)bytes / n / s, "B/s");
+	print("region_bytes_per_daemon", n, (double)region_bytes / n / s,
+	      "B/s");
+	print("datagrams_per_daemon", n, (double)datagrams / n / s, "1/s");
+	print("longest_datagram", n, longest, "B");
+	memory = swim_memory_bytes(m->daemons[0].swim);
+	/* Two views live at once while one replaces the other. */
+	memory += 2 * (uint64_t)n * (sizeof(struct member) + 8);
+	print("memory_per_member", n, (double)memory / n, "B");
+	model_free(m);
+}
+
+/* ---- spread of an update ---- */
+
+static bool all_have_report(struct model *m)
+{
+	uint32_t version = m->daemons[victim].swim->self->report_version;
+
+	for (uint32_t i = 0; i < m->count; i++) {
+		const struct swim_node *n = model_node(m, i, victim);
+
+		if (!n || n->report_version != version)
+			return false;
+	}
+	return true;
+}
+
+static void measure_spread(uint32_t n, uint32_t updates)
+{
+	struct model *m = fleet(n);
+	int64_t list[UPDATES];
+
+	for (uint32_t k = 0; k < updates; k++) {
+		struct report r = { 100 + k, REPORT_WORKER_UNHEALTHY, 9 };
+
+		victim = model_below(m, n);
+		m->daemons[victim].swim->now_us = m->now_us;
+		swim_set_reports(m->daemons[victim].swim, &r, 1);
+		list[k] = model_until(m, 60 * US_PER_S, all_have_report);
+		model_run(m, US_PER_S + model_below(m, US_PER_S));
+	}
+	print_times("update_seen_by_all", n, list, updates);
+	model_free(m);
+}
+
+/* ---- partition ---- */
+
+static bool region_cut(struct model *m, uint32_t from, uint32_t to)
+{
+	return (m->daemons[from].region == 1) != (m->daemons[to].region == 1);
+}
+
+static bool splits(struct model *m, uint32_t i, uint32_t j)
+{
+	return !region_cut(m, i, j) || !model_sees(m, i, j);
+}
+
+static bool split_is_seen(struct model *m)
+{
+	return all_pairs(m, splits);
+}
+
+static void measure_partition(uint32_t n)
+{
+	struct model *m = fleet(n);
+	int64_t t;
+
+	m->cut = region_cut;
+	t = model_until(m, 300 * US_PER_S, split_is_seen);
+	print("region_cut_seen_by_all", n, (double)t / 1e6, "s");
+	model_run(m, (n > 1000 ? 10 : 120) * US_PER_S);
+	m->cut = NULL;
+	t = model_until(m, 300 * US_PER_S, all_see_all);
+	print("two_homes_after_heal", n, (double)t / 1e6, "s");
+	model_free(m);
+}
+
+/* ---- ordinary day ---- */
+
+static uint32_t next_restart;
+
+/* Restarts at the planned rate of 4,100 a day for 3,700 daemons. */
+static void measure_ordinary(uint32_t n, uint32_t restarts)
+{
+	struct model *m = fleet(n);
+	double rate_s = 4100.0 / 3700 / 86400 * n;
+	int64_t gap_us = (int64_t)(1e6 / rate_s);
+	double s = (double)gap_us * restarts / 1e6;
+	uint64_t bytes = 0;
+	uint64_t region_bytes = 0;
+
+	next_restart = 0;
+	for (uint32_t i = 0; i < n; i++) {
+		m->daemons[i].bytes = 0;
+		m->daemons[i].region_bytes = 0;
+	}
+	for (uint32_t k = 0; k < restarts; k++) {
+		uint32_t i = next_restart++ * 7 % n;
+		struct swim *left = m->daemons[i].swim;
+
+		swim_set_successor(left, model_random(m));
+		swim_leave(left, m->now_us, m->out);
+		model_flush(m, i);
+		model_kill(m, i);
+		model_start(m, i);
+		model_run(m, gap_us);
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		bytes += m->daemons[i].bytes;
+		region_bytes += m->daemons[i].region_bytes;
+	}
+	print("ordinary_bytes_per_daemon", n, (double)bytes / n / s, "B/s");
+	print("ordinary_region_bytes_per_daemon", n,
+	      (double)region_bytes / n / s, "B/s");
+	model_free(m);
+}
+
+/* ---- processor time ---- */
+
+static void measure_processor(uint32_t n)
+{
+	struct model *m = fleet(n);
+	uint64_t before = 0;
+	uint64_t after = 0;
+	clock_t start;
+	double us;
+
+	for (uint32_t i = 0; i < n; i++)
+		before += m->daemons[i].datagrams;
+	start = clock();
+	model_run(m, 10 * US_PER_S);
+	us = (double)(clock() - start) * 1e6 / CLOCKS_PER_SEC;
+	for (uint32_t i = 0; i < n; i++)
+		after += m->daemons[i].datagrams;
+	/* Encoding, decoding, the protocol, its ticks and the model. */
+	print("processor_per_datagram", n, us / (double)(after - before), "us");
+	print("processor_per_daemon", n, us / n / 10e6 * 100, "%");
+	model_free(m);
+}
+
+int main(int argc, char **argv)
+{
+	static const uint32_t sizes[] = { 10, 20, 40, 80, 320, 3700 };
+	uint32_t largest = 320;
+
+	if (argc > 1)
+		seed = strtoull(argv[1], NULL, 10);
+	if (argc > 2)
+		largest = (uint32_t)strtoul(argv[2], NULL, 10);
+	printf("member.seed %llu -\n", (unsigned long long)seed);
+	for (uint32_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		uint32_t n = sizes[i];
+		bool big = n > 1000;
+
+		if (n > largest)
+			break;
+		measure_bytes(n, (big ? 15 : 120) * US_PER_S);
+		measure_spread(n, big ? 3 : UPDATES);
+		measure_kills(n, big ? 2 : n > 100 ? 20 : KILLS, 0);
+	}
+	measure_kills(40, KILLS, 20);
+	measure_loss_hour(40);
+	measure_cuts_hour(40);
+	measure_partition(42);
+	measure_ordinary(40, 4);
+	measure_processor(40);
+	if (largest >= 320) {
+		measure_partition(320);
+		measure_ordinary(320, 8);
+		measure_processor(320);
+	}
+	if (largest >= 3700) {
+		measure_partition(3700);
+		measure_ordinary(3700, 2);
+		measure_processor(3700);
+	}
+	return 0;
+}
--- a/member/roster.c
+++ b/member/roster.c
@@ -11,7 +11,7 @@
 /* Encoded sizes; wire.c must agree. */
 #define BRIEF_BYTES 28
 #define FULL_BYTES 60
-#define REPORTS_BYTES 28
+#define REPORTS_BYTES 32
 #define REPORT_BYTES 12
 #define HASH_BYTES 4
 
--- a/member/swim.c
+++ b/member/swim.c
@@ -103,6 +103,14 @@
 		swim_finish(s, m);
 }
 
+/* Few neighbours soon know all; what they send each other is spent. */
+static uint32_t gossip_remote_every(const struct swim *s)
+{
+	uint32_t n = s->dc_live_count / 2;
+
+	return n < GOSSIP_REMOTE_EVERY ? n : GOSSIP_REMOTE_EVERY;
+}
+
 static void gossip_turn(struct swim *s, struct swim_out *out)
 {
 	bool local = s->dc_live_count > 1;
@@ -113,7 +121,7 @@
 	s->gossip_at_us = s->now_us + s->period_us / GOSSIPS_A_PERIOD;
 	for (uint32_t i = 0; local && i < GOSSIP_FANOUT; i++)
 		gossip_to(s, swim_random_local(s, 0), out);
-	if (!local || !swim_random_below(s, GOSSIP_REMOTE_EVERY))
+	if (!swim_random_below(s, gossip_remote_every(s)))
 		gossip_to(s, swim_random_remote(s, 0), out);
 }
 
@@ -196,6 +204,7 @@
 	if (s->sync_first >= ranges)
 		s->sync_first = 0;
 	m->first = s->sync_first;
+	ranges -= m->first;
 	m->hash_count = ranges < SWIM_HASHES_MAX ? ranges : SWIM_HASHES_MAX;
 	for (uint32_t i = 0; i < m->hash_count; i++)
 		m->hashes[i] = range_hash(s, m->bits, m->first + i);
@@ -204,13 +213,18 @@
 	swim_finish(s, m);
 }
 
+/* Lists are few in a datagram, so each time others come first. */
 static bool add_range(struct swim *s, struct swim_msg *m, uint8_t bits,
 		      uint32_t range)
 {
 	uint32_t end;
+	uint32_t first = range_nodes(s, bits, range, &end);
+	uint32_t count = end - first;
+	uint32_t start = swim_random_below(s, count);
 
-	for (uint32_t i = range_nodes(s, bits, range, &end); i < end; i++) {
-		const struct swim_node *n = s->nodes[i];
+	for (uint32_t i = 0; i < count; i++) {
+		const struct swim_node *n =
+			s->nodes[first + (start + i) % count];
 
 		if (!swim_add_state(s, m, n, swim_is_live(n),
 				    SWIM_DATAGRAM_MAX_BYTES))
@@ -433,6 +447,16 @@
 	}
 }
 
+/* Few neighbours cannot watch each other, so others must do it. */
+static uint32_t remote_probe_periods(const struct swim *s)
+{
+	uint32_t n = s->dc_live_count - 1;
+
+	if (!n)
+		return 1;
+	return 2 * n < REMOTE_PROBE_PERIODS ? 2 * n : REMOTE_PROBE_PERIODS;
+}
+
 static void period_turn(struct swim *s, struct swim_out *out)
 {
 	/* Remote work of daemons started together is spread over periods. */
@@ -443,8 +467,8 @@
 	if (n)
 		swim_probe_start(s, n, out);
 	probe_stale_suspect(s, out);
-	n = number % REMOTE_PROBE_PERIODS == 0 ? swim_random_remote(s, 0) :
-						 NULL;
+	n = number % remote_probe_periods(s) == 0 ? swim_random_remote(s, 0) :
+						    NULL;
 	if (n)
 		swim_probe_start(s, n, out);
 	if (number % REMOTE_PROBE_PERIODS == 4)
