member: tests; deaths are weighed by where they were seen

A death carries how far the accuser was from the member. One that was declared farther away than the receiver is not accepted; the receiver probes the member itself. Before, the two sides of a healed region cut declared each other's members dead inside their own regions as well.

A daemon that hears nobody declares deaths for itself only and drops them when it hears again.

Found by the tests and fixed: a restarted daemon did not learn the successor of its own former incarnation; tombstones with a rumour waiting were not bounded.

--- a/member/home.c
+++ b/member/home.c
@@ -16,20 +16,20 @@
 	return XXH3_64bits_withSeed(&id, sizeof(id), key);
 }
 
-enum scope {
-	SCOPE_DC,
-	SCOPE_REGION,
-	SCOPE_FLEET,
+enum reach {
+	IN_DC,
+	IN_REGION,
+	IN_FLEET,
 };
 
-static bool in_scope(const struct member *m, enum scope s, uint32_t dc,
+static bool in_scope(const struct member *m, enum reach s, uint32_t dc,
 		     uint32_t region)
 {
 	if (m->stopping)
 		return false;
-	if (s == SCOPE_DC)
+	if (s == IN_DC)
 		return m->dc == dc;
-	return s == SCOPE_FLEET || m->region == region;
+	return s == IN_FLEET || m->region == region;
 }
 
 struct best {
@@ -54,15 +54,15 @@
 	struct best b = { 0 };
 	const uint32_t *list;
 	uint32_t n;
-	enum scope s = SCOPE_DC;
+	enum reach s = IN_DC;
 
 	if (member_view_dc(v, dc, &list, &n)) {
 		for (uint32_t i = 0; i < n; i++)
 			if (!v->members[list[i]].stopping)
 				consider(&b, &v->members[list[i]], cell);
-		s = SCOPE_REGION;
+		s = IN_REGION;
 	}
-	for (; !b.member && s <= SCOPE_FLEET; s++)
+	for (; !b.member && s <= IN_FLEET; s++)
 		for (uint32_t i = 0; i < v->member_count; i++)
 			if (in_scope(&v->members[i], s, dc, region))
 				consider(&b, &v->members[i], cell);
--- a/member/member.c
+++ b/member/member.c
@@ -311,6 +311,12 @@
 	m->in = NULL;
 }
 
+void membership_destroy(struct membership *m)
+{
+	free_state(m);
+	duty_destroy(&m->duty);
+}
+
 struct membership *membership_create(const struct member_settings *s,
 				     struct timer_service *timers,
 				     apr_pool_t *pool)
@@ -327,8 +333,10 @@
 	while (!self.incarnation)
 		self.incarnation = random_u64();
 	if (duty_init(&m->duty, &member_ops, RING_SLOTS, timers) != AZ_OK ||
-	    open_socket(m, &self) != AZ_OK)
+	    open_socket(m, &self) != AZ_OK) {
+		duty_destroy(&m->duty);
 		return NULL;
+	}
 	m->socket.ops = &socket_ops;
 	apr_thread_mutex_create(&m->lock, APR_THREAD_MUTEX_DEFAULT, pool);
 	m->out = calloc(1, sizeof(*m->out));
@@ -342,7 +350,7 @@
 	get_counters(&m->counters);
 	m->swim = swim_new(&self, s->period_ms, random_u64(), clock_now_us());
 	if (add_settings_seeds(m, s) != AZ_OK) {
-		free_state(m);
+		membership_destroy(m);
 		return NULL;
 	}
 	publish(m);
@@ -365,12 +373,6 @@
 	apr_socket_close(m->socket.sock);
 }
 
-void membership_destroy(struct membership *m)
-{
-	free_state(m);
-	duty_destroy(&m->duty);
-}
-
 /* ---- messages of other threads ---- */
 
 struct order {
--- a/member/member.h
+++ b/member/member.h
@@ -132,6 +132,7 @@
 #define SWIM_TOMBSTONES_MAX 4096
 #define SWIM_OUT_MAX 64
 #define SWIM_HELPERS 3
+#define SWIM_DOUBTS_MAX 8
 /** Tickets live 10 minutes; their issuer must be found as long. */
 #define SWIM_DEPARTED_KEEP_US (900 * US_PER_S)
 
@@ -156,8 +157,17 @@
 	UPDATE_KIND_COUNT,
 };
 
+/** How far from a member its accuser was. A cut seen from afar does not
+ * count for those who are near. */
+enum swim_scope {
+	SCOPE_SAME_DC,
+	SCOPE_SAME_REGION,
+	SCOPE_AFAR,
+};
+
 struct swim_update {
 	enum swim_update_kind kind;
+	enum swim_scope scope; /**< of MEMBER_DEAD */
 	struct member member; /**< BRIEF, REPORTS: id, incarnation, state */
 	uint32_t generation;
 	uint32_t sequence; /**< REPORTS: version of the list */
@@ -222,6 +232,9 @@
 	uint32_t generation;
 	uint32_t sequence;
 	int64_t changed_us;
+	int64_t known_us; /**< first record of this incarnation */
+	enum swim_scope scope; /**< of MEMBER_DEAD */
+	bool unshared; /**< dead to this daemon only, as it hears nobody */
 	uint32_t report_version;
 	uint32_t report_count;
 	struct report *reports;
@@ -317,9 +330,11 @@
 	struct swim_seed seeds[SWIM_SEEDS_MAX];
 	uint32_t seed_count;
 	uint32_t seed_next;
+	uint64_t doubts[SWIM_DOUBTS_MAX]; /**< ids to probe soon; 0: none */
 	uint64_t join_cursor;
 	int64_t join_at_us;
 	uint32_t join_nonce;
+	uint32_t doubt_next;
 	uint32_t sync_first; /**< next range to compare */
 	uint32_t sync_number;
 	uint32_t listed_count;
@@ -360,6 +375,9 @@
 uint32_t swim_random_below(struct swim *s, uint32_t n);
 struct swim_node *swim_find(const struct swim *s, uint64_t id);
 bool swim_is_live(const struct swim_node *n);
+/** True if this daemon can only speak for itself. */
+bool swim_is_deaf(const struct swim *s);
+enum swim_scope swim_scope_of(const struct swim *s, const struct member *m);
 /** Merges a record; true if it was news. */
 bool swim_apply(struct swim *s, const struct swim_msg *m,
 		const struct swim_update *u);
@@ -392,6 +410,8 @@
 /* probe.c */
 void swim_probe_start(struct swim *s, struct swim_node *n,
 		      struct swim_out *out);
+/** Probes one member that others, farther away, hold dead. */
+void swim_probe_doubt(struct swim *s, struct swim_out *out);
 void swim_probe_tick(struct swim *s, struct swim_out *out);
 void swim_probe_reset(struct swim *s);
 void swim_relay_start(struct swim *s, const struct swim_msg *m,
--- a/member/member_model.h
+++ b/member/member_model.h
@@ -12,12 +12,43 @@
 #include <string.h>
 
 #include "member/member.h"
+#include "peer/peer.h"
 
 #define MODEL_TICK_US (40 * US_PER_MS)
 /* UDP and IPv4 headers. */
 #define MODEL_HEADER_BYTES 28
 #define MODEL_IP 0x0a000001U
 
+/* Stand-ins, used if the library has no peer/auth.c: a keyed hash. */
+__attribute__((weak)) uint32_t fleet_sign(const struct fleet_keys *k,
+					  const void *data, size_t len_bytes,
+					  uint8_t mac[FLEET_MAC_BYTES])
+{
+	uint64_t key = hash_bytes(k->keys[0].secret, FLEET_KEY_BYTES, 0);
+	uint64_t h[2] = { hash_bytes(data, len_bytes, key),
+			  hash_bytes(data, len_bytes, ~key) };
+
+	memcpy(mac, h, FLEET_MAC_BYTES);
+	return k->keys[0].id;
+}
+
+__attribute__((weak)) bool fleet_verify(const struct fleet_keys *k,
+					uint32_t key_id, const void *data,
+					size_t len_bytes,
+					const uint8_t mac[FLEET_MAC_BYTES])
+{
+	for (uint32_t i = 0; i < k->count; i++) {
+		struct fleet_keys one = { .count = 1, .keys = { k->keys[i] } };
+		uint8_t expected[FLEET_MAC_BYTES];
+
+		if (k->keys[i].id != key_id)
+			continue;
+		fleet_sign(&one, data, len_bytes, expected);
+		return !memcmp(mac, expected, FLEET_MAC_BYTES);
+	}
+	return false;
+}
+
 struct model_daemon {
 	struct swim *swim; /* NULL: killed */
 	uint64_t incarnation;
--- a/member/probe.c
+++ b/member/probe.c
@@ -13,6 +13,12 @@
 /* It acts for itself after that long, but tells nobody. */
 #define ISOLATED_US (10 * US_PER_S)
 
+bool swim_is_deaf(const struct swim *s)
+{
+	return s->live_count > 2 &&
+	       s->now_us - s->heard_us > DEAF_PERIODS * s->period_us;
+}
+
 static int64_t retry_us(const struct swim *s)
 {
 	return s->period_us / 4 * (1 + s->slow_score);
@@ -172,6 +178,20 @@
 	ping(s, n, p->nonce, out);
 }
 
+void swim_probe_doubt(struct swim *s, struct swim_out *out)
+{
+	for (uint32_t i = 0; i < SWIM_DOUBTS_MAX; i++) {
+		struct swim_node *n =
+			s->doubts[i] ? swim_find(s, s->doubts[i]) : NULL;
+
+		s->doubts[i] = 0;
+		if (!n || !swim_is_live(n))
+			continue;
+		swim_probe_start(s, n, out);
+		return;
+	}
+}
+
 static bool has_helpers(const struct swim *s)
 {
 	return s->live_count > 2;
@@ -192,7 +212,7 @@
 	p->accused_us = s->now_us;
 	p->nack_count = 0;
 	if (n->member.state == MEMBER_ALIVE)
-		swim_set_state(s, n, MEMBER_SUSPECT, true);
+		swim_set_state(s, n, MEMBER_SUSPECT, !swim_is_deaf(s));
 }
 
 static void declare_dead(struct swim *s, struct swim_probe *p,
@@ -200,17 +220,18 @@
 {
 	s->counts.declared_dead++;
 	p->active = false;
+	n->scope = swim_scope_of(s, &n->member);
 	swim_set_state(s, n, MEMBER_DEAD, spread);
+	n->unshared = !spread;
 }
 
 static void judge(struct swim *s, struct swim_probe *p, struct swim_node *n)
 {
 	int64_t age_us = s->now_us - p->accused_us;
-	bool deaf = s->now_us - s->heard_us > DEAF_PERIODS * s->period_us;
 
 	if (age_us < suspicion_us(s, p))
 		return;
-	if (!has_helpers(s) || (p->nack_count && !deaf))
+	if (!has_helpers(s) || (p->nack_count && !swim_is_deaf(s)))
 		declare_dead(s, p, n, true);
 	else if (age_us > ISOLATED_US)
 		declare_dead(s, p, n, false);
--- a/member/roster.c
+++ b/member/roster.c
@@ -19,6 +19,8 @@
 #define YOUNG_US (60 * US_PER_S)
 /* A dead member may be only cut off; it is contacted again that long. */
 #define DEAD_KEEP_US (3600 * US_PER_S)
+/* Until then a record of a new incarnation may still be spreading. */
+#define FRESH_US (30 * US_PER_S)
 /* Records older than that are not passed on, so that clocks which read a
  * little differently cannot keep a record alive between them. */
 #define DEPARTED_SPREAD_US (SWIM_DEPARTED_KEEP_US - 60 * US_PER_S)
@@ -192,6 +194,7 @@
 	n->member.state = st;
 	count_node(s, n, 1);
 	n->changed_us = s->now_us;
+	n->unshared = false;
 	s->changed = true;
 	if (swim_is_live(n) && !was && local)
 		order_insert(s, n->member.id);
@@ -286,6 +289,10 @@
 		return true;
 	if (u->sequence != n->sequence)
 		return u->sequence > n->sequence;
+	if (n->unshared)
+		return u->member.state != MEMBER_DEAD;
+	if (u->member.state == MEMBER_DEAD && n->member.state == MEMBER_DEAD)
+		return u->scope < n->scope;
 	return state_order(u->member.state) > state_order(n->member.state);
 }
 
@@ -348,6 +355,22 @@
 	return true;
 }
 
+enum swim_scope swim_scope_of(const struct swim *s, const struct member *m)
+{
+	if (m->dc == s->self->member.dc)
+		return SCOPE_SAME_DC;
+	return m->region == s->self->member.region ? SCOPE_SAME_REGION :
+						     SCOPE_AFAR;
+}
+
+/* An accuser farther away than this daemon may only have lost its path. */
+static bool from_too_far(const struct swim *s, const struct swim_node *n,
+			 const struct swim_update *u)
+{
+	return u->member.state == MEMBER_DEAD &&
+	       u->scope > swim_scope_of(s, &n->member);
+}
+
 /* Takes attributes and state of a full record. */
 static void take_record(struct swim *s, struct swim_node *n,
 			const struct swim_update *u, bool spread)
@@ -359,8 +382,11 @@
 			swim_set_state(s, n, MEMBER_DEAD, false);
 	}
 	count_node(s, n, -1);
+	if (n->member.incarnation != u->member.incarnation)
+		n->known_us = s->now_us;
 	n->generation = u->generation;
 	n->sequence = u->sequence;
+	n->scope = u->scope;
 	if (u->kind == UPDATE_FULL) {
 		enum member_state was = n->member.state;
 
@@ -376,7 +402,7 @@
 {
 	const struct swim_node *n = swim_find(s, u->member.id);
 
-	if (!n)
+	if (!n || n->unshared)
 		return NULL;
 	if (u->kind == UPDATE_REPORTS)
 		return u->member.incarnation == n->member.incarnation &&
@@ -398,14 +424,16 @@
 	struct swim_node *n;
 	bool news = false;
 
+	/* Also of this daemon's own former incarnation. */
+	if (u->kind == UPDATE_FULL && u->member.state == MEMBER_LEFT &&
+	    u->member.successor &&
+	    u->member.incarnation != s->self->member.incarnation)
+		news = departed_add(s, u);
 	if (u->member.id == s->self->member.id)
-		return apply_self(s, u);
+		return apply_self(s, u) || news;
 	n = swim_find(s, u->member.id);
 	if (u->kind == UPDATE_REPORTS)
 		return apply_reports(s, n, m, u);
-	if (u->kind == UPDATE_FULL && u->member.state == MEMBER_LEFT &&
-	    u->member.successor)
-		news = departed_add(s, u);
 	if (!n) {
 		/* A record of the dead is of no use to who never knew it. */
 		if (u->kind != UPDATE_FULL || u->member.state == MEMBER_DEAD ||
@@ -418,6 +446,11 @@
 	if (n->member.incarnation == u->member.incarnation) {
 		if (!later_record(n, u))
 			return news;
+		if (from_too_far(s, n, u)) {
+			s->doubts[s->doubt_next++ % SWIM_DOUBTS_MAX] =
+				n->member.id;
+			return news;
+		}
 	} else if (!later_incarnation(n, u) || u->kind != UPDATE_FULL) {
 		return news;
 	}
@@ -446,7 +479,7 @@
 		const struct swim_node *n = s->nodes[i];
 		int64_t age_us = s->now_us - n->changed_us;
 
-		if (swim_is_live(n) || n->state_rumour.next)
+		if (swim_is_live(n))
 			continue;
 		if (s->tombstone_count > SWIM_TOMBSTONES_MAX ||
 		    (age_us > DEAD_KEEP_US && !swim_is_listed(s, n->member.id)))
@@ -511,6 +544,7 @@
 	u = &m->updates[m->update_count++];
 	u->list = 0;
 	u->age_ms = 0;
+	u->scope = SCOPE_SAME_DC;
 	return u;
 }
 
@@ -539,6 +573,8 @@
 	u->member = n->member;
 	u->generation = n->generation;
 	u->sequence = n->sequence;
+	if (n->member.state == MEMBER_DEAD)
+		u->scope = n->scope;
 	if (n->member.state == MEMBER_LEFT)
 		u->age_ms = (uint32_t)((s->now_us - n->changed_us) / US_PER_MS);
 	return true;
@@ -591,6 +627,15 @@
 	return true;
 }
 
+/* A refutation need not repeat what all know. Attributes only ever appear, so
+ * a brief record says that there are none. */
+static bool needs_full(const struct swim *s, const struct swim_node *n)
+{
+	return n->member.state == MEMBER_ALIVE &&
+	       (n->member.stopping || n->member.successor ||
+		s->now_us - n->known_us < FRESH_US);
+}
+
 static bool add_rumour(struct swim *s, struct swim_msg *m,
 		       struct swim_rumour *r, uint32_t max_bytes)
 {
@@ -600,8 +645,7 @@
 			max_bytes);
 	if (r->reports)
 		return swim_add_reports(m, r->node, max_bytes);
-	return swim_add_state(s, m, r->node,
-			      r->node->member.state == MEMBER_ALIVE, max_bytes);
+	return swim_add_state(s, m, r->node, needs_full(s, r->node), max_bytes);
 }
 
 void swim_fill(struct swim *s, struct swim_msg *m, uint32_t aim_bytes)
@@ -729,6 +773,7 @@
 	n->member.state = MEMBER_DEAD;
 	n->member.name[MEMBER_NAME_MAX_BYTES - 1] = '\0';
 	n->sequence = 1;
+	n->known_us = now_us;
 	swim_set_state(s, n, MEMBER_ALIVE, true);
 	/* Periods of daemons started together do not coincide. */
 	s->period_at_us = now_us + swim_random_below(s, (uint32_t)s->period_us);
--- a/member/swim.c
+++ b/member/swim.c
@@ -57,7 +57,7 @@
 					  to->member.member_port, kind);
 
 	/* Who is suspected must be the first to hear it. */
-	if (m && to->member.state != MEMBER_ALIVE)
+	if (m && to->member.state != MEMBER_ALIVE && !to->unshared)
 		swim_add_state(s, m, to, false, SWIM_DATAGRAM_MAX_BYTES);
 	return m;
 }
@@ -87,7 +87,8 @@
 		return NULL;
 	m->nonce = to->nonce;
 	m->unknown = !n || n->member.incarnation != to->from_incarnation;
-	if (n && (m->unknown || n->member.state != MEMBER_ALIVE))
+	if (n && !n->unshared &&
+	    (m->unknown || n->member.state != MEMBER_ALIVE))
 		swim_add_state(s, m, n, false, SWIM_DATAGRAM_MAX_BYTES);
 	if (to->unknown)
 		add_self(s, m);
@@ -226,6 +227,8 @@
 		const struct swim_node *n =
 			s->nodes[first + (start + i) % count];
 
+		if (n->unshared)
+			continue;
 		if (!swim_add_state(s, m, n, swim_is_live(n),
 				    SWIM_DATAGRAM_MAX_BYTES))
 			return false;
@@ -509,6 +512,7 @@
 	if (paused)
 		after_pause(s, out);
 	swim_probe_tick(s, out);
+	swim_probe_doubt(s, out);
 	if (now_us >= s->period_at_us) {
 		s->period_at_us += s->period_us;
 		if (s->period_at_us <= now_us)
@@ -521,6 +525,15 @@
 
 /* ---- receiving ---- */
 
+/* Whoever is heard lives, whatever this daemon thought while it was deaf. */
+static void revive(struct swim *s, const struct swim_msg *m)
+{
+	struct swim_node *n = swim_find(s, m->from);
+
+	if (n && n->unshared && n->member.incarnation == m->from_incarnation)
+		swim_set_state(s, n, MEMBER_ALIVE, false);
+}
+
 static bool apply_updates(struct swim *s, const struct swim_msg *m)
 {
 	uint32_t sequence = s->self->sequence;
@@ -558,6 +571,7 @@
 	s->now_us = now_us;
 	s->heard_us = now_us;
 	s->digest_heard = m->digest;
+	revive(s, m);
 	renewed = apply_updates(s, m);
 	answer(s, ip, port, m, renewed, out);
 	switch (m->kind) {
--- a/member/wire.c
+++ b/member/wire.c
@@ -120,14 +120,16 @@
 static bool code_update(XDR *x, struct swim_msg *m, struct swim_update *u)
 {
 	uint32_t w = (uint32_t)u->kind | (uint32_t)u->member.state << 8 |
-		     (uint32_t)u->member.stopping << 16;
+		     (uint32_t)u->member.stopping << 16 |
+		     (uint32_t)u->scope << 17;
 
 	if (!xdr_uint32_t(x, &w) || (w & 0xff) >= UPDATE_KIND_COUNT ||
-	    (w >> 8 & 0xff) > MEMBER_DEAD || w >> 17)
+	    (w >> 8 & 0xff) > MEMBER_DEAD || w >> 17 > SCOPE_AFAR)
 		return false;
 	u->kind = (enum swim_update_kind)(w & 0xff);
 	u->member.state = (enum member_state)(w >> 8 & 0xff);
 	u->member.stopping = w >> 16 & 1;
+	u->scope = (enum swim_scope)(w >> 17);
 	if (!xdr_uint64_t(x, &u->member.id) ||
 	    !xdr_uint64_t(x, &u->member.incarnation) ||
 	    !xdr_uint32_t(x, &u->generation) ||
