--- a/member/swim.c
+++ b/member/swim.c
@@ -57,7 +57,7 @@
 					  to->member.member_port, kind);
 
 	/* Who is suspected must be the first to hear it. */
-	if (m && to->member.state != MEMBER_ALIVE)
+	if (m && to->member.state != MEMBER_ALIVE && !to->unshared)
 		swim_add_state(s, m, to, false, SWIM_DATAGRAM_MAX_BYTES);
 	return m;
 }
@@ -87,7 +87,8 @@
 		return NULL;
 	m->nonce = to->nonce;
 	m->unknown = !n || n->member.incarnation != to->from_incarnation;
-	if (n && (m->unknown || n->member.state != MEMBER_ALIVE))
+	if (n && !n->unshared &&
+	    (m->unknown || n->member.state != MEMBER_ALIVE))
 		swim_add_state(s, m, n, false, SWIM_DATAGRAM_MAX_BYTES);
 	if (to->unknown)
 		add_self(s, m);
@@ -103,6 +104,14 @@
 		swim_finish(s, m);
 }
 
+/* Few neighbours soon know all; what they send each other is spent. */
+static uint32_t gossip_remote_every(const struct swim *s)
+{
+	uint32_t n = s->dc_live_count / 2;
+
+	return n < GOSSIP_REMOTE_EVERY ? n : GOSSIP_REMOTE_EVERY;
+}
+
 static void gossip_turn(struct swim *s, struct swim_out *out)
 {
 	bool local = s->dc_live_count > 1;
@@ -113,7 +122,7 @@
 	s->gossip_at_us = s->now_us + s->period_us / GOSSIPS_A_PERIOD;
 	for (uint32_t i = 0; local && i < GOSSIP_FANOUT; i++)
 		gossip_to(s, swim_random_local(s, 0), out);
-	if (!local || !swim_random_below(s, GOSSIP_REMOTE_EVERY))
+	if (!swim_random_below(s, gossip_remote_every(s)))
 		gossip_to(s, swim_random_remote(s, 0), out);
 }
 
@@ -196,6 +205,7 @@
 	if (s->sync_first >= ranges)
 		s->sync_first = 0;
 	m->first = s->sync_first;
+	ranges -= m->first;
 	m->hash_count = ranges < SWIM_HASHES_MAX ? ranges : SWIM_HASHES_MAX;
 	for (uint32_t i = 0; i < m->hash_count; i++)
 		m->hashes[i] = range_hash(s, m->bits, m->first + i);
@@ -204,14 +214,21 @@
 	swim_finish(s, m);
 }
 
+/* Lists are few in a datagram, so each time others come first. */
 static bool add_range(struct swim *s, struct swim_msg *m, uint8_t bits,
 		      uint32_t range)
 {
 	uint32_t end;
+	uint32_t first = range_nodes(s, bits, range, &end);
+	uint32_t count = end - first;
+	uint32_t start = swim_random_below(s, count);
 
-	for (uint32_t i = range_nodes(s, bits, range, &end); i < end; i++) {
-		const struct swim_node *n = s->nodes[i];
+	for (uint32_t i = 0; i < count; i++) {
+		const struct swim_node *n =
+			s->nodes[first + (start + i) % count];
 
+		if (n->unshared)
+			continue;
 		if (!swim_add_state(s, m, n, swim_is_live(n),
 				    SWIM_DATAGRAM_MAX_BYTES))
 			return false;
@@ -433,6 +450,16 @@
 	}
 }
 
+/* Few neighbours cannot watch each other, so others must do it. */
+static uint32_t remote_probe_periods(const struct swim *s)
+{
+	uint32_t n = s->dc_live_count - 1;
+
+	if (!n)
+		return 1;
+	return 2 * n < REMOTE_PROBE_PERIODS ? 2 * n : REMOTE_PROBE_PERIODS;
+}
+
 static void period_turn(struct swim *s, struct swim_out *out)
 {
 	/* Remote work of daemons started together is spread over periods. */
@@ -443,8 +470,8 @@
 	if (n)
 		swim_probe_start(s, n, out);
 	probe_stale_suspect(s, out);
-	n = number % REMOTE_PROBE_PERIODS == 0 ? swim_random_remote(s, 0) :
-						 NULL;
+	n = number % remote_probe_periods(s) == 0 ? swim_random_remote(s, 0) :
+						    NULL;
 	if (n)
 		swim_probe_start(s, n, out);
 	if (number % REMOTE_PROBE_PERIODS == 4)
@@ -485,6 +512,7 @@
 	if (paused)
 		after_pause(s, out);
 	swim_probe_tick(s, out);
+	swim_probe_doubt(s, out);
 	if (now_us >= s->period_at_us) {
 		s->period_at_us += s->period_us;
 		if (s->period_at_us <= now_us)
@@ -497,6 +525,15 @@
 
 /* ---- receiving ---- */
 
+/* Whoever is heard lives, whatever this daemon thought while it was deaf. */
+static void revive(struct swim *s, const struct swim_msg *m)
+{
+	struct swim_node *n = swim_find(s, m->from);
+
+	if (n && n->unshared && n->member.incarnation == m->from_incarnation)
+		swim_set_state(s, n, MEMBER_ALIVE, false);
+}
+
 static bool apply_updates(struct swim *s, const struct swim_msg *m)
 {
 	uint32_t sequence = s->self->sequence;
@@ -534,6 +571,7 @@
 	s->now_us = now_us;
 	s->heard_us = now_us;
 	s->digest_heard = m->digest;
+	revive(s, m);
 	renewed = apply_updates(s, m);
 	answer(s, ip, port, m, renewed, out);
 	switch (m->kind) {
