azhd: configuration from the store, administration API; tickets while draining

Cause: a draining daemon answered 428 without a ticket, so that 22 of 786 payments through it gave up as refused. Ruled out: the handover (63 entries adopted, none lost). Change: tickets are issued until the ledger freezes, as the key goes to the successor; next tickets on other answers stop when the drain begins.

--- a/cell/cell.c
+++ b/cell/cell.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <apr_hash.h>
@@ -52,6 +53,9 @@
 	struct call_table *calls;
 	uint64_t next_token;
 	uint32_t in_flight; /**< atomic */
+	pthread_mutex_t info_lock;
+	struct cell_info info[CELL_INFO_MAX];
+	uint32_t info_count;
 	struct counter *ran;
 	struct counter *refused;
 	struct counter *sealed;
@@ -793,6 +797,44 @@
 	       now_us - cell->used_us > IDLE_CELL_US;
 }
 
+static void note_info(struct cell_home *h, const struct homed_cell *cell,
+		      uint32_t n)
+{
+	struct cell_info *i = &h->info[n];
+
+	i->id = cell->id;
+	strcpy(i->service, cell->conf_cell->service->name);
+	i->queued = rank_queue_depth(&cell->queue);
+	i->at_workers = 0;
+	for (uint8_t w = 0; w < CELL_WORKERS_MAX; w++)
+		i->at_workers += cell->busy[w];
+}
+
+static void publish_info(struct cell_home *h)
+{
+	apr_hash_index_t *i;
+	uint32_t n = 0;
+
+	pthread_mutex_lock(&h->info_lock);
+	for (i = apr_hash_first(NULL, h->cells); i && n < CELL_INFO_MAX;
+	     i = apr_hash_next(i))
+		note_info(h, apr_hash_this_val(i), n++);
+	h->info_count = n;
+	pthread_mutex_unlock(&h->info_lock);
+}
+
+uint32_t cell_home_info(struct cell_home *h,
+			struct cell_info out[CELL_INFO_MAX])
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&h->info_lock);
+	n = h->info_count;
+	memcpy(out, h->info, n * sizeof(out[0]));
+	pthread_mutex_unlock(&h->info_lock);
+	return n;
+}
+
 static void on_timer(struct duty *d, int64_t now_us)
 {
 	struct cell_home *h = az_container_of(d, struct cell_home, duty);
@@ -813,6 +855,7 @@
 		tick_cell(h, cell);
 		n = add_reports(cell, list, n);
 	}
+	publish_info(h);
 	if (h->settings.membership)
 		membership_set_reports(h->settings.membership, list, n);
 }
@@ -854,6 +897,7 @@
 
 	if (duty_init(&h->duty, &duty_ops, RING_SLOTS, timers) != AZ_OK)
 		return NULL;
+	pthread_mutex_init(&h->info_lock, NULL);
 	h->sink.ops = &sink_ops;
 	h->settings = *s;
 	h->cells = apr_hash_make(h->duty.pool);
--- a/cell/cell.h
+++ b/cell/cell.h
@@ -139,6 +139,20 @@
 		     uint64_t home_incarnation, struct reply_to *reply);
 /** Gives up a call that is queued; one at a worker is closed. */
 void cell_home_cancel(struct cell_home *h, const struct call_id *id);
+/** What the status page shows of a cell homed here. */
+struct cell_info {
+	uint64_t id;
+	char service[CONF_NAME_MAX_BYTES];
+	uint32_t queued;
+	uint32_t at_workers;
+};
+
+#define CELL_INFO_MAX 64
+
+/** Copies the state of the last tick; returns the number of cells. Any
+ * thread. */
+uint32_t cell_home_info(struct cell_home *h,
+			struct cell_info out[CELL_INFO_MAX]);
 /** Calls queued or at workers. Any thread. */
 uint32_t cell_home_in_flight(struct cell_home *h);
 
--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <apr_general.h>
+#include <apr_strings.h>
 
 #include "cmd/azhd/azhd.h"
 
@@ -115,10 +116,13 @@
 static void on_conf(struct peer_handler *h, enum peer_procedure proc,
 		    struct buf *body, struct reply_to *reply)
 {
-	(void)h;
-	(void)proc;
-	(void)body;
-	reply->ops->answer(reply, answer_new(ERR_INTERNAL));
+	struct azhd *d = az_container_of(h, struct azhd, handler);
+
+	if (d->conf_duty)
+		conf_duty_serve(d->conf_duty, proc == PEER_CONF_GET, body,
+				reply);
+	else
+		reply->ops->answer(reply, answer_new(ERR_NO_HOME));
 }
 
 static const struct peer_handler_ops handler_ops = {
@@ -226,6 +230,41 @@
 	return d->route && d->ticket && d->front ? AZ_OK : AZ_IO;
 }
 
+static enum az_status create_conf_duty(struct azhd *d)
+{
+	const struct azhd_settings *s = &d->settings;
+	struct conf_settings cs = {
+		.store_url = apr_psprintf(d->pool, "http://%s", s->store),
+		.site = s->site,
+		.member_id = hash_string(s->name),
+		.dc = (uint32_t)hash_string(s->data_centre),
+		.vms_interval_ms = s->vms_interval_ms,
+		.current = d->conf,
+		.links = conf_links_create(d->membership, d->peer, d->pool),
+	};
+
+	if (!s->store[0])
+		return AZ_OK;
+	d->conf_duty = conf_duty_create(&cs, d->timers, d->pool);
+	return d->conf_duty ? AZ_OK : AZ_IO;
+}
+
+static enum az_status create_admin(struct azhd *d)
+{
+	struct admin_settings as = {
+		.ip = d->settings.admin.ip,
+		.port = d->settings.admin.port,
+		.token = d->settings.admin_token,
+		.source = &d->source,
+	};
+
+	if (!as.port)
+		return AZ_OK;
+	d->source.ops = &azhd_source_ops;
+	d->admin = admin_create(&as, d->pool);
+	return d->admin ? AZ_OK : AZ_IO;
+}
+
 static enum az_status create(struct azhd *d)
 {
 	enum az_status st;
@@ -240,7 +279,11 @@
 	st = load_conf(d);
 	if (st == AZ_OK)
 		st = create_membership(d);
-	return st == AZ_OK ? create_path(d) : st;
+	if (st == AZ_OK)
+		st = create_path(d);
+	if (st == AZ_OK)
+		st = create_conf_duty(d);
+	return st == AZ_OK ? create_admin(d) : st;
 }
 
 static enum az_status start(struct azhd *d)
@@ -259,6 +302,10 @@
 		st = ticket_start(d->ticket);
 	if (st == AZ_OK)
 		st = peer_start(d->peer);
+	if (st == AZ_OK && d->conf_duty)
+		st = conf_duty_start(d->conf_duty);
+	if (st == AZ_OK && d->admin)
+		st = admin_start(d->admin);
 	if (st == AZ_OK)
 		st = front_start(d->front);
 	return st;
@@ -267,13 +314,19 @@
 /* From the callers inwards, so that no part sends to one that is gone. */
 static void stop(struct azhd *d)
 {
+	if (d->admin)
+		admin_stop(d->admin);
 	front_stop(d->front);
+	if (d->conf_duty)
+		conf_duty_stop(d->conf_duty);
 	ticket_stop(d->ticket);
 	route_stop(d->route);
 	upstream_stop(d->upstream);
 	cell_home_stop(d->cell);
 	peer_stop(d->peer);
 	membership_stop(d->membership);
+	if (d->conf_duty)
+		conf_duty_destroy(d->conf_duty);
 	timer_service_stop(d->timers);
 }
 
@@ -292,6 +345,7 @@
 	}
 	d->settings.keys = s.keys;
 	peer_set_keys(d->peer, &s.keys);
+	membership_set_keys(d->membership, &s.keys);
 	log_set_level(s.log_level);
 	if (load_conf(d) != AZ_OK)
 		log_write(LOG_ERROR, "azhd", "reload refused: %s",
--- a/cmd/azhd/azhd.h
+++ b/cmd/azhd/azhd.h
@@ -5,6 +5,7 @@
 #ifndef AZHD_AZHD_H
 #define AZHD_AZHD_H
 
+#include "admin/admin.h"
 #include "cell/cell.h"
 #include "conf/conf.h"
 #include "front/front.h"
@@ -45,6 +46,7 @@
 	uint32_t max_in_flight;
 	uint32_t member_period_ms;
 	uint32_t drain_ms; /**< time for the balancer to notice a stop */
+	uint32_t vms_interval_ms; /**< between reads of the platform's list */
 	uint32_t stop_timeout_ms; /**< bound of a planned stop */
 };
 
@@ -54,6 +56,8 @@
 
 struct azhd {
 	struct peer_handler handler;
+	struct admin_source source;
+	int32_t stopping; /**< atomic */
 	struct azhd_settings settings;
 	uint64_t incarnation;
 	apr_pool_t *pool;
@@ -66,8 +70,13 @@
 	struct route *route;
 	struct ticket_duty *ticket;
 	struct front *front;
+	struct conf_duty *conf_duty; /**< NULL without a store */
+	struct admin *admin; /**< NULL without an admin address */
 };
 
+/** What the administration API shows and does (status.c). */
+extern const struct admin_source_ops azhd_source_ops;
+
 /** Drains, hands the ledgers over and leaves the fleet; returns when no request
  * is left or the bound has passed. Runs in the main thread. */
 void azhd_drain(struct azhd *d);
--- a/cmd/azhd/drain.c
+++ b/cmd/azhd/drain.c
@@ -130,6 +130,7 @@
 						    US_PER_MS;
 
 	log_write(LOG_INFO, "stop", "draining");
+	__atomic_store_n(&d->stopping, 1, __ATOMIC_RELEASE);
 	front_set_stopping(d->front);
 	ticket_set_stopping(d->ticket);
 	membership_set_stopping(d->membership);
--- a/cmd/azhd/settings.c
+++ b/cmd/azhd/settings.c
@@ -10,6 +10,7 @@
 #define MAX_IN_FLIGHT_DEFAULT 4096
 #define MAX_IN_FLIGHT_LIMIT 8192
 #define MEMBER_PERIOD_MS_DEFAULT 1000
+#define VMS_INTERVAL_MS_DEFAULT 2000
 #define DRAIN_MS_DEFAULT 2000
 #define STOP_TIMEOUT_MS_DEFAULT 30000
 
@@ -152,6 +153,8 @@
 				    &o->max_in_flight);
 	if (!strcmp(key, "member_period_ms"))
 		return parse_number(v, 20, 60000, &o->member_period_ms);
+	if (!strcmp(key, "vms_interval_ms"))
+		return parse_number(v, 0, 600000, &o->vms_interval_ms);
 	if (!strcmp(key, "drain_ms"))
 		return parse_number(v, 0, 600000, &o->drain_ms);
 	if (!strcmp(key, "stop_timeout_ms"))
@@ -235,6 +238,7 @@
 	out->log_level = LOG_INFO;
 	out->max_in_flight = MAX_IN_FLIGHT_DEFAULT;
 	out->member_period_ms = MEMBER_PERIOD_MS_DEFAULT;
+	out->vms_interval_ms = VMS_INTERVAL_MS_DEFAULT;
 	out->drain_ms = DRAIN_MS_DEFAULT;
 	out->stop_timeout_ms = STOP_TIMEOUT_MS_DEFAULT;
 	if (!p.file) {
--- a/fake/fleet.sh
+++ b/fake/fleet.sh
@@ -2,7 +2,8 @@
 # and tests. Sets DIR, a folder of its own that stop_fleet removes.
 #
 # Ports: workers as in conf/sample.ini, their control port 1000 higher;
-# daemon N: front 1700N, peer 1710N, member 1720N, admin 1730N.
+# daemon N: front 1700N, peer 1710N, member 1720N, admin 1730N, token demo.
+# SOURCE is the settings line that says where the configuration comes from.
 
 BIN=${BIN:-build}
 KEY=1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
@@ -30,7 +31,7 @@
 	member = 127.0.0.1:1720$1
 	admin = 127.0.0.1:1730$1
 	admin_token = demo
-	base = ${BASE:-conf/sample.ini}
+	${SOURCE:-base = conf/sample.ini}
 	seeds = 127.0.0.1:17201, 127.0.0.1:17202, 127.0.0.1:17203
 	member_period_ms = ${PERIOD_MS:-200}
 	drain_ms = ${DRAIN_MS:-500}
--- a/front/front.c
+++ b/front/front.c
@@ -122,12 +122,21 @@
 
 /* ---- answers ---- */
 
+static bool is_stopping(const struct front *f)
+{
+	return __atomic_load_n(&f->stopping, __ATOMIC_ACQUIRE);
+}
+
+/* A stopping daemon gives tickets only to those who cannot do without, as a
+ * ticket is lost if the handover fails. */
 static void add_next_ticket(struct caller *c, struct MHD_Response *r)
 {
+	bool needed = c->answer->kind == ERR_TICKET_REQUIRED;
 	char text[TICKET_TEXT_MAX_BYTES];
 
-	if (c->single && ticket_issue(c->front->settings.ticket,
-				      c->organisation, c->rank, text) == AZ_OK)
+	if (c->single && (needed || !is_stopping(c->front)) &&
+	    ticket_issue(c->front->settings.ticket, c->organisation, c->rank,
+			 text) == AZ_OK)
 		MHD_add_response_header(r, HEADER_TICKET, text);
 }
 
@@ -166,7 +175,7 @@
 	if (a->kind != ERR_NONE)
 		MHD_add_response_header(r, HEADER_ERROR, e->name);
 	add_next_ticket(c, r);
-	if (__atomic_load_n(&c->front->stopping, __ATOMIC_ACQUIRE))
+	if (is_stopping(c->front))
 		MHD_add_response_header(r, "Connection", "close");
 	span_format(&c->span, trace);
 	MHD_add_response_header(r, "traceparent", trace);
@@ -211,7 +220,7 @@
 
 static enum MHD_Result health(struct caller *c)
 {
-	if (__atomic_load_n(&c->front->stopping, __ATOMIC_ACQUIRE))
+	if (is_stopping(c->front))
 		return send_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "stopping\n");
 	return send_text(c, MHD_HTTP_OK, "ok\n");
 }
--- a/ticket/ticket.c
+++ b/ticket/ticket.c
@@ -33,7 +33,8 @@
 	struct ticket_settings settings;
 	uint8_t key[TICKET_KEY_BYTES];
 	uint64_t next_sequence; /**< atomic */
-	int32_t stopping; /**< atomic */
+	int32_t stopping; /**< atomic; adopts no ledger */
+	int32_t frozen; /**< atomic; issues no ticket */
 	uint32_t in_flight; /**< atomic */
 	struct ledger *ledgers[1 + ADOPTED_MAX]; /**< own first */
 	int64_t adopted_us[1 + ADOPTED_MAX];
@@ -91,8 +92,8 @@
 		.expiry_us = clock_now_us() + TICKET_LIFE_US,
 	};
 
-	if (__atomic_load_n(&d->stopping, __ATOMIC_ACQUIRE))
-		return az_fail(AZ_DENIED, "stopping: no tickets are issued");
+	if (__atomic_load_n(&d->frozen, __ATOMIC_ACQUIRE))
+		return az_fail(AZ_DENIED, "the ledger is frozen");
 	t.sequence = __atomic_add_fetch(&d->next_sequence, 1, __ATOMIC_RELAXED);
 	ticket_sign(&t, d->key);
 	ticket_format(&t, out);
@@ -583,6 +584,7 @@
 	struct ticket_duty *d = az_container_of(to, struct ticket_duty, duty);
 
 	pthread_mutex_lock(&f->lock);
+	__atomic_store_n(&d->frozen, 1, __ATOMIC_RELEASE);
 	for (uint32_t i = 0; i < d->ledger_count; i++) {
 		ledger_freeze(d->ledgers[i]);
 		copy_out(d->ledgers[i], d->duty.now_us, &f->list);
--- a/ticket/ticket.h
+++ b/ticket/ticket.h
@@ -140,7 +140,8 @@
 enum az_status ticket_start(struct ticket_duty *d);
 void ticket_stop(struct ticket_duty *d);
 
-/** Fresh ticket of this incarnation. Any thread. AZ_DENIED once stopping. */
+/** Fresh ticket of this incarnation. Any thread. AZ_DENIED once frozen; until
+ * then a ticket goes over to the successor with the key. */
 enum az_status ticket_issue(struct ticket_duty *d, uint64_t organisation,
 			    enum rank rank, char out[TICKET_TEXT_MAX_BYTES]);
 /** Presents a ticket to its issuer, here or at another daemon, again and again
@@ -153,7 +154,7 @@
  * daemons. Otherwise as ticket_submit(). */
 void ticket_present(struct ticket_duty *d, const struct ticket *t,
 		    struct request *r, struct reply_to *reply);
-/** Issues no more tickets. */
+/** Adopts no more ledgers. */
 void ticket_set_stopping(struct ticket_duty *d);
 /** Presentations in flight. Any thread. */
 uint32_t ticket_in_flight(struct ticket_duty *d);
