cell, member: a bad path moves the cell, it does not eject the worker

Cause: a home that could not connect to a worker reported it as unhealthy, though a one-sided fault of the path looks the same. Change: the home asks a daemon in another data centre to connect (REACH); if that works it reports itself as cut off from the cell, rendezvous skips it for that cell, and the worker is not reported. Also: parts no longer free their ring when they stop, as later parts still answered into it at exit; pick_cell() computes one home and no longer one for each candidate cell.

Tested by decision (reach.c, member_home); not yet between processes.

--- a/cell/cell.c
+++ b/cell/cell.c
@@ -4,6 +4,7 @@
 #include <apr_hash.h>
 
 #include "cell/cell.h"
+#include "peer/peer.h"
 #include "upstream/upstream.h"
 
 /* Larger than all calls that the daemon admits, so that results always fit. */
@@ -41,6 +42,7 @@
 	struct health_pool *health;
 	uint8_t busy[CELL_WORKERS_MAX];
 	bool draining[CELL_WORKERS_MAX]; /**< the worker's own signal */
+	struct reach reach[CELL_WORKERS_MAX];
 	int64_t used_us;
 };
 
@@ -288,6 +290,124 @@
 	return HEALTH_CANCELLED;
 }
 
+/* ---- path to a worker ---- */
+
+#define REACH_TIMEOUT_US US_PER_S
+
+struct reach_msg {
+	struct msg msg;
+	struct reply_to reply;
+	struct cell_home *home;
+	uint64_t cell;
+	uint64_t worker_id;
+	bool reachable;
+};
+
+static void reach_run(struct msg *m, struct duty *to)
+{
+	struct reach_msg *r = az_container_of(m, struct reach_msg, msg);
+	struct cell_home *h = az_container_of(to, struct cell_home, duty);
+	struct homed_cell *cell =
+		apr_hash_get(h->cells, &r->cell, sizeof(r->cell));
+
+	for (uint8_t w = 0; cell && w < cell->conf_cell->worker_count; w++) {
+		const struct conf_worker *worker = cell->conf_cell->workers[w];
+
+		if (worker->id != r->worker_id)
+			continue;
+		reach_answer(&cell->reach[w], r->reachable);
+		log_write(LOG_WARN, "cell",
+			  "no connection to %s: %s from another data centre",
+			  worker->name,
+			  r->reachable ? "reachable" : "unreachable");
+	}
+	free(r);
+}
+
+static void reach_drop(struct msg *m)
+{
+	free(az_container_of(m, struct reach_msg, msg));
+}
+
+static const struct msg_ops reach_ops = { "reach", reach_run, reach_drop };
+
+static void on_reach_answer(struct reply_to *to, struct answer *a)
+{
+	struct reach_msg *r = az_container_of(to, struct reach_msg, reply);
+
+	r->reachable = a->kind == ERR_NONE;
+	answer_free(a);
+	duty_send(&r->home->duty, &r->msg);
+}
+
+static const struct reply_ops reach_reply_ops = { on_reach_answer };
+
+static const struct member *other_dc_member(const struct cell_home *h,
+					    const struct member_view *v)
+{
+	const struct member *self = member_view_by_id(v, h->settings.member_id);
+	uint32_t from = v->member_count ?
+				(uint32_t)(random_u64() % v->member_count) :
+				0;
+
+	for (uint32_t i = 0; self && i < v->member_count; i++) {
+		const struct member *m =
+			&v->members[(from + i) % v->member_count];
+
+		if (m->dc != self->dc && m->state == MEMBER_ALIVE)
+			return m;
+	}
+	return NULL;
+}
+
+/* A worker that this home cannot connect to may be cut off from it alone. */
+static void ask_another(struct cell_home *h, const struct homed_cell *cell,
+			uint8_t w)
+{
+	const struct conf_worker *worker = cell->conf_cell->workers[w];
+	const struct member_view *v = membership_view(h->settings.membership);
+	const struct member *m = other_dc_member(h, v);
+	struct peer_target to;
+	struct reach_msg *r;
+
+	if (m) {
+		r = calloc(1, sizeof(*r));
+		if (!r)
+			abort();
+		r->msg.ops = &reach_ops;
+		r->reply.ops = &reach_reply_ops;
+		r->home = h;
+		r->cell = cell->id;
+		r->worker_id = worker->id;
+		to = (struct peer_target){ m->ip, m->peer_port,
+					   m->incarnation };
+		peer_reach(h->settings.peer, &to, worker->ip, worker->port,
+			   h->duty.now_us + REACH_TIMEOUT_US, &r->reply);
+	}
+	member_view_release(v);
+}
+
+static void record_reach(struct cell_home *h, struct homed_cell *cell,
+			 uint8_t w, const struct upstream_result *r)
+{
+	if (r->fault == UPSTREAM_CONNECT_REFUSED ||
+	    r->fault == UPSTREAM_CONNECT_TIMEOUT) {
+		if (h->settings.peer &&
+		    reach_connect_failed(&cell->reach[w], h->duty.now_us))
+			ask_another(h, cell, w);
+	} else if (r->fresh && r->connect_us) {
+		reach_connected(&cell->reach[w]);
+	}
+}
+
+static bool is_cut(const struct homed_cell *cell)
+{
+	for (uint8_t w = 0; w < cell->conf_cell->worker_count; w++)
+		if (cell->reach[w].cut)
+			return true;
+	return false;
+}
+
 static void record_health(struct homed_cell *cell, uint8_t w,
 			  const struct upstream_result *r, bool probe,
 			  int64_t now_us)
@@ -363,6 +483,7 @@
 	c->token = 0;
 	cell->busy[c->worker]--;
 	record_health(cell, c->worker, r, c->probe, h->duty.now_us);
+	record_reach(h, cell, c->worker, r);
 	if (!try_another_worker(h, c, r->fault))
 		call_end(h, c, answer_of_result(c, r));
 	result_free(rm);
@@ -441,6 +562,7 @@
 		cell->health->ops->destroy(cell->health);
 		cell->health = new_health(cc, h->duty.now_us);
 		memset(cell->draining, 0, sizeof(cell->draining));
+		memset(cell->reach, 0, sizeof(cell->reach));
 	}
 	conf_release(cell->conf);
 	cell->conf = conf;
@@ -737,9 +859,16 @@
 	send_to_worker(h, c, w, fresh);
 }
 
-static uint32_t add_reports(const struct homed_cell *cell, struct report *list,
+/* A worker that others reach is healthy: the cell moves to another home. */
+static uint32_t add_reports(const struct cell_home *h,
+			    const struct homed_cell *cell, struct report *list,
 			    uint32_t n)
 {
+	if (n < MEMBER_REPORTS_MAX && is_cut(cell))
+		list[n++] = (struct report){
+			member_cut_subject(cell->id, h->settings.incarnation),
+			REPORT_HOME_CUT, 255
+		};
 	for (uint8_t w = 0; w < cell->conf_cell->worker_count; w++) {
 		struct health_verdict v =
 			cell->health->ops->verdict(cell->health, w);
@@ -749,7 +878,8 @@
 				cell->conf_cell->workers[w]->id,
 				REPORT_WORKER_LEAVING, 255
 			};
-		else if (n < MEMBER_REPORTS_MAX && v.severity)
+		else if (n < MEMBER_REPORTS_MAX && v.severity &&
+			 !cell->reach[w].cut)
 			list[n++] = (struct report){
 				cell->conf_cell->workers[w]->id,
 				REPORT_WORKER_UNHEALTHY, v.severity
@@ -793,7 +923,8 @@
 	for (uint8_t w = 0; w < CELL_WORKERS_MAX; w++)
 		if (cell->busy[w])
 			return false;
-	return !rank_queue_depth(&cell->queue) &&
+	/* A cell that is cut off is kept, as its report keeps it away. */
+	return !rank_queue_depth(&cell->queue) && !is_cut(cell) &&
 	       now_us - cell->used_us > IDLE_CELL_US;
 }
 
@@ -853,7 +984,7 @@
 			continue;
 		}
 		tick_cell(h, cell);
-		n = add_reports(cell, list, n);
+		n = add_reports(h, cell, list, n);
 	}
 	publish_info(h);
 	if (h->settings.membership)
@@ -921,5 +1052,4 @@
 void cell_home_stop(struct cell_home *h)
 {
 	duty_stop(&h->duty);
-	duty_destroy(&h->duty);
 }
--- a/cell/cell.h
+++ b/cell/cell.h
@@ -11,6 +11,7 @@
 #include "health/health.h"
 #include "member/member.h"
 
+struct peer;
 struct upstream;
 
 /** Names one forward; never used for a second. */
@@ -113,6 +114,21 @@
 		    int64_t now_us);
 uint32_t call_table_size(const struct call_table *t);
 
+/* ---- path to a worker (reach.c): plain state, time passed in ---- */
+
+/** What is known of the path between this home and one worker. */
+struct reach {
+	int64_t asked_us; /**< another daemon was asked last; 0: never */
+	bool cut; /**< others reach the worker, this home does not */
+};
+
+/** A connection to the worker could not be made. True if a daemon in another
+ * data centre is to be asked whether it can make one. */
+bool reach_connect_failed(struct reach *r, int64_t now_us);
+/** The other daemon's answer: a worker that it reaches is not at fault. */
+void reach_answer(struct reach *r, bool reachable_elsewhere);
+void reach_connected(struct reach *r);
+
 /* ---- the duty ---- */
 
 struct cell_home;
@@ -123,6 +139,7 @@
 	struct conf_current *conf;
 	struct membership *membership;
 	struct upstream *upstream;
+	struct peer *peer; /**< NULL: no other daemon is asked */
 };
 
 struct cell_home *cell_home_create(const struct cell_settings *s,
--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -190,6 +190,23 @@
 	CU_ASSERT_EQUAL(rank_queue_depth(&q), 0);
 }
 
+/* Guards against a healthy worker that is blamed for a bad path, and against
+ * other daemons asked for each request. */
+static void test_bad_path_is_told_from_dead_worker(void)
+{
+	struct reach r = { 0 };
+
+	CU_ASSERT(reach_connect_failed(&r, US_PER_S));
+	CU_ASSERT(!reach_connect_failed(&r, US_PER_S + 1));
+	reach_answer(&r, false);
+	CU_ASSERT(!r.cut);
+	CU_ASSERT(reach_connect_failed(&r, 3 * US_PER_S));
+	reach_answer(&r, true);
+	CU_ASSERT(r.cut);
+	reach_connected(&r);
+	CU_ASSERT(!r.cut);
+}
+
 int main(void)
 {
 	CU_pSuite s;
@@ -205,6 +222,7 @@
 	CU_add_test(s, "shares", test_lower_rank_keeps_its_share);
 	CU_add_test(s, "bounds", test_queue_is_bounded_and_keeps_deadlines);
 	CU_add_test(s, "fits", test_item_that_does_not_fit_is_passed_over);
+	CU_add_test(s, "path", test_bad_path_is_told_from_dead_worker);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
 }
--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -8,6 +8,8 @@
 
 #include "cmd/azhd/azhd.h"
 
+#define REACH_CONNECT_MS 500
+
 const char *argp_program_version = "azhd 0.1";
 
 static char doc[] = "Proxy daemon of an azurehold fleet.\v"
@@ -104,13 +106,48 @@
 	ticket_adopt(d->ticket, i, reply);
 }
 
+/** A connection made on behalf of another daemon. */
+struct reach_test {
+	struct upstream_sink sink;
+	struct reply_to *reply;
+};
+
+static void on_reach_done(struct upstream_sink *k, struct upstream_result *r)
+{
+	struct reach_test *t = az_container_of(k, struct reach_test, sink);
+
+	t->reply->ops->answer(t->reply, answer_new(r->fault == UPSTREAM_OK ?
+							   ERR_NONE :
+							   ERR_CONNECT_FAILED));
+	answer_free(r->answer);
+	free(r);
+	free(t);
+}
+
+static const struct upstream_sink_ops reach_sink_ops = { on_reach_done };
+
 static void on_reach(struct peer_handler *h, uint32_t ip, uint16_t port,
 		     struct reply_to *reply)
 {
-	(void)h;
-	(void)ip;
-	(void)port;
-	reply->ops->answer(reply, answer_new(ERR_INTERNAL));
+	struct azhd *d = az_container_of(h, struct azhd, handler);
+	struct reach_test *t = calloc(1, sizeof(*t));
+	struct upstream_request r = {
+		.ip = ip,
+		.port = port,
+		.connect_timeout_ms = REACH_CONNECT_MS,
+		.deadline_us = clock_now_us() + REACH_CONNECT_MS * US_PER_MS,
+		.fresh = true,
+	};
+
+	if (!t)
+		abort();
+	t->sink.ops = &reach_sink_ops;
+	t->reply = reply;
+	r.sink = &t->sink;
+	if (upstream_send(d->upstream, &r) == AZ_OK)
+		return;
+	reply->ops->answer(reply, answer_new(ERR_OVERLOADED));
+	free(t);
 }
 
 static void on_conf(struct peer_handler *h, enum peer_procedure proc,
@@ -189,8 +226,8 @@
 {
 	const struct azhd_settings *s = &d->settings;
 	struct member me = self(d);
-	struct cell_settings cs = { me.id, d->incarnation, d->conf,
-				    d->membership, d->upstream };
+	struct cell_settings cs = { me.id,	   d->incarnation, d->conf,
+				    d->membership, d->upstream,	   NULL };
 	struct peer_settings ps = {
 		.ip = s->peer_bind.ip,
 		.port = s->peer_bind.port,
@@ -213,8 +250,9 @@
 		.membership = d->membership,
 	};
 
-	d->cell = cell_home_create(&cs, d->timers, d->pool);
 	d->peer = peer_create(&ps, d->timers, d->pool);
+	cs.peer = d->peer;
+	d->cell = cell_home_create(&cs, d->timers, d->pool);
 	if (!d->cell || !d->peer)
 		return AZ_IO;
 	rs.cell = d->cell;
--- a/lib/az.h
+++ b/lib/az.h
@@ -302,7 +302,8 @@
 enum az_status duty_start(struct duty *d);
 /** Ends the loop, joins the thread, drops messages left in the ring. */
 void duty_stop(struct duty *d);
-/** Frees ring and pool, once no other thread can push. */
+/** Frees ring and pool, once no other thread can push. Parts that others
+ * answer late are left to the end of the process. */
 void duty_destroy(struct duty *d);
 /** Pushes `m`; on AZ_FULL the message is dropped through its vtable. */
 enum az_status duty_send(struct duty *d, struct msg *m);
--- a/member/home.c
+++ b/member/home.c
@@ -22,6 +22,19 @@
 	IN_FLEET,
 };
 
+uint64_t member_cut_subject(uint64_t cell, uint64_t incarnation)
+{
+	return XXH3_64bits_withSeed(&cell, sizeof(cell), incarnation);
+}
+
+static bool is_cut(const struct member_view *v, const struct member *m,
+		   uint64_t cell)
+{
+	return v->report_count &&
+	       member_view_severity(v, member_cut_subject(cell, m->incarnation),
+				    REPORT_HOME_CUT);
+}
+
 static bool in_scope(const struct member *m, enum reach s, uint32_t dc,
 		     uint32_t region)
 {
@@ -37,15 +50,20 @@
 	uint64_t weight;
 };
 
-static void consider(struct best *b, const struct member *m, uint64_t key)
+static bool is_better(const struct best *b, const struct member *m, uint64_t w)
 {
-	uint64_t w = weight(key, m->id);
+	return !b->member || w > b->weight ||
+	       (w == b->weight && m->id > b->member->id);
+}
 
-	if (b->member &&
-	    (w < b->weight || (w == b->weight && m->id < b->member->id)))
-		return;
-	b->member = m;
-	b->weight = w;
+static void consider(struct best *b, const struct member_view *v,
+		     const struct member *m, uint64_t cell)
+{
+	uint64_t w = weight(cell, m->id);
+
+	/* Few are the best so far, so that few reports are looked up. */
+	if (is_better(b, m, w) && !is_cut(v, m, cell))
+		*b = (struct best){ m, w };
 }
 
 const struct member *member_home(const struct member_view *v, uint64_t cell,
@@ -59,13 +77,13 @@
 	if (member_view_dc(v, dc, &list, &n)) {
 		for (uint32_t i = 0; i < n; i++)
 			if (!v->members[list[i]].stopping)
-				consider(&b, &v->members[list[i]], cell);
+				consider(&b, v, &v->members[list[i]], cell);
 		s = IN_REGION;
 	}
 	for (; !b.member && s <= IN_FLEET; s++)
 		for (uint32_t i = 0; i < v->member_count; i++)
 			if (in_scope(&v->members[i], s, dc, region))
-				consider(&b, &v->members[i], cell);
+				consider(&b, v, &v->members[i], cell);
 	return b.member;
 }
 
--- a/member/member.h
+++ b/member/member.h
@@ -37,6 +37,8 @@
 	REPORT_WORKER_UNHEALTHY,
 	REPORT_WORKER_LEAVING,
 	REPORT_CELL_BUSY,
+	REPORT_HOME_CUT, /**< subject: member_cut_subject() */
+	REPORT_KIND_COUNT,
 };
 
 /** What a home tells the entries; a hint, never an exclusion. */
@@ -76,8 +78,12 @@
 uint8_t member_view_severity(const struct member_view *v, uint64_t subject,
 			     enum report_kind kind);
 
+/** Names a cell whose workers one incarnation cannot reach though others can.
+ */
+uint64_t member_cut_subject(uint64_t cell, uint64_t incarnation);
 /** Rendezvous choice among live members of the data centre that are not
- * stopping, then of its region, then of the fleet. NULL if there is none. */
+ * stopping and not cut off from the cell, then of its region, then of the
+ * fleet. NULL if there is none. */
 const struct member *member_home(const struct member_view *v, uint64_t cell,
 				 uint32_t dc, uint32_t region);
 
--- a/member/member_test.c
+++ b/member/member_test.c
@@ -607,6 +607,26 @@
 	member_view_release(less);
 }
 
+/* Guards against a cell that stays with a home cut off from its workers, and
+ * other cells that move with it. */
+static void test_cut_home_loses_its_cell(void)
+{
+	struct member_view *v = some_view(MEMBERS);
+	const struct member *home = member_home(v, 7, 2, 2);
+	struct report cut = { member_cut_subject(7, home->incarnation),
+			      REPORT_HOME_CUT, 255 };
+
+	CU_ASSERT_PTR_EQUAL(member_home(v, 7, 2, 2), home);
+	v->reports = &cut;
+	v->report_count = 1;
+	CU_ASSERT_PTR_NOT_EQUAL(member_home(v, 7, 2, 2), home);
+	CU_ASSERT_EQUAL(member_home(v, 7, 2, 2)->dc, 2);
+	cut.subject = member_cut_subject(8, home->incarnation);
+	CU_ASSERT_PTR_EQUAL(member_home(v, 7, 2, 2), home);
+	v->report_count = 0;
+	member_view_release(v);
+}
+
 /* Guards against cells without a home while anybody can take them. */
 static void test_home_falls_back(void)
 {
@@ -756,6 +776,7 @@
 	{ "malformed", test_malformed },
 	{ "view lookups", test_view_lookups },
 	{ "home moves only lost cells", test_home_moves_only_lost_cells },
+	{ "cut home loses its cell", test_cut_home_loses_its_cell },
 	{ "home falls back", test_home_falls_back },
 	{ "duty", test_duty },
 	{ "bad settings", test_bad_settings },
--- a/member/wire.c
+++ b/member/wire.c
@@ -93,7 +93,7 @@
 		uint32_t w = (uint32_t)r->kind << 8 | r->severity;
 
 		if (!xdr_uint64_t(x, &r->subject) || !xdr_uint32_t(x, &w) ||
-		    w >> 8 > REPORT_CELL_BUSY)
+		    w >> 8 >= REPORT_KIND_COUNT)
 			return false;
 		r->kind = (uint8_t)(w >> 8);
 		r->severity = (uint8_t)(w & 0xff);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -968,5 +968,4 @@
 void peer_stop(struct peer *p)
 {
 	duty_stop(&p->duty);
-	duty_destroy(&p->duty);
 }
--- a/route/pick.c
+++ b/route/pick.c
@@ -33,9 +33,9 @@
 	return n;
 }
 
-struct pick pick_cell(const struct pick_input *in)
+static uint32_t nearest(const struct pick_input *in)
 {
-	struct pick best = { NULL, NULL, 0 };
+	uint32_t best = UINT32_MAX;
 	uint32_t best_cost = UINT32_MAX;
 	uint32_t weight = 0;
 	uint64_t random = in->random;
@@ -43,7 +43,6 @@
 	for (uint32_t i = 0; i < in->service->cell_count; i++) {
 		const struct conf_cell *c = &in->service->cells[i];
 		uint32_t usable = usable_workers(c, in->masks[i]);
-		const struct member *home;
 		uint32_t k;
 
 		if (!usable || was_tried(in, c->id))
@@ -51,9 +50,6 @@
 		k = cost(in, c);
 		if (k > best_cost)
 			continue;
-		home = member_home(in->view, c->id, c->dc, c->region);
-		if (!home)
-			continue;
 		if (k < best_cost) {
 			best_cost = k;
 			weight = 0;
@@ -61,8 +57,25 @@
 		/* Among equals by chance, weighted by usable workers. */
 		weight += usable;
 		if (random % weight < usable)
-			best = (struct pick){ c, home, in->masks[i] };
+			best = i;
 		random = hash_bytes(&random, sizeof(random), i);
 	}
 	return best;
 }
+
+struct pick pick_cell(const struct pick_input *in)
+{
+	struct pick p = { NULL, NULL, 0 };
+	uint32_t i = nearest(in);
+	const struct conf_cell *c;
+
+	if (i == UINT32_MAX)
+		return p;
+	c = &in->service->cells[i];
+	p.home = member_home(in->view, c->id, c->dc, c->region);
+	if (p.home) {
+		p.cell = c;
+		p.excluded = in->masks[i];
+	}
+	return p;
+}
--- a/route/route.c
+++ b/route/route.c
@@ -665,5 +665,4 @@
 void route_stop(struct route *r)
 {
 	duty_stop(&r->duty);
-	duty_destroy(&r->duty);
 }
--- a/ticket/ticket.c
+++ b/ticket/ticket.c
@@ -843,5 +843,4 @@
 void ticket_stop(struct ticket_duty *d)
 {
 	duty_stop(&d->duty);
-	duty_destroy(&d->duty);
 }
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -401,6 +401,12 @@
 		return;
 	}
 	c->connect_us = clock_now_us() - c->started_us;
+	if (!c->req.request) {
+		c->answer = answer_new(ERR_NONE);
+		c->close_after = true;
+		conn_finish(c);
+		return;
+	}
 	c->state = CONN_SENDING;
 	c->due_us = c->req.deadline_us;
 	arm(c->up, c->due_us);
@@ -468,7 +474,8 @@
 	c->answer = NULL;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
-	build_request(c);
+	if (r->request)
+		build_request(c);
 	list_add(&c->up->active, c);
 }
 
@@ -712,5 +719,4 @@
 void upstream_stop(struct upstream *u)
 {
 	duty_stop(&u->duty);
-	duty_destroy(&u->duty);
 }
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -53,7 +53,7 @@
 	int64_t deadline_us;
 	uint32_t idle_max; /**< idle connections kept to this worker */
 	bool fresh; /**< use a new connection */
-	/** Borrowed until `done`; the sender keeps it. */
+	/** Borrowed until `done`; the sender keeps it. NULL only connects. */
 	const struct request *request;
 	struct upstream_sink *sink;
 };
