conf: relay in one tree for each watcher, whoever brought the change

A daemon that heard of a change first in one watcher's tree passed it on in that tree only; a daemon whose parents in both trees had heard from the other watcher missed it and waited for a digest. Now each daemon passes a change on in both trees, and a change from outside goes to their roots.

A watch now times out 1.5 s after its wait instead of 5 s.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -366,17 +366,19 @@
 
 #define CONF_WATCHERS 2
 #define CONF_RELAY_CHILDREN 8
+#define CONF_RELAY_MAX (CONF_WATCHERS * (CONF_RELAY_CHILDREN + 1))
 #define CONF_ASK_MAX_OBJECTS 64
 
 /** One of the CONF_WATCHERS of its data centre, by rendezvous hashing over the
  * members that are not stopping. */
 bool conf_is_watcher(const struct member_view *v, uint64_t self, uint32_t dc);
-/** Members that `self` tells of a change that `origin` brought into the data
- * centre: its children in a tree over the members sorted by id, from `origin`
- * on. Returns their number. */
-uint32_t conf_relay_children(const struct member_view *v, uint64_t self,
-			     uint64_t origin, uint32_t dc,
-			     const struct member *out[CONF_RELAY_CHILDREN]);
+/** Members that `self` tells of a change that it has taken: its children in
+ * one tree over the data centre's members for each watcher, which is its root;
+ * with `outside`, for a change that no member of the data centre told it of,
+ * also the watchers. Returns their number. */
+uint32_t conf_relay_targets(const struct member_view *v, uint64_t self,
+			    uint32_t dc, bool outside,
+			    const struct member *out[CONF_RELAY_MAX]);
 /** A member of this (`other` false) or of another data centre, or NULL. */
 const struct member *conf_pick_member(const struct member_view *v,
 				      uint64_t self, uint32_t dc, bool other,
@@ -428,12 +430,11 @@
 /** What a CONF_LIST says first: an offer with records, or a question. */
 struct conf_list_head {
 	bool is_offer;
-	uint64_t origin; /**< of an offer: member that brought the change */
 	uint64_t from; /**< of an offer: member to ask for it */
 	uint64_t buckets[CONF_BUCKETS]; /**< of a question: own digests */
 };
 
-void conf_offer_write(struct buf *out, uint64_t origin, uint64_t from);
+void conf_offer_write(struct buf *out, uint64_t from);
 void conf_buckets_write(struct buf *out, const struct conf_table *t);
 enum az_status conf_list_read(const char **at, const char *end,
 			      struct conf_list_head *out);
--- a/conf/conf_duty.c
+++ b/conf/conf_duty.c
@@ -99,8 +99,8 @@
 	bool get;
 	bool more; /**< of a CONF_GET: newer objects are left to ask for */
 	bool is_offer; /**< no answer is expected */
-	bool relay; /**< of a CONF_GET: tell the children */
-	uint64_t origin;
+	bool relay; /**< of a CONF_GET: tell others */
+	bool outside; /**< of a CONF_GET: not offered by this data centre */
 	uint64_t member_id;
 	uint64_t digest; /**< of the member, if known */
 	struct answer *answer;
@@ -169,7 +169,7 @@
 
 /* Asks `m` for the records' newer objects that are not asked for yet. */
 static struct listed ask_get(struct conf_duty *d, const struct member *m,
-			     const char *at, const char *end, uint64_t origin)
+			     const char *at, const char *end, bool outside)
 {
 	struct ask *k = ask_new(d, m);
 	struct listed seen = { 0 };
@@ -195,29 +195,29 @@
 	}
 	k->get = true;
 	k->more = n == CONF_ASK_MAX_OBJECTS;
-	k->origin = origin;
+	k->outside = outside;
 	k->relay = n <= RELAY_MAX_OBJECTS;
 	ask_send(d, k, m, &body);
 	return seen;
 }
 
-/* Tells this daemon's children in the relay tree what it has taken. */
-static void offer(struct conf_duty *d, uint64_t origin, const struct buf *taken)
+/* Tells others of this data centre what this daemon has taken. */
+static void offer(struct conf_duty *d, bool outside, const struct buf *taken)
 {
 	struct conf_links *l = d->settings.links;
-	const struct member *children[CONF_RELAY_CHILDREN];
+	const struct member *to[CONF_RELAY_MAX];
 	const struct member_view *v = l->ops->view(l);
-	uint32_t n = conf_relay_children(v, d->settings.member_id, origin,
-					 d->settings.dc, children);
+	uint32_t n = conf_relay_targets(v, d->settings.member_id,
+					d->settings.dc, outside, to);
 
 	for (uint32_t i = 0; i < n; i++) {
-		struct ask *k = ask_new(d, children[i]);
+		struct ask *k = ask_new(d, to[i]);
 		struct buf body = { 0 };
 
 		k->is_offer = true;
-		conf_offer_write(&body, origin, d->settings.member_id);
+		conf_offer_write(&body, d->settings.member_id);
 		buf_append(&body, taken->data, taken->len_bytes);
-		ask_send(d, k, children[i], &body);
+		ask_send(d, k, to[i], &body);
 	}
 	l->ops->release_view(l, v);
 }
@@ -255,8 +255,7 @@
 	v = l->ops->view(l);
 	m = member_by_id(v, k->member_id);
 	if (m) {
-		seen = ask_get(d, m, at, at + k->answer->body.len_bytes,
-			       d->settings.member_id);
+		seen = ask_get(d, m, at, at + k->answer->body.len_bytes, true);
 		if (!seen.newer && k->digest)
 			conf_asking_behind(&d->asking, k->digest);
 		/* A peer that has nothing may itself have just started. */
@@ -303,7 +302,7 @@
 	if (taken.len_bytes) {
 		mark_dirty(d);
 		if (k->relay && d->asking.loaded)
-			offer(d, k->origin, &taken);
+			offer(d, k->outside, &taken);
 	}
 	buf_free(&taken);
 	if (any && (k->more || !d->asking.loaded))
@@ -351,7 +350,7 @@
 	const struct member *m = member_by_id(v, h->from);
 
 	if (m)
-		ask_get(d, m, at, end, h->origin);
+		ask_get(d, m, at, end, m->dc != d->settings.dc);
 	l->ops->release_view(l, v);
 }
 
@@ -552,7 +551,7 @@
 	if (taken.len_bytes) {
 		mark_dirty(d);
 		if (d->asking.loaded && v->list.count <= RELAY_MAX_OBJECTS)
-			offer(d, d->settings.member_id, &taken);
+			offer(d, true, &taken);
 	}
 	buf_free(&taken);
 	values_drop(m);
--- a/conf/relay.c
+++ b/conf/relay.c
@@ -33,28 +33,62 @@
 	return above < CONF_WATCHERS;
 }
 
-/* Positions in the tree are counted from the origin on; daemons whose views
- * differ reach a member twice or not at all, and digests make up for that. */
-uint32_t conf_relay_children(const struct member_view *v, uint64_t self,
-			     uint64_t origin, uint32_t dc,
-			     const struct member *out[CONF_RELAY_CHILDREN])
+/* The watchers of a data centre, the first by weight first. */
+static uint32_t find_watchers(const struct member_view *v, uint32_t dc,
+			      const struct member *out[CONF_WATCHERS])
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < v->member_count; i++) {
+		const struct member *m = &v->members[i];
+		uint32_t at;
+
+		if (!counts(m, dc))
+			continue;
+		for (at = count; at && weight(m->id) > weight(out[at - 1]->id);
+		     at--)
+			if (at < CONF_WATCHERS)
+				out[at] = out[at - 1];
+		if (at < CONF_WATCHERS)
+			out[at] = m;
+		if (count < CONF_WATCHERS)
+			count++;
+	}
+	return count;
+}
+
+static void add_target(const struct member *m, uint64_t self,
+		       const struct member **out, uint32_t *count)
+{
+	for (uint32_t i = 0; i < *count; i++)
+		if (out[i] == m)
+			return;
+	if (m->id != self)
+		out[(*count)++] = m;
+}
+
+/* Places in a tree are counted from its root on, by id and around. Daemons
+ * whose views differ leave a member out; its other tree or a digest reaches
+ * it. */
+static void add_children(const struct member_view *v, uint64_t self,
+			 uint32_t dc, uint64_t root, const struct member **out,
+			 uint32_t *count)
 {
 	uint32_t total = 0;
 	uint32_t first = 0;
 	uint32_t own = 0;
-	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < v->member_count; i++) {
 		const struct member *m = &v->members[i];
 
 		if (m->dc != dc)
 			continue;
-		first += m->id < origin;
+		first += m->id < root;
 		own += m->id < self;
 		total++;
 	}
 	if (!total)
-		return 0;
+		return;
 	own = (own + total - first) % total;
 	for (uint32_t i = 0, at = 0; i < v->member_count; i++) {
 		uint32_t place;
@@ -63,9 +97,23 @@
 			continue;
 		place = (at++ + total - first) % total;
 		if (place > own * CONF_RELAY_CHILDREN &&
-		    place <= (own + 1) * CONF_RELAY_CHILDREN &&
-		    v->members[i].id != self && count < CONF_RELAY_CHILDREN)
-			out[count++] = &v->members[i];
+		    place <= (own + 1) * CONF_RELAY_CHILDREN)
+			add_target(&v->members[i], self, out, count);
+	}
+}
+
+uint32_t conf_relay_targets(const struct member_view *v, uint64_t self,
+			    uint32_t dc, bool outside,
+			    const struct member *out[CONF_RELAY_MAX])
+{
+	const struct member *roots[CONF_WATCHERS];
+	uint32_t roots_count = find_watchers(v, dc, roots);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < roots_count; i++) {
+		if (outside)
+			add_target(roots[i], self, out, &count);
+		add_children(v, self, dc, roots[i]->id, out, &count);
 	}
 	return count;
 }
--- a/conf/store.c
+++ b/conf/store.c
@@ -10,6 +10,9 @@
 
 #define CONNECT_TIMEOUT_MS 1000L
 #define CALL_TIMEOUT_MS 5000L
+/* Beyond its wait, a watch is given this: a connection that has gone silent
+ * must not hide a change for the 5 s in which it is to be in force. */
+#define WATCH_EXTRA_MS 1500L
 /* Answers above this are refused: a list of all VMs is a few megabytes. */
 #define ANSWER_LIMIT_BYTES (16U << 20)
 
@@ -313,7 +316,7 @@
 	snprintf(path, sizeof(path),
 		 "/v1/watch?prefix=%s&after=%" PRIu64 "&wait_ms=%u", prefix,
 		 after, wait_ms);
-	r = call(s, path, NULL, NULL, 0, wait_ms + CALL_TIMEOUT_MS, &status);
+	r = call(s, path, NULL, NULL, 0, wait_ms + WATCH_EXTRA_MS, &status);
 	if (r != AZ_OK)
 		return r;
 	if (status != 200)
--- a/conf/wire.c
+++ b/conf/wire.c
@@ -62,9 +62,9 @@
 	return !memchr(r->text, '\0', r->len_bytes);
 }
 
-void conf_offer_write(struct buf *out, uint64_t origin, uint64_t from)
+void conf_offer_write(struct buf *out, uint64_t from)
 {
-	buf_printf(out, "offer %016" PRIx64 " %016" PRIx64 "\n", origin, from);
+	buf_printf(out, "offer %016" PRIx64 "\n", from);
 }
 
 void conf_buckets_write(struct buf *out, const struct conf_table *t)
@@ -82,8 +82,7 @@
 	memset(out, 0, sizeof(*out));
 	if (!take_line(at, end, line))
 		return az_fail(AZ_INVALID, "empty CONF_LIST");
-	out->is_offer = sscanf(line, "offer %" SCNx64 " %" SCNx64, &out->origin,
-			       &out->from) == 2;
+	out->is_offer = sscanf(line, "offer %" SCNx64, &out->from) == 1;
 	if (out->is_offer)
 		return AZ_OK;
 	if (strcmp(line, "buckets") != 0)
