azhctl: write above the versions that daemons hold

Daemons ignore versions at or below their own, so after a restore of the store from an older copy a new configuration would never come into force.

--- a/cmd/azhctl/azhctl.c
+++ b/cmd/azhctl/azhctl.c
@@ -109,12 +109,10 @@
 	for (uint32_t i = 1; i < o->arg_count; i++)
 		if (check_files(o->args[0], file_of(o->args[i])) != EXIT_DONE)
 			worst = EXIT_BAD_INPUT;
-	if (worst == EXIT_DONE)
-		printf("ok\n");
 	return worst;
 }
 
-/* ---- apply ---- */
+/* ---- daemons ---- */
 
 static char *read_whole(const char *path)
 {
@@ -131,6 +129,125 @@
 	return (char *)b.data;
 }
 
+static size_t take_body(char *data, size_t size, size_t n, void *arg)
+{
+	buf_append(arg, data, (uint32_t)(size * n));
+	return size * n;
+}
+
+/* GET of a daemon's administration API. */
+static enum az_status admin_get(const char *address, const char *path,
+				const char *token, struct buf *out)
+{
+	CURL *h = curl_easy_init();
+	struct curl_slist *headers = NULL;
+	char line[512];
+	long status = 0;
+	CURLcode r;
+
+	if (!h)
+		return az_fail(AZ_NO_MEMORY, "libcurl failed");
+	snprintf(line, sizeof(line), "Authorization: Bearer %s", token);
+	headers = curl_slist_append(headers, line);
+	snprintf(line, sizeof(line), "http://%s%s", address, path);
+	curl_easy_setopt(h, CURLOPT_URL, line);
+	curl_easy_setopt(h, CURLOPT_PROXY, "");
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, 3000L);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, out);
+	r = curl_easy_perform(h);
+	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
+	curl_slist_free_all(headers);
+	curl_easy_cleanup(h);
+	if (r != CURLE_OK)
+		return az_fail(AZ_IO, "daemon %s: %s", address,
+			       curl_easy_strerror(r));
+	if (status != 200)
+		return az_fail(AZ_IO, "daemon %s: status %ld", address, status);
+	return AZ_OK;
+}
+
+static char *read_token(const struct options *o)
+{
+	char *text = o->token_file ? read_whole(o->token_file) : strdup("");
+
+	if (text)
+		text[strcspn(text, "\r\n")] = '\0';
+	return text;
+}
+
+/* Calls `each` for every daemon given; stops at the first that is false. */
+static bool each_daemon(const struct options *o,
+			bool (*each)(const char *address, const char *token,
+				     void *arg),
+			void *arg)
+{
+	char *list = strdup(o->daemons);
+	char *token = read_token(o);
+	char *rest = NULL;
+	bool good = true;
+
+	for (char *a = strtok_r(list, ",", &rest); a && good;
+	     a = strtok_r(NULL, ",", &rest))
+		good = each(a, token, arg);
+	free(list);
+	free(token);
+	return good;
+}
+
+/* The daemon's status page; NULL if it cannot be read. */
+static json_t *read_status(const char *address, const char *token)
+{
+	struct buf b = { 0 };
+	json_t *root = NULL;
+
+	if (admin_get(address, "/status", token, &b) == AZ_OK) {
+		root = json_loadb((char *)b.data, b.len_bytes, 0, NULL);
+		if (!root)
+			az_fail(AZ_IO, "daemon %s: malformed status", address);
+	}
+	buf_free(&b);
+	return root;
+}
+
+/* Adds the versions that a daemon holds, the highest of each object. */
+static bool add_versions(const char *address, const char *token, void *arg)
+{
+	json_t *root = read_status(address, token);
+	struct store_list *l = arg;
+	const char *key;
+	json_t *v;
+
+	json_object_foreach(
+		json_object_get(json_object_get(root, "configuration"),
+				"objects"),
+		key, v)
+	{
+		uint64_t version = (uint64_t)json_integer_value(v);
+		uint32_t i = 0;
+
+		while (i < l->count && strcmp(l->objects[i].key, key) != 0)
+			i++;
+		if (i == l->count) {
+			l->objects = realloc(l->objects,
+					     (i + 1) * sizeof(*l->objects));
+			if (!l->objects)
+				abort();
+			memset(&l->objects[i], 0, sizeof(*l->objects));
+			snprintf(l->objects[i].key, CONF_KEY_MAX_BYTES, "%s",
+				 key);
+			l->count++;
+		}
+		if (version > l->objects[i].version)
+			l->objects[i].version = version;
+	}
+	json_decref(root);
+	return root != NULL;
+}
+
+/* ---- apply ---- */
+
 /** What one file leads to. */
 struct change {
 	struct conf_split *want;
@@ -140,9 +257,10 @@
 };
 
 /* Plans the objects of the base file, or of a site's overlay over it. */
-static enum az_status plan_file(const struct store_list *held, const char *base,
-				const char *overlay, const char *site,
-				struct change *out)
+static enum az_status plan_file(const struct store_list *held,
+				const struct store_list *known,
+				const char *base, const char *overlay,
+				const char *site, struct change *out)
 {
 	char prefix[CONF_KEY_MAX_BYTES] = CONF_PREFIX "base/";
 	struct ini_doc *d = ini_doc_create();
@@ -160,7 +278,7 @@
 	r = conf_split(d, site, &out->want, &out->want_count);
 	ini_doc_destroy(d);
 	if (r == AZ_OK)
-		out->step_count = conf_plan(held, prefix, out->want,
+		out->step_count = conf_plan(held, known, prefix, out->want,
 					    out->want_count, &out->steps);
 	return r;
 }
@@ -170,12 +288,10 @@
 				  uint64_t write_id)
 {
 	uint64_t version;
-	uint64_t other;
 
 	for (uint32_t i = 0; i < count; i++) {
-		enum az_status r = store_update(
-			s, steps[i].key, steps[i].if_version, steps[i].text,
-			write_id, steps[i].deleted, &version, &other);
+		enum az_status r =
+			conf_write_step(s, &steps[i], write_id, &version);
 
 		if (r != AZ_OK) {
 			fprintf(stderr,
@@ -212,7 +328,8 @@
 }
 
 static enum exit_code apply_to(struct store *s, const struct options *o,
-			       const struct store_list *held)
+			       const struct store_list *held,
+			       const struct store_list *known)
 {
 	struct change *changes = calloc(o->arg_count, sizeof(*changes));
 	uint64_t write_id = random_u64();
@@ -229,7 +346,7 @@
 		if (i)
 			snprintf(site, sizeof(site), "%.*s",
 				 (int)strcspn(o->args[i], "="), o->args[i]);
-		r = plan_file(held, o->args[0], file_of(o->args[i]),
+		r = plan_file(held, known, o->args[0], file_of(o->args[i]),
 			      i ? site : NULL, &changes[i]);
 		all = realloc(all,
 			      (n + changes[i].step_count + 1) * sizeof(*all));
@@ -263,6 +380,7 @@
 static enum exit_code apply(const struct options *o, struct store *s)
 {
 	enum exit_code code = EXIT_DONE;
+	struct store_list known = { 0 };
 	struct store_list held;
 	enum az_status r;
 
@@ -284,10 +402,13 @@
 			"\n",
 			conf_store_digest(&held));
 		code = EXIT_CONFLICT;
+	} else if (o->daemons && !each_daemon(o, add_versions, &known)) {
+		code = fail(AZ_IO);
 	} else {
-		code = apply_to(s, o, &held);
+		code = apply_to(s, o, &held, &known);
 	}
 	store_list_free(&held);
+	store_list_free(&known);
 	return code == EXIT_DONE ? print_digest(s) : code;
 }
 
@@ -299,6 +420,7 @@
 	uint64_t write_id;
 	bool deleted;
 	enum az_status r = conf_store_read(s, &l);
+	bool found = !o->arg_count;
 
 	if (r != AZ_OK)
 		return fail(r);
@@ -312,12 +434,12 @@
 			       x->key, x->version, write_id, x->value.len_bytes,
 			       deleted ? " deleted" : "");
 		else if (!strcmp(x->key, o->args[0]))
-			printf("%s", (char *)x->value.data);
+			found = printf("%s", (char *)x->value.data) >= 0;
 	}
 	if (!o->arg_count)
 		printf("digest %016" PRIx64 "\n", conf_store_digest(&l));
 	store_list_free(&l);
-	return EXIT_DONE;
+	return found ? EXIT_DONE : bad_input("the store has no such object");
 }
 
 /* ---- drain, eject, restore ---- */
@@ -454,73 +576,6 @@
 
 /* ---- status and wait ---- */
 
-static size_t take_body(char *data, size_t size, size_t n, void *arg)
-{
-	buf_append(arg, data, (uint32_t)(size * n));
-	return size * n;
-}
-
-/* GET of a daemon's administration API. */
-static enum az_status admin_get(const char *address, const char *path,
-				const char *token, struct buf *out)
-{
-	CURL *h = curl_easy_init();
-	struct curl_slist *headers = NULL;
-	char line[512];
-	long status = 0;
-	CURLcode r;
-
-	if (!h)
-		return az_fail(AZ_NO_MEMORY, "libcurl failed");
-	snprintf(line, sizeof(line), "Authorization: Bearer %s", token);
-	headers = curl_slist_append(headers, line);
-	snprintf(line, sizeof(line), "http://%s%s", address, path);
-	curl_easy_setopt(h, CURLOPT_URL, line);
-	curl_easy_setopt(h, CURLOPT_PROXY, "");
-	curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
-	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, 3000L);
-	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, take_body);
-	curl_easy_setopt(h, CURLOPT_WRITEDATA, out);
-	r = curl_easy_perform(h);
-	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
-	curl_slist_free_all(headers);
-	curl_easy_cleanup(h);
-	if (r != CURLE_OK)
-		return az_fail(AZ_IO, "daemon %s: %s", address,
-			       curl_easy_strerror(r));
-	if (status != 200)
-		return az_fail(AZ_IO, "daemon %s: status %ld", address, status);
-	return AZ_OK;
-}
-
-static char *read_token(const struct options *o)
-{
-	char *text = o->token_file ? read_whole(o->token_file) : strdup("");
-
-	if (text)
-		text[strcspn(text, "\r\n")] = '\0';
-	return text;
-}
-
-/* Calls `each` for every daemon given; stops at the first that is false. */
-static bool each_daemon(const struct options *o,
-			bool (*each)(const char *address, const char *token,
-				     void *arg),
-			void *arg)
-{
-	char *list = strdup(o->daemons);
-	char *token = read_token(o);
-	char *rest = NULL;
-	bool good = true;
-
-	for (char *a = strtok_r(list, ",", &rest); a && good;
-	     a = strtok_r(NULL, ",", &rest))
-		good = each(a, token, arg);
-	free(list);
-	free(token);
-	return good;
-}
-
 static bool print_status(const char *address, const char *token, void *arg)
 {
 	enum exit_code *code = arg;
@@ -538,23 +593,15 @@
 static bool has_digest(const char *address, const char *token, void *arg)
 {
 	const char *want = arg;
-	struct buf b = { 0 };
-	bool good = false;
-	const char *have;
-	json_t *root;
-
-	if (admin_get(address, "/status", token, &b) == AZ_OK) {
-		root = json_loadb((char *)b.data, b.len_bytes, 0, NULL);
-		have = json_string_value(
-			json_object_get(json_object_get(root, "configuration"),
-					"digest_in_force"));
-		good = have && !strcmp(have, want);
-		if (!good)
-			az_fail(AZ_TIMEOUT, "daemon %s has digest %s in force",
-				address, have ? have : "none");
-		json_decref(root);
-	}
-	buf_free(&b);
+	json_t *root = read_status(address, token);
+	const char *have = json_string_value(json_object_get(
+		json_object_get(root, "configuration"), "digest_in_force"));
+	bool good = have && !strcmp(have, want);
+
+	if (root && !good)
+		az_fail(AZ_TIMEOUT, "daemon %s has digest %s in force", address,
+			have ? have : "none");
+	json_decref(root);
 	return good;
 }
 
@@ -608,7 +655,9 @@
 static const struct argp_option argp_options[] = {
 	{ "store", 's', "URL", 0, "the platform's object API", 0 },
 	{ "daemons", 'd', "ADDRESSES", 0,
-	  "administration addresses, IP:PORT separated by commas", 0 },
+	  "administration addresses, IP:PORT separated by commas; apply then "
+	  "writes above the versions that these daemons hold",
+	  0 },
 	{ "token-file", 't', "FILE", 0, "token of the administration API", 0 },
 	{ "site", 'i', "SITE", 0, "site whose overlay applies, for decisions",
 	  0 },
@@ -671,8 +720,12 @@
 
 static enum exit_code run_check(const struct options *o, struct store *s)
 {
+	enum exit_code code = check(o);
+
 	(void)s;
-	return check(o);
+	if (code == EXIT_DONE)
+		printf("ok\n");
+	return code;
 }
 
 static enum exit_code run_status(const struct options *o, struct store *s)
--- a/conf/apply.c
+++ b/conf/apply.c
@@ -4,6 +4,9 @@
 
 #include "conf/conf.h"
 
+/* Writes that may bring a restored store's version above the daemons'. */
+#define RAISE_MAX_WRITES 10000
+
 /* Order of writing: see docs/decisions/configuration.md. */
 enum phase {
 	PHASE_FLEET,
@@ -127,7 +130,8 @@
 	return false;
 }
 
-uint32_t conf_plan(const struct store_list *held, const char *prefix,
+uint32_t conf_plan(const struct store_list *held,
+		   const struct store_list *known, const char *prefix,
 		   const struct conf_split *want, uint32_t want_count,
 		   struct conf_step **out)
 {
@@ -139,11 +143,16 @@
 	for (uint32_t i = 0; i < want_count; i++) {
 		const struct store_object *o = held_object(held, want[i].key);
 		const char *text = (const char *)want[i].text.data;
+		const struct store_object *k =
+			known ? held_object(known, want[i].key) : NULL;
+		uint64_t version = o ? o->version : 0;
 
-		if (o && !o->deleted && !strcmp(contents(o), text))
+		s[n].above = k && k->version > version ? k->version : 0;
+		if (o && !o->deleted && !strcmp(contents(o), text) &&
+		    !s[n].above)
 			continue;
 		snprintf(s[n].key, sizeof(s[n].key), "%s", want[i].key);
-		s[n].if_version = o ? o->version : 0;
+		s[n].if_version = version;
 		s[n].text = text;
 		s[n].phase = phase_of(s[n].key, o ? contents(o) : "", text);
 		n++;
@@ -167,6 +176,29 @@
 	return n;
 }
 
+enum az_status conf_write_step(struct store *s, const struct conf_step *step,
+			       uint64_t write_id, uint64_t *version)
+{
+	uint64_t if_version = step->if_version;
+	enum az_status r;
+	uint64_t other;
+	uint32_t writes = 0;
+
+	do {
+		r = store_update(s, step->key, if_version, step->text, write_id,
+				 step->deleted, version, &other);
+		if_version = *version;
+	} while (r == AZ_OK && *version <= step->above &&
+		 ++writes < RAISE_MAX_WRITES);
+	if (r == AZ_OK && *version <= step->above)
+		r = az_fail(AZ_IO,
+			    "object %s: version %llu is still below the "
+			    "daemons' %llu",
+			    step->key, (unsigned long long)*version,
+			    (unsigned long long)step->above);
+	return r;
+}
+
 /* ---- check ---- */
 
 /* What a daemon of the site would build, by the daemon's own code. */
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -512,6 +512,7 @@
 struct conf_step {
 	char key[CONF_KEY_MAX_BYTES];
 	uint64_t if_version; /**< 0: only if absent */
+	uint64_t above; /**< daemons ignore this version and lower ones */
 	bool deleted;
 	uint32_t phase; /**< written in rising order */
 	const char *text; /**< without header line; "" if deleted */
@@ -522,10 +523,16 @@
 /** Digest that daemons report once these objects are in force. */
 uint64_t conf_store_digest(const struct store_list *l);
 /** Steps from what the store holds under `prefix` to `want`, in the order of
- * writing; the caller frees the array. Texts are borrowed from `want`. */
-uint32_t conf_plan(const struct store_list *held, const char *prefix,
+ * writing; the caller frees the array. Texts are borrowed from `want`.
+ * `known` (NULL: none) lists the versions that daemons hold: an object of an
+ * older version in the store, which was restored, is written again. */
+uint32_t conf_plan(const struct store_list *held,
+		   const struct store_list *known, const char *prefix,
 		   const struct conf_split *want, uint32_t want_count,
 		   struct conf_step **out);
+/** Writes a step, again and again until its version is above `step->above`. */
+enum az_status conf_write_step(struct store *s, const struct conf_step *step,
+			       uint64_t write_id, uint64_t *version);
 /** Checks what each site would have in force after the steps. */
 enum az_status conf_check_sites(const struct store_list *held,
 				const struct conf_step *steps, uint32_t count,
--- a/conf/conf_test.c
+++ b/conf/conf_test.c
@@ -589,6 +589,7 @@
 {
 	struct ini_doc *d = read_doc(base, "[route list]\ndeadline_ms = 5\n");
 	struct store_list held = { 0 };
+	struct store_list known = { 0 };
 	struct conf_split *l;
 	struct conf_step *s;
 	uint32_t n;
@@ -610,7 +611,7 @@
 	hold(&held, "azurehold/base/service/bank", 6, "[service bank]\n");
 	hold(&held, "azurehold/base/service/old", 8, "[service old]\n");
 	hold(&held, "azurehold/site/x/service/old", 9, "[service old]\n");
-	CU_ASSERT_EQUAL(conf_plan(&held, "azurehold/base/", l, n, &s), 4);
+	CU_ASSERT_EQUAL(conf_plan(&held, NULL, "azurehold/base/", l, n, &s), 4);
 	CU_ASSERT_STRING_EQUAL(s[0].key, "azurehold/base/fleet");
 	CU_ASSERT_EQUAL(s[0].if_version, 0);
 	CU_ASSERT_STRING_EQUAL(s[1].key, "azurehold/base/service/bank");
@@ -619,6 +620,12 @@
 	CU_ASSERT(s[3].deleted);
 	CU_ASSERT_EQUAL(conf_check_sites(&held, s, 4, &errors), AZ_OK);
 	free(s);
+	hold(&known, "azurehold/base/service/shop", 9, "");
+	CU_ASSERT_EQUAL(conf_plan(&held, &known, "azurehold/base/", l, n, &s),
+			5);
+	CU_ASSERT_EQUAL(s[2].above, 9);
+	free(s);
+	store_list_free(&known);
 	hold(&held, "azurehold/site/y/service/shop", 2,
 	     "[worker shop/w9]\nslots = 2\n");
 	CU_ASSERT_EQUAL(conf_check_sites(&held, NULL, 0, &errors), AZ_INVALID);
@@ -655,7 +662,8 @@
 	buf_append(&want[0].text, "[service p]\n", 13);
 	strcpy(want[1].key, keys[1]);
 	buf_append(&want[1].text, with[1], (uint32_t)strlen(with[1]) + 1);
-	CU_ASSERT_EQUAL(conf_plan(&held, "azurehold/base/", want, 2, &s), 2);
+	CU_ASSERT_EQUAL(conf_plan(&held, NULL, "azurehold/base/", want, 2, &s),
+			2);
 	put(t, s[0].key, 2, s[0].text);
 	CU_ASSERT_PTR_NULL(built(t, AZ_INVALID));
 	put(t, s[1].key, 2, s[1].text);
@@ -926,6 +934,13 @@
 	store_vms_free(&vms);
 	CU_ASSERT_EQUAL(store_vms(s, 1, &vms), AZ_AGAIN);
 	store_vms_free(&vms);
+	/* Daemons hold version 5 of a store that was restored at version 2. */
+	CU_ASSERT_EQUAL(conf_write_step(s,
+					&(struct conf_step){ "k", 2, 5, false,
+							     0, "new\n" },
+					0x44, &version),
+			AZ_OK);
+	CU_ASSERT_EQUAL(version, 6);
 	store_interrupt(s);
 	CU_ASSERT_EQUAL(store_put(s, "k", 2, "x", 1, &version), AZ_AGAIN);
 	store_destroy(s);
