--- a/member/member_test.c
+++ b/member/member_test.c
@@ -615,6 +615,7 @@
 	const struct member *home = member_home(v, 7, 2, 2);
 	struct report cut = { member_cut_subject(7, home->incarnation),
 			      REPORT_HOME_CUT, 255 };
+	const struct report *own = v->reports;
 
 	CU_ASSERT_PTR_EQUAL(member_home(v, 7, 2, 2), home);
 	v->reports = &cut;
@@ -623,6 +624,7 @@
 	CU_ASSERT_EQUAL(member_home(v, 7, 2, 2)->dc, 2);
 	cut.subject = member_cut_subject(8, home->incarnation);
 	CU_ASSERT_PTR_EQUAL(member_home(v, 7, 2, 2), home);
+	v->reports = own;
 	v->report_count = 0;
 	member_view_release(v);
 }
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -720,3 +720,8 @@
 {
 	duty_stop(&u->duty);
 }
+
+void upstream_destroy(struct upstream *u)
+{
+	duty_destroy(&u->duty);
+}
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -64,6 +64,8 @@
 				 apr_pool_t *pool);
 enum az_status upstream_start(struct upstream *u);
 void upstream_stop(struct upstream *u);
+/** Once stopped, and when no part can send any more. */
+void upstream_destroy(struct upstream *u);
 /** Sends once; never repeats a request by itself. `done` is called exactly
  * once, unless AZ_FULL is returned. */
 enum az_status upstream_send(struct upstream *u,
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -350,6 +350,7 @@
 	CU_basic_run_tests();
 	failed = CU_get_number_of_failures() != 0;
 	upstream_stop(up);
+	upstream_destroy(up);
 	timer_service_stop(timers);
 	request_free(post);
 	request_free(get);
