fake: one header, logic in .c files, thin programs

The logic of the stand-ins was static inline in three headers because each program of the folder was linked from one object. fake/ is now a slice of the library with fake/fake.h; worker.c and store.c are the servers, *_main.c parse options.

--- a/fake/fake_test.c
+++ b/fake/fake_test.c
@@ -2,8 +2,7 @@
 #include <apr_general.h>
 
 #include "cmd/azhload/load.h"
-#include "fake/faults.h"
-#include "fake/objects.h"
+#include "fake/fake.h"
 
 static apr_pool_t *pool;
 
--- a/fake/faults.h
+++ b/fake/faults.c
@@ -1,120 +1,61 @@
-/**
- * @file
- * Faults of a stand-in worker as vtables. Does no I/O; time is passed in.
- */
-#ifndef FAKE_FAULTS_H
-#define FAKE_FAULTS_H
-
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "fake/slots.h"
-
-enum fault_action {
-	FAULT_PASS, /**< as a healthy worker */
-	FAULT_ERROR, /**< 500 */
-	FAULT_SHED, /**< 503, not run */
-	FAULT_HALF, /**< whole Content-Length, half of the body, close */
-	FAULT_SILENT, /**< never answered */
-	FAULT_CLOSE, /**< closed without an answer */
-	FAULT_LATE, /**< answered `ms` later */
-};
-
-/** What a fault can see of a request. */
-struct fault_request {
-	bool post;
-	bool reused; /**< not the first on its connection */
-};
-
-struct fault;
+#include "fake/fake.h"
 
-/** What varies between faults. Members may be NULL: no effect. */
-struct fault_ops {
-	const char *name;
-	/** Before the work runs. */
-	enum fault_action (*request)(struct fault *f,
-				     const struct fault_request *r,
-				     int64_t now_us);
-	/** After the work ran. */
-	enum fault_action (*answer)(struct fault *f,
-				    const struct fault_request *r,
-				    int64_t now_us);
-	/** Changes a service time. */
-	int64_t (*service_us)(struct fault *f, int64_t us, int64_t now_us);
-	bool refuses_connections; /**< leaves them in the listen queue */
-	bool silences_open; /**< connections open when it begins go silent */
-	bool draining; /**< answers say so, health is 503 */
-	bool hidden; /**< the health endpoint never tells */
-};
-
-struct fault {
-	const struct fault_ops *ops;
-	uint32_t factor_percent; /**< slow: 1000 is ten times */
-	uint32_t percent; /**< of the requests that are affected */
-	uint32_t every; /**< late: one answer in so many */
-	uint32_t count; /**< late: answers seen */
-	int64_t ms; /**< late: delay */
-	int64_t period_us; /**< flap: on and off for this long each */
-	int64_t began_us;
-	const struct fault_ops *inner; /**< flap: fault while on */
-	struct draw draw;
-};
-
-static inline int64_t slow_service_us(struct fault *f, int64_t us,
-				      int64_t now_us)
+static int64_t slow_service_us(struct fault *f, int64_t us, int64_t now_us)
 {
 	return us * f->factor_percent / 100;
 }
 
-static inline enum fault_action some(struct fault *f, enum fault_action a)
+static enum fault_action some(struct fault *f, enum fault_action a)
 {
 	return draw_percent(&f->draw, f->percent) ? a : FAULT_PASS;
 }
 
-static inline enum fault_action
+static enum fault_action
 some_error(struct fault *f, const struct fault_request *r, int64_t now_us)
 {
 	return some(f, FAULT_ERROR);
 }
 
-static inline enum fault_action
+static enum fault_action
 some_half(struct fault *f, const struct fault_request *r, int64_t now_us)
 {
 	return some(f, FAULT_HALF);
 }
 
-static inline enum fault_action
+static enum fault_action
 some_silent(struct fault *f, const struct fault_request *r, int64_t now_us)
 {
 	return some(f, FAULT_SILENT);
 }
 
-static inline enum fault_action
+static enum fault_action
 some_shed(struct fault *f, const struct fault_request *r, int64_t now_us)
 {
 	return some(f, FAULT_SHED);
 }
 
-static inline enum fault_action close_reused_post(struct fault *f,
-						  const struct fault_request *r,
-						  int64_t now_us)
+static enum fault_action close_reused_post(struct fault *f,
+					   const struct fault_request *r,
+					   int64_t now_us)
 {
 	return r->post && r->reused ? some(f, FAULT_CLOSE) : FAULT_PASS;
 }
 
-static inline enum fault_action
+static enum fault_action
 late_answer(struct fault *f, const struct fault_request *r, int64_t now_us)
 {
 	return ++f->count % f->every ? FAULT_PASS : FAULT_LATE;
 }
 
-static inline bool flap_is_on(const struct fault *f, int64_t now_us)
+static bool flap_is_on(const struct fault *f, int64_t now_us)
 {
 	return (now_us - f->began_us) / f->period_us % 2 == 0;
 }
 
-static inline enum fault_action
+static enum fault_action
 flap_request(struct fault *f, const struct fault_request *r, int64_t now_us)
 {
 	if (!f->inner->request || !flap_is_on(f, now_us))
@@ -122,7 +63,7 @@
 	return f->inner->request(f, r, now_us);
 }
 
-static inline enum fault_action
+static enum fault_action
 flap_answer(struct fault *f, const struct fault_request *r, int64_t now_us)
 {
 	if (!f->inner->answer || !flap_is_on(f, now_us))
@@ -130,8 +71,7 @@
 	return f->inner->answer(f, r, now_us);
 }
 
-static inline int64_t flap_service_us(struct fault *f, int64_t us,
-				      int64_t now_us)
+static int64_t flap_service_us(struct fault *f, int64_t us, int64_t now_us)
 {
 	if (!f->inner->service_us || !flap_is_on(f, now_us))
 		return us;
@@ -161,8 +101,7 @@
 
 #define FAULT_MODES (sizeof(fault_modes) / sizeof(fault_modes[0]))
 
-/** NULL if there is no such mode. */
-static inline const struct fault_ops *fault_find(const char *name)
+const struct fault_ops *fault_find(const char *name)
 {
 	for (uint32_t i = 0; i < FAULT_MODES; i++)
 		if (!strcmp(fault_modes[i].name, name))
@@ -170,16 +109,15 @@
 	return NULL;
 }
 
-/** No fault. */
-static inline void fault_init(struct fault *f, uint64_t seed)
+void fault_init(struct fault *f, uint64_t seed)
 {
 	memset(f, 0, sizeof(*f));
 	f->ops = fault_find("none");
 	draw_seed(&f->draw, seed);
 }
 
-static inline enum az_status fault_parse_mode(const char *value,
-					      const struct fault_ops **out)
+static enum az_status fault_parse_mode(const char *value,
+				       const struct fault_ops **out)
 {
 	char names[256] = "";
 
@@ -194,8 +132,8 @@
 		       names);
 }
 
-static inline enum az_status fault_parse_field(struct fault *f, const char *key,
-					       const char *value)
+static enum az_status fault_parse_field(struct fault *f, const char *key,
+					const char *value)
 {
 	char *end;
 	double v;
@@ -224,10 +162,7 @@
 	return AZ_OK;
 }
 
-/** Begins a fault, as "mode=slow&factor=10". Other fields: percent, every, ms,
- * period_ms, inner (flap). AZ_INVALID leaves `f` as it is. */
-static inline enum az_status fault_parse(struct fault *f, const char *query,
-					 int64_t now_us)
+enum az_status fault_parse(struct fault *f, const char *query, int64_t now_us)
 {
 	struct fault new = { .factor_percent = 1000,
 			     .percent = 100,
@@ -264,32 +199,26 @@
 	return AZ_OK;
 }
 
-static inline enum fault_action
+enum fault_action
 fault_on_request(struct fault *f, const struct fault_request *r, int64_t now_us)
 {
 	return f->ops->request ? f->ops->request(f, r, now_us) : FAULT_PASS;
 }
 
-static inline enum fault_action
-fault_on_answer(struct fault *f, const struct fault_request *r, int64_t now_us)
+enum fault_action fault_on_answer(struct fault *f,
+				  const struct fault_request *r, int64_t now_us)
 {
 	return f->ops->answer ? f->ops->answer(f, r, now_us) : FAULT_PASS;
 }
 
-static inline int64_t fault_service_us(struct fault *f, int64_t us,
-				       int64_t now_us)
+int64_t fault_service_us(struct fault *f, int64_t us, int64_t now_us)
 {
 	return f->ops->service_us ? f->ops->service_us(f, us, now_us) : us;
 }
 
-/** What the health endpoint says; it learns of a fault `lag_us` late, but of
- * draining at once. */
-static inline bool fault_health_ok(const struct fault *f, int64_t lag_us,
-				   int64_t now_us)
+bool fault_health_ok(const struct fault *f, int64_t lag_us, int64_t now_us)
 {
 	if (f->ops->draining)
 		return false;
 	return f->ops->hidden || now_us - f->began_us < lag_us;
 }
-
-#endif
--- a/fake/objects.h
+++ b/fake/objects.c
@@ -1,51 +1,10 @@
-/**
- * @file
- * State of the stand-in for the platform's store: objects with versions,
- * conditions, watch decisions, the copy that an old restore serves, and faults.
- * Does no I/O, HTTP or JSON.
- */
-#ifndef FAKE_OBJECTS_H
-#define FAKE_OBJECTS_H
-
 #include <stdlib.h>
 #include <string.h>
 
-#include "lib/az.h"
-
-#define OBJECT_MAX_BYTES (1U << 20)
-#define OBJECT_KEY_MAX_BYTES 512
-
-/** One object, or the mark of a deleted one. */
-struct object {
-	char *key;
-	uint64_t version; /**< store-wide revision of its last write */
-	bool deleted;
-	struct buf value;
-};
-
-/** Sorted by key. */
-struct objects {
-	uint64_t revision; /**< rises with each write */
-	uint32_t count;
-	uint32_t room;
-	struct object *list;
-};
-
-enum condition_kind {
-	CONDITION_NONE,
-	CONDITION_VERSION, /**< only at this version */
-	CONDITION_ABSENT, /**< only if there is no such object */
-};
-
-struct condition {
-	enum condition_kind kind;
-	uint64_t version;
-};
+#include "fake/fake.h"
 
-/** Condition of If-Match and If-None-Match values; NULL if absent. */
-static inline enum az_status condition_parse(const char *if_match,
-					     const char *if_none_match,
-					     struct condition *out)
+enum az_status condition_parse(const char *if_match, const char *if_none_match,
+			       struct condition *out)
 {
 	char *end;
 
@@ -70,9 +29,8 @@
 	return AZ_OK;
 }
 
-/** Index of the first object whose key is not below `key`. */
-static inline uint32_t objects_lower_bound(const struct objects *o,
-					   const char *key)
+/* Index of the first object whose key is not below `key`. */
+static uint32_t objects_lower_bound(const struct objects *o, const char *key)
 {
 	uint32_t low = 0;
 	uint32_t high = o->count;
@@ -88,9 +46,8 @@
 	return low;
 }
 
-/** Also finds the mark of a deleted object; NULL if there is none. */
-static inline struct object *objects_find(const struct objects *o,
-					  const char *key)
+/* Also finds the mark of a deleted object; NULL if there is none. */
+static struct object *objects_find(const struct objects *o, const char *key)
 {
 	uint32_t i = objects_lower_bound(o, key);
 
@@ -99,16 +56,14 @@
 	return &o->list[i];
 }
 
-/** Live object or NULL. */
-static inline const struct object *objects_get(const struct objects *o,
-					       const char *key)
+const struct object *objects_get(const struct objects *o, const char *key)
 {
 	const struct object *x = objects_find(o, key);
 
 	return x && !x->deleted ? x : NULL;
 }
 
-static inline struct object *objects_insert(struct objects *o, const char *key)
+static struct object *objects_insert(struct objects *o, const char *key)
 {
 	uint32_t i = objects_lower_bound(o, key);
 
@@ -126,9 +81,9 @@
 	return &o->list[i];
 }
 
-/** AZ_CONFLICT if the condition does not hold for `x` (NULL: absent). */
-static inline enum az_status condition_check(const struct condition *c,
-					     const struct object *x)
+/* AZ_CONFLICT if the condition does not hold for `x` (NULL: absent). */
+static enum az_status condition_check(const struct condition *c,
+				      const struct object *x)
 {
 	switch (c->kind) {
 	case CONDITION_VERSION:
@@ -146,12 +101,9 @@
 	return AZ_OK;
 }
 
-/** Writes if the condition holds. `version` is set to the current version,
- * also on AZ_CONFLICT (0: absent). AZ_FULL above OBJECT_MAX_BYTES. */
-static inline enum az_status objects_put(struct objects *o, const char *key,
-					 const struct condition *c,
-					 const void *data, uint32_t len_bytes,
-					 uint64_t *version)
+enum az_status objects_put(struct objects *o, const char *key,
+			   const struct condition *c, const void *data,
+			   uint32_t len_bytes, uint64_t *version)
 {
 	const struct object *old = objects_get(o, key);
 	struct object *x;
@@ -176,10 +128,8 @@
 	return AZ_OK;
 }
 
-/** Deletes if the condition holds; AZ_NOT_FOUND if there is no object. */
-static inline enum az_status objects_delete(struct objects *o, const char *key,
-					    const struct condition *c,
-					    uint64_t *version)
+enum az_status objects_delete(struct objects *o, const char *key,
+			      const struct condition *c, uint64_t *version)
 {
 	struct object *x = objects_find(o, key);
 	enum az_status s;
@@ -199,12 +149,9 @@
 	return AZ_OK;
 }
 
-/** First object at or after index `from` that is under the prefix and newer
- * than `after`, or NULL; `from` is moved behind it. Includes deleted ones. */
-static inline const struct object *objects_changed(const struct objects *o,
-						   const char *prefix,
-						   uint64_t after,
-						   uint32_t *from)
+const struct object *objects_changed(const struct objects *o,
+				     const char *prefix, uint64_t after,
+				     uint32_t *from)
 {
 	size_t n = strlen(prefix);
 	uint32_t i = objects_lower_bound(o, prefix);
@@ -220,16 +167,15 @@
 	return NULL;
 }
 
-/** True if a watch has something to tell. */
-static inline bool objects_watch_ready(const struct objects *o,
-				       const char *prefix, uint64_t after)
+bool objects_watch_ready(const struct objects *o, const char *prefix,
+			 uint64_t after)
 {
 	uint32_t from = 0;
 
 	return objects_changed(o, prefix, after, &from) != NULL;
 }
 
-static inline void objects_free(struct objects *o)
+void objects_free(struct objects *o)
 {
 	for (uint32_t i = 0; i < o->count; i++) {
 		free(o->list[i].key);
@@ -239,8 +185,7 @@
 	memset(o, 0, sizeof(*o));
 }
 
-/** Replaces `to` by a copy of `from`. */
-static inline void objects_copy(struct objects *to, const struct objects *from)
+void objects_copy(struct objects *to, const struct objects *from)
 {
 	objects_free(to);
 	for (uint32_t i = 0; i < from->count; i++) {
@@ -254,41 +199,17 @@
 	to->revision = from->revision;
 }
 
-/* ---- faults ---- */
-
-/** What the HTTP side does with a call. */
-enum store_action {
-	STORE_SERVE,
-	STORE_DOWN, /**< closed without an answer; no effect */
-	STORE_LOSE_REPLY, /**< takes effect; closed without an answer */
-	STORE_OLD_COPY, /**< served from the snapshot, also writes */
-};
-
-struct store_fault;
-
-struct store_fault_ops {
-	const char *name;
-	enum store_action (*action)(struct store_fault *f, bool write);
-};
-
-struct store_fault {
-	const struct store_fault_ops *ops;
-	int64_t delay_us; /**< slow: before each call is served */
-	uint32_t count; /**< lose-reply: replies still to lose */
-};
-
-static inline enum store_action store_serve(struct store_fault *f, bool write)
+static enum store_action store_serve(struct store_fault *f, bool write)
 {
 	return STORE_SERVE;
 }
 
-static inline enum store_action store_down(struct store_fault *f, bool write)
+enum store_action store_down(struct store_fault *f, bool write)
 {
 	return STORE_DOWN;
 }
 
-static inline enum store_action store_lose_reply(struct store_fault *f,
-						 bool write)
+enum store_action store_lose_reply(struct store_fault *f, bool write)
 {
 	if (!write || !f->count)
 		return STORE_SERVE;
@@ -296,8 +217,7 @@
 	return STORE_LOSE_REPLY;
 }
 
-static inline enum store_action store_old_copy(struct store_fault *f,
-					       bool write)
+enum store_action store_old_copy(struct store_fault *f, bool write)
 {
 	return STORE_OLD_COPY;
 }
@@ -308,11 +228,8 @@
 	{ "old-copy", store_old_copy },
 };
 
-/** AZ_INVALID leaves `f` as it is. `ms` counts for slow, `count` for
- * lose-reply. */
-static inline enum az_status store_fault_set(struct store_fault *f,
-					     const char *mode, int64_t ms,
-					     uint32_t count)
+enum az_status store_fault_set(struct store_fault *f, const char *mode,
+			       int64_t ms, uint32_t count)
 {
 	for (uint32_t i = 0; i < sizeof(store_modes) / sizeof(store_modes[0]);
 	     i++) {
@@ -328,5 +245,3 @@
 		       "old-copy",
 		       mode);
 }
-
-#endif
--- /dev/null
+++ b/fake/store.c
@@ -0,0 +1,666 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <jansson.h>
+#include <microhttpd.h>
+
+#include "fake/fake.h"
+
+#define RING_SLOTS 8192
+#define WATCH_MAX_MS 300000
+#define VM_CHANGES_MAX 1024
+
+/* One HTTP port of the store. */
+struct port {
+	struct store *store;
+	struct MHD_Daemon *daemon;
+	bool control;
+};
+
+enum call_way {
+	CALL_NEW, /* not yet delayed by a fault */
+	CALL_READY,
+	CALL_WATCH,
+};
+
+/* A call on its way to the duty and back. */
+struct call {
+	struct msg msg;
+	struct call *next; /* while it waits in the duty */
+	struct store *store;
+	struct MHD_Connection *connection;
+	bool control;
+	bool submitted;
+	bool too_large;
+	char method[METHOD_MAX_BYTES];
+	char path[OBJECT_KEY_MAX_BYTES + 32];
+	struct condition condition;
+	enum az_status condition_status;
+	char prefix[OBJECT_KEY_MAX_BYTES];
+	uint64_t after;
+	int64_t wait_ms;
+	char mode[32];
+	int64_t ms;
+	uint32_t count;
+	struct buf body;
+	/* in the duty */
+	enum call_way way;
+	int64_t at_us;
+	/* the answer; status 0 closes the connection */
+	uint32_t status;
+	uint64_t version; /* 0: no Object-Version header */
+	struct buf answer;
+};
+
+struct vm_change {
+	int64_t at_us; /* visible from then on */
+	json_t *list;
+};
+
+enum count_kind {
+	COUNT_GET,
+	COUNT_PUT,
+	COUNT_DELETE,
+	COUNT_LIST,
+	COUNT_WATCH,
+	COUNT_VMS,
+	COUNT_KINDS,
+};
+
+static const char *const count_names[] = { "get",  "put",   "delete",
+					   "list", "watch", "vms" };
+
+struct store {
+	struct duty duty;
+	struct store_settings settings;
+	struct objects live;
+	struct objects snapshot;
+	struct store_fault fault;
+	struct call *waiting;
+	uint64_t counts[COUNT_KINDS];
+	struct vm_change vms[VM_CHANGES_MAX];
+	uint32_t vm_count;
+	uint64_t vm_revision;
+	json_t *vm_list;
+	struct port service;
+	struct port admin;
+};
+
+/* ---- answers (in the duty) ---- */
+
+static void call_end(struct call *c, uint32_t status)
+{
+	struct MHD_Connection *connection = c->connection;
+
+	c->status = status;
+	MHD_resume_connection(connection);
+}
+
+static void call_json(struct call *c, uint32_t status, json_t *j)
+{
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	buf_append(&c->answer, text, (uint32_t)strlen(text));
+	free(text);
+	json_decref(j);
+	call_end(c, status);
+}
+
+static void call_error(struct call *c, uint32_t status, const char *reason)
+{
+	call_json(c, status, json_pack("{s:s}", "error", reason));
+}
+
+static uint32_t status_of(enum az_status s)
+{
+	switch (s) {
+	case AZ_OK:
+		return 200;
+	case AZ_CONFLICT:
+		return 412;
+	case AZ_NOT_FOUND:
+		return 404;
+	case AZ_FULL:
+		return 413;
+	default:
+		return 400;
+	}
+}
+
+static void call_status(struct call *c, enum az_status s)
+{
+	if (s == AZ_OK)
+		call_json(
+			c, 200,
+			json_pack("{s:I}", "version", (json_int_t)c->version));
+	else
+		call_error(c, status_of(s), az_last_message());
+}
+
+/* ---- objects ---- */
+
+static struct objects *served(struct store *s)
+{
+	return s->fault.ops->action == store_old_copy ? &s->snapshot : &s->live;
+}
+
+static json_t *changed_json(const struct objects *o, const char *prefix,
+			    uint64_t after, bool deletions)
+{
+	json_t *list = json_array();
+	const struct object *x;
+	uint32_t from = 0;
+
+	while ((x = objects_changed(o, prefix, after, &from))) {
+		json_t *j;
+
+		if (x->deleted && !deletions)
+			continue;
+		j = json_pack("{s:s, s:I}", "key", x->key, "version",
+			      (json_int_t)x->version);
+		if (deletions)
+			json_object_set_new(j, "deleted",
+					    json_boolean(x->deleted));
+		json_array_append_new(list, j);
+	}
+	return list;
+}
+
+static void answer_watch(struct store *s, struct call *c)
+{
+	const struct objects *o = served(s);
+
+	call_json(c, 200,
+		  json_pack("{s:I, s:o}", "revision", (json_int_t)o->revision,
+			    "changed",
+			    changed_json(o, c->prefix, c->after, true)));
+}
+
+static void arm(struct store *s)
+{
+	int64_t at_us = INT64_MAX;
+
+	for (struct call *c = s->waiting; c; c = c->next)
+		if (c->at_us < at_us)
+			at_us = c->at_us;
+	if (at_us != INT64_MAX)
+		duty_arm(&s->duty, at_us);
+}
+
+static void wait_until(struct store *s, struct call *c, enum call_way way,
+		       int64_t at_us)
+{
+	c->way = way;
+	c->at_us = at_us;
+	c->next = s->waiting;
+	s->waiting = c;
+	arm(s);
+}
+
+/* Answers the watches that have something to tell. */
+static void wake_watches(struct store *s)
+{
+	struct call **p = &s->waiting;
+
+	while (*p) {
+		struct call *c = *p;
+
+		if (c->way != CALL_WATCH ||
+		    !objects_watch_ready(served(s), c->prefix, c->after)) {
+			p = &c->next;
+			continue;
+		}
+		*p = c->next;
+		answer_watch(s, c);
+	}
+}
+
+static void close_waiting(struct store *s)
+{
+	while (s->waiting) {
+		struct call *c = s->waiting;
+
+		s->waiting = c->next;
+		call_end(c, 0);
+	}
+}
+
+static void serve_get(struct store *s, struct call *c, const char *key)
+{
+	const struct object *x = objects_get(served(s), key);
+
+	if (!x) {
+		call_error(c, 404, "no such object");
+		return;
+	}
+	c->version = x->version;
+	buf_append(&c->answer, x->value.data, x->value.len_bytes);
+	call_end(c, 200);
+}
+
+static void serve_write(struct store *s, struct call *c, const char *key,
+			enum store_action a)
+{
+	enum az_status st = c->condition_status;
+
+	if (st != AZ_OK) {
+		az_fail(st, "bad If-Match or If-None-Match");
+	} else if (c->too_large) {
+		st = az_fail(AZ_FULL, "value is above 1 MB");
+	} else if (!strcmp(c->method, "PUT")) {
+		st = objects_put(served(s), key, &c->condition, c->body.data,
+				 c->body.len_bytes, &c->version);
+	} else {
+		st = objects_delete(served(s), key, &c->condition, &c->version);
+	}
+	if (a == STORE_LOSE_REPLY)
+		call_end(c, 0);
+	else
+		call_status(c, st);
+	if (st == AZ_OK)
+		wake_watches(s);
+}
+
+static void serve_vms(struct store *s, struct call *c)
+{
+	uint32_t due = 0;
+
+	while (due < s->vm_count && s->vms[due].at_us <= s->duty.now_us) {
+		json_decref(s->vm_list);
+		s->vm_list = s->vms[due++].list;
+		s->vm_revision++;
+	}
+	s->vm_count -= due;
+	memmove(s->vms, s->vms + due, s->vm_count * sizeof(*s->vms));
+	call_json(c, 200,
+		  json_pack("{s:I, s:O}", "revision",
+			    (json_int_t)s->vm_revision, "vms", s->vm_list));
+}
+
+static enum count_kind kind_of(const struct call *c)
+{
+	if (!strcmp(c->path, "/v1/watch"))
+		return COUNT_WATCH;
+	if (!strcmp(c->path, "/v1/objects"))
+		return COUNT_LIST;
+	if (!strcmp(c->path, "/v1/vms"))
+		return COUNT_VMS;
+	if (!strncmp(c->path, "/v1/objects/", 12)) {
+		if (!strcmp(c->method, "GET"))
+			return COUNT_GET;
+		if (!strcmp(c->method, "PUT"))
+			return COUNT_PUT;
+		if (!strcmp(c->method, "DELETE"))
+			return COUNT_DELETE;
+	}
+	return COUNT_KINDS;
+}
+
+static void serve_object_call(struct store *s, struct call *c,
+			      enum count_kind k)
+{
+	const char *key = c->path + strlen("/v1/objects/");
+	enum store_action a;
+
+	a = s->fault.ops->action(&s->fault,
+				 k == COUNT_PUT || k == COUNT_DELETE);
+	if (a == STORE_DOWN) {
+		call_end(c, 0);
+		return;
+	}
+	switch (k) {
+	case COUNT_GET:
+		serve_get(s, c, key);
+		break;
+	case COUNT_LIST:
+		call_json(c, 200,
+			  json_pack("{s:I, s:o}", "revision",
+				    (json_int_t)served(s)->revision, "objects",
+				    changed_json(served(s), c->prefix, 0,
+						 false)));
+		break;
+	case COUNT_WATCH:
+		if (objects_watch_ready(served(s), c->prefix, c->after))
+			answer_watch(s, c);
+		else
+			wait_until(s, c, CALL_WATCH,
+				   s->duty.now_us + c->wait_ms * US_PER_MS);
+		break;
+	default:
+		serve_write(s, c, key, a);
+	}
+}
+
+static void serve(struct store *s, struct call *c)
+{
+	enum count_kind k = kind_of(c);
+
+	if (k == COUNT_KINDS) {
+		call_error(c, 404, "not found");
+		return;
+	}
+	if (c->way == CALL_NEW)
+		s->counts[k]++;
+	if (k == COUNT_VMS)
+		serve_vms(s, c);
+	else if (c->way == CALL_NEW && s->fault.delay_us)
+		wait_until(s, c, CALL_READY,
+			   s->duty.now_us + s->fault.delay_us);
+	else
+		serve_object_call(s, c, k);
+}
+
+static void store_on_timer(struct duty *d, int64_t now_us)
+{
+	struct store *s = az_container_of(d, struct store, duty);
+	struct call *due = NULL;
+	struct call **p = &s->waiting;
+
+	while (*p) {
+		struct call *c = *p;
+
+		if (c->at_us > now_us) {
+			p = &c->next;
+			continue;
+		}
+		*p = c->next;
+		c->next = due;
+		due = c;
+	}
+	while (due) {
+		struct call *c = due;
+
+		due = c->next;
+		if (c->way == CALL_WATCH)
+			answer_watch(s, c);
+		else
+			serve(s, c);
+	}
+	arm(s);
+}
+
+/* ---- control ---- */
+
+static void control_counts(const struct store *s, struct call *c)
+{
+	json_t *o = json_pack("{s:s, s:I}", "fault", s->fault.ops->name,
+			      "revision", (json_int_t)s->live.revision);
+
+	for (uint32_t i = 0; i < COUNT_KINDS; i++)
+		json_object_set_new(o, count_names[i],
+				    json_integer((json_int_t)s->counts[i]));
+	call_json(c, 200, o);
+}
+
+static bool vm_is_valid(json_t *vm)
+{
+	const char *name;
+	const char *ip;
+	const char *state;
+
+	return !json_unpack(vm, "{s:s, s:s, s:s}", "name", &name, "ip", &ip,
+			    "state", &state) &&
+	       (!strcmp(state, "live") || !strcmp(state, "leaving"));
+}
+
+static void control_vms(struct store *s, struct call *c)
+{
+	json_t *list =
+		json_loadb((char *)c->body.data, c->body.len_bytes, 0, NULL);
+	json_t *vm;
+	size_t i;
+
+	if (!json_is_array(list)) {
+		json_decref(list);
+		call_error(c, 400, "body is not a JSON list");
+		return;
+	}
+	json_array_foreach(list, i, vm) if (!vm_is_valid(vm))
+	{
+		json_decref(list);
+		call_error(c, 400,
+			   "a VM needs name, ip and state (live or "
+			   "leaving)");
+		return;
+	}
+	if (s->vm_count == VM_CHANGES_MAX) {
+		json_decref(list);
+		call_error(c, 503, "too many changes wait for the lag");
+		return;
+	}
+	s->vms[s->vm_count].at_us = s->duty.now_us + s->settings.vm_lag_us;
+	s->vms[s->vm_count++].list = list;
+	call_json(c, 200,
+		  json_pack("{s:i}", "vms", (int)json_array_size(list)));
+}
+
+static void control_fault(struct store *s, struct call *c)
+{
+	if (store_fault_set(&s->fault, c->mode, c->ms, c->count) != AZ_OK) {
+		call_error(c, 400, az_last_message());
+		return;
+	}
+	log_write(LOG_INFO, "store", "fault=%s", s->fault.ops->name);
+	if (s->fault.ops->action == store_down)
+		close_waiting(s);
+	else
+		wake_watches(s);
+	call_json(c, 200, json_pack("{s:s}", "fault", s->fault.ops->name));
+}
+
+static void control_reset(struct store *s, struct call *c)
+{
+	close_waiting(s);
+	objects_free(&s->live);
+	objects_free(&s->snapshot);
+	store_fault_set(&s->fault, "none", 0, 0);
+	memset(s->counts, 0, sizeof(s->counts));
+	while (s->vm_count)
+		json_decref(s->vms[--s->vm_count].list);
+	s->vm_revision = 0;
+	json_array_clear(s->vm_list);
+	call_json(c, 200, json_pack("{s:b}", "reset", 1));
+}
+
+static void control(struct store *s, struct call *c)
+{
+	bool post = !strcmp(c->method, "POST");
+
+	if (!post && !strcmp(c->path, "/control/counts")) {
+		control_counts(s, c);
+	} else if (post && !strcmp(c->path, "/control/fault")) {
+		control_fault(s, c);
+	} else if (post && !strcmp(c->path, "/control/snapshot")) {
+		objects_copy(&s->snapshot, &s->live);
+		call_json(c, 200,
+			  json_pack("{s:I}", "revision",
+				    (json_int_t)s->snapshot.revision));
+	} else if (post && !strcmp(c->path, "/control/vms")) {
+		control_vms(s, c);
+	} else if (post && !strcmp(c->path, "/control/reset")) {
+		control_reset(s, c);
+	} else {
+		call_error(c, 404, "not found");
+	}
+}
+
+static void call_run(struct msg *m, struct duty *to)
+{
+	struct call *c = az_container_of(m, struct call, msg);
+
+	if (c->control)
+		control(c->store, c);
+	else
+		serve(c->store, c);
+}
+
+static void call_drop(struct msg *m)
+{
+	call_end(az_container_of(m, struct call, msg), 0);
+}
+
+static const struct msg_ops call_ops = { "call", call_run, call_drop };
+
+/* ---- HTTP (in the threads of libmicrohttpd) ---- */
+
+static const char *argument(struct MHD_Connection *m, const char *name,
+			    const char *otherwise)
+{
+	const char *v =
+		MHD_lookup_connection_value(m, MHD_GET_ARGUMENT_KIND, name);
+
+	return v ? v : otherwise;
+}
+
+static const char *header(struct MHD_Connection *m, const char *name)
+{
+	return MHD_lookup_connection_value(m, MHD_HEADER_KIND, name);
+}
+
+static struct call *call_new(struct port *p, struct MHD_Connection *m,
+			     const char *url, const char *method)
+{
+	struct call *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->msg.ops = &call_ops;
+	c->store = p->store;
+	c->connection = m;
+	c->control = p->control;
+	snprintf(c->method, sizeof(c->method), "%s", method);
+	snprintf(c->path, sizeof(c->path), "%s", url);
+	snprintf(c->prefix, sizeof(c->prefix), "%s", argument(m, "prefix", ""));
+	snprintf(c->mode, sizeof(c->mode), "%s", argument(m, "mode", ""));
+	c->after = strtoull(argument(m, "after", "0"), NULL, 10);
+	c->wait_ms = strtoll(argument(m, "wait_ms", "0"), NULL, 10);
+	if (c->wait_ms < 0 || c->wait_ms > WATCH_MAX_MS)
+		c->wait_ms = WATCH_MAX_MS;
+	c->ms = strtoll(argument(m, "ms", "1000"), NULL, 10);
+	if (c->ms < 0 || c->ms > WATCH_MAX_MS)
+		c->ms = WATCH_MAX_MS;
+	c->count = (uint32_t)strtoul(argument(m, "count", "1"), NULL, 10);
+	c->condition_status =
+		condition_parse(header(m, "If-Match"),
+				header(m, "If-None-Match"), &c->condition);
+	return c;
+}
+
+static enum MHD_Result call_answer(struct call *c, struct MHD_Connection *m)
+{
+	struct MHD_Response *r;
+	enum MHD_Result ok;
+	char text[24];
+
+	if (!c->status)
+		return MHD_NO;
+	r = MHD_create_response_from_buffer(c->answer.len_bytes, c->answer.data,
+					    MHD_RESPMEM_MUST_COPY);
+	if (c->version || c->status == 412) {
+		snprintf(text, sizeof(text), "%llu",
+			 (unsigned long long)c->version);
+		MHD_add_response_header(r, "Object-Version", text);
+	}
+	ok = MHD_queue_response(m, c->status, r);
+	MHD_destroy_response(r);
+	return ok;
+}
+
+static enum MHD_Result on_call(void *arg, struct MHD_Connection *m,
+			       const char *url, const char *method,
+			       const char *version, const char *data,
+			       size_t *data_bytes, void **state)
+{
+	struct call *c = *state;
+
+	if (!c) {
+		*state = call_new(arg, m, url, method);
+		return *state ? MHD_YES : MHD_NO;
+	}
+	if (*data_bytes) {
+		if (c->body.len_bytes + *data_bytes > OBJECT_MAX_BYTES)
+			c->too_large = true;
+		else
+			buf_append(&c->body, data, (uint32_t)*data_bytes);
+		*data_bytes = 0;
+		return MHD_YES;
+	}
+	if (c->submitted)
+		return call_answer(c, m);
+	c->submitted = true;
+	MHD_suspend_connection(m);
+	/* On a full ring call_drop() resumes the connection and closes it. */
+	duty_send(&c->store->duty, &c->msg);
+	return MHD_YES;
+}
+
+static void on_completed(void *arg, struct MHD_Connection *m, void **state,
+			 enum MHD_RequestTerminationCode why)
+{
+	struct call *c = *state;
+
+	if (!c)
+		return;
+	buf_free(&c->body);
+	buf_free(&c->answer);
+	free(c);
+	*state = NULL;
+}
+
+static enum az_status port_open(struct store *s, struct port *p,
+				const char *address, bool control)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	char ip[64];
+	int32_t port;
+
+	if (sscanf(address, "%63[^:]:%d", ip, &port) != 2 || port < 1 ||
+	    port > 65535 || inet_pton(AF_INET, ip, &sa.sin_addr) != 1)
+		return az_fail(AZ_INVALID, "'%s' is not IP:PORT", address);
+	sa.sin_port = htons((uint16_t)port);
+	p->store = s;
+	p->control = control;
+	p->daemon = MHD_start_daemon(
+		MHD_USE_AUTO_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
+		(uint16_t)port, NULL, NULL, on_call, p, MHD_OPTION_SOCK_ADDR,
+		&sa, MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+		MHD_OPTION_END);
+	if (!p->daemon)
+		return az_fail(AZ_IO, "cannot listen on %s", address);
+	return AZ_OK;
+}
+
+/* ---- start ---- */
+
+static void store_on_stop(struct duty *d)
+{
+	close_waiting(az_container_of(d, struct store, duty));
+}
+
+static const struct duty_ops store_ops = { "store", store_on_timer,
+					   store_on_stop };
+
+struct store *store_create(const struct store_settings *settings,
+			   struct timer_service *timers, apr_pool_t *pool)
+{
+	struct store *s = apr_pcalloc(pool, sizeof(*s));
+
+	s->settings = *settings;
+	s->vm_list = json_array();
+	store_fault_set(&s->fault, "none", 0, 0);
+	if (duty_init(&s->duty, &store_ops, RING_SLOTS, timers) != AZ_OK)
+		return NULL;
+	return s;
+}
+
+enum az_status store_start(struct store *s)
+{
+	enum az_status st = duty_start(&s->duty);
+
+	if (st == AZ_OK)
+		st = port_open(s, &s->service, s->settings.listen, false);
+	if (st == AZ_OK)
+		st = port_open(s, &s->admin, s->settings.control, true);
+	return st;
+}
