--- a/fake/fake.h
+++ b/fake/fake.h
@@ -154,8 +154,7 @@
  * draining at once. */
 bool fault_health_ok(const struct fault *f, int64_t lag_us, int64_t now_us);
 
-/* ---- the store's objects and faults (objects.c): plain state, time passed in
- * ---- */
+/* ---- objects and faults of the store (objects.c): plain state ---- */
 
 #define OBJECT_MAX_BYTES (1U << 20)
 #define OBJECT_KEY_MAX_BYTES 512
@@ -219,7 +218,7 @@
 /** Replaces `to` by a copy of `from`. */
 void objects_copy(struct objects *to, const struct objects *from);
 
-/* ---- faults ---- */
+/* Faults of the store. */
 
 /** What the HTTP side does with a call. */
 enum store_action {
@@ -255,7 +254,7 @@
 
 /* ---- worker (worker.c) ---- */
 
-struct worker_settings {
+struct fake_worker_settings {
 	const char *name;
 	const char *listen; /**< "IP:PORT" */
 	const char *control; /**< "IP:PORT"; NULL: none */
@@ -272,17 +271,18 @@
 };
 
 /** One duty that serves the service port and the control port. */
-struct worker;
+struct fake_worker;
 
 /** NULL if an address cannot be used; az_last_message() has the reason. */
-struct worker *worker_create(const struct worker_settings *s,
-			     struct timer_service *timers, apr_pool_t *pool);
-enum az_status worker_start(struct worker *w);
-void worker_stop(struct worker *w);
+struct fake_worker *fake_worker_create(const struct fake_worker_settings *s,
+				       struct timer_service *timers,
+				       apr_pool_t *pool);
+enum az_status fake_worker_start(struct fake_worker *w);
+void fake_worker_stop(struct fake_worker *w);
 
 /* ---- store (store.c) ---- */
 
-struct store_settings {
+struct fake_store_settings {
 	const char *listen; /**< "IP:PORT" of the API */
 	const char *control; /**< "IP:PORT" of /control/ */
 	int64_t vm_lag_us; /**< the VM list is this late */
@@ -290,13 +290,14 @@
 
 /** libmicrohttpd threads parse calls and hand them to one duty that owns all
  * state; a call is suspended until the duty has its answer. */
-struct store;
+struct fake_store;
 
 /** NULL on failure; az_last_message() has the reason. */
-struct store *store_create(const struct store_settings *settings,
-			   struct timer_service *timers, apr_pool_t *pool);
+struct fake_store *fake_store_create(const struct fake_store_settings *settings,
+				     struct timer_service *timers,
+				     apr_pool_t *pool);
 /** Starts the duty and opens both ports. All state is in memory and open
  * watches need no answer, so the program may just exit. */
-enum az_status store_start(struct store *s);
+enum az_status fake_store_start(struct fake_store *s);
 
 #endif
--- a/fake/store.c
+++ b/fake/store.c
@@ -13,7 +13,7 @@
 
 /* One HTTP port of the store. */
 struct port {
-	struct store *store;
+	struct fake_store *store;
 	struct MHD_Daemon *daemon;
 	bool control;
 };
@@ -28,7 +28,7 @@
 struct call {
 	struct msg msg;
 	struct call *next; /* while it waits in the duty */
-	struct store *store;
+	struct fake_store *store;
 	struct MHD_Connection *connection;
 	bool control;
 	bool submitted;
@@ -71,9 +71,9 @@
 static const char *const count_names[] = { "get",  "put",   "delete",
 					   "list", "watch", "vms" };
 
-struct store {
+struct fake_store {
 	struct duty duty;
-	struct store_settings settings;
+	struct fake_store_settings settings;
 	struct objects live;
 	struct objects snapshot;
 	struct store_fault fault;
@@ -140,7 +140,7 @@
 
 /* ---- objects ---- */
 
-static struct objects *served(struct store *s)
+static struct objects *served(struct fake_store *s)
 {
 	return s->fault.ops->action == store_old_copy ? &s->snapshot : &s->live;
 }
@@ -167,7 +167,7 @@
 	return list;
 }
 
-static void answer_watch(struct store *s, struct call *c)
+static void answer_watch(struct fake_store *s, struct call *c)
 {
 	const struct objects *o = served(s);
 
@@ -177,7 +177,7 @@
 			    changed_json(o, c->prefix, c->after, true)));
 }
 
-static void arm(struct store *s)
+static void arm(struct fake_store *s)
 {
 	int64_t at_us = INT64_MAX;
 
@@ -188,7 +188,7 @@
 		duty_arm(&s->duty, at_us);
 }
 
-static void wait_until(struct store *s, struct call *c, enum call_way way,
+static void wait_until(struct fake_store *s, struct call *c, enum call_way way,
 		       int64_t at_us)
 {
 	c->way = way;
@@ -199,7 +199,7 @@
 }
 
 /* Answers the watches that have something to tell. */
-static void wake_watches(struct store *s)
+static void wake_watches(struct fake_store *s)
 {
 	struct call **p = &s->waiting;
 
@@ -216,7 +216,7 @@
 	}
 }
 
-static void close_waiting(struct store *s)
+static void close_waiting(struct fake_store *s)
 {
 	while (s->waiting) {
 		struct call *c = s->waiting;
@@ -226,7 +226,7 @@
 	}
 }
 
-static void serve_get(struct store *s, struct call *c, const char *key)
+static void serve_get(struct fake_store *s, struct call *c, const char *key)
 {
 	const struct object *x = objects_get(served(s), key);
 
@@ -239,7 +239,7 @@
 	call_end(c, 200);
 }
 
-static void serve_write(struct store *s, struct call *c, const char *key,
+static void serve_write(struct fake_store *s, struct call *c, const char *key,
 			enum store_action a)
 {
 	enum az_status st = c->condition_status;
@@ -262,7 +262,7 @@
 		wake_watches(s);
 }
 
-static void serve_vms(struct store *s, struct call *c)
+static void serve_vms(struct fake_store *s, struct call *c)
 {
 	uint32_t due = 0;
 
@@ -297,7 +297,7 @@
 	return COUNT_KINDS;
 }
 
-static void serve_object_call(struct store *s, struct call *c,
+static void serve_object_call(struct fake_store *s, struct call *c,
 			      enum count_kind k)
 {
 	const char *key = c->path + strlen("/v1/objects/");
@@ -332,7 +332,7 @@
 	}
 }
 
-static void serve(struct store *s, struct call *c)
+static void serve(struct fake_store *s, struct call *c)
 {
 	enum count_kind k = kind_of(c);
 
@@ -353,7 +353,7 @@
 
 static void store_on_timer(struct duty *d, int64_t now_us)
 {
-	struct store *s = az_container_of(d, struct store, duty);
+	struct fake_store *s = az_container_of(d, struct fake_store, duty);
 	struct call *due = NULL;
 	struct call **p = &s->waiting;
 
@@ -382,7 +382,7 @@
 
 /* ---- control ---- */
 
-static void control_counts(const struct store *s, struct call *c)
+static void control_counts(const struct fake_store *s, struct call *c)
 {
 	json_t *o = json_pack("{s:s, s:I}", "fault", s->fault.ops->name,
 			      "revision", (json_int_t)s->live.revision);
@@ -404,7 +404,7 @@
 	       (!strcmp(state, "live") || !strcmp(state, "leaving"));
 }
 
-static void control_vms(struct store *s, struct call *c)
+static void control_vms(struct fake_store *s, struct call *c)
 {
 	json_t *list =
 		json_loadb((char *)c->body.data, c->body.len_bytes, 0, NULL);
@@ -435,7 +435,7 @@
 		  json_pack("{s:i}", "vms", (int)json_array_size(list)));
 }
 
-static void control_fault(struct store *s, struct call *c)
+static void control_fault(struct fake_store *s, struct call *c)
 {
 	if (store_fault_set(&s->fault, c->mode, c->ms, c->count) != AZ_OK) {
 		call_error(c, 400, az_last_message());
@@ -449,7 +449,7 @@
 	call_json(c, 200, json_pack("{s:s}", "fault", s->fault.ops->name));
 }
 
-static void control_reset(struct store *s, struct call *c)
+static void control_reset(struct fake_store *s, struct call *c)
 {
 	close_waiting(s);
 	objects_free(&s->live);
@@ -463,7 +463,7 @@
 	call_json(c, 200, json_pack("{s:b}", "reset", 1));
 }
 
-static void control(struct store *s, struct call *c)
+static void control(struct fake_store *s, struct call *c)
 {
 	bool post = !strcmp(c->method, "POST");
 
@@ -608,7 +608,7 @@
 	*state = NULL;
 }
 
-static enum az_status port_open(struct store *s, struct port *p,
+static enum az_status port_open(struct fake_store *s, struct port *p,
 				const char *address, bool control)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET };
@@ -635,16 +635,17 @@
 
 static void store_on_stop(struct duty *d)
 {
-	close_waiting(az_container_of(d, struct store, duty));
+	close_waiting(az_container_of(d, struct fake_store, duty));
 }
 
 static const struct duty_ops store_ops = { "store", store_on_timer,
 					   store_on_stop };
 
-struct store *store_create(const struct store_settings *settings,
-			   struct timer_service *timers, apr_pool_t *pool)
+struct fake_store *fake_store_create(const struct fake_store_settings *settings,
+				     struct timer_service *timers,
+				     apr_pool_t *pool)
 {
-	struct store *s = apr_pcalloc(pool, sizeof(*s));
+	struct fake_store *s = apr_pcalloc(pool, sizeof(*s));
 
 	s->settings = *settings;
 	s->vm_list = json_array();
@@ -654,7 +655,7 @@
 	return s;
 }
 
-enum az_status store_start(struct store *s)
+enum az_status fake_store_start(struct fake_store *s)
 {
 	enum az_status st = duty_start(&s->duty);
 
--- a/fake/store_main.c
+++ b/fake/store_main.c
@@ -20,7 +20,7 @@
 
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
-	struct store_settings *s = state->input;
+	struct fake_store_settings *s = state->input;
 	char *end;
 
 	switch (key) {
@@ -54,9 +54,9 @@
 
 int main(int argc, char **argv)
 {
-	struct store_settings settings = { 0 };
+	struct fake_store_settings settings = { 0 };
 	struct timer_service *timers;
-	struct store *s;
+	struct fake_store *s;
 	apr_pool_t *pool;
 	sigset_t signals;
 	int got;
@@ -72,9 +72,9 @@
 	sigaddset(&signals, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	timers = timer_service_create(pool);
-	s = store_create(&settings, timers, pool);
+	s = fake_store_create(&settings, timers, pool);
 	if (!s || timer_service_start(timers) != AZ_OK ||
-	    store_start(s) != AZ_OK) {
+	    fake_store_start(s) != AZ_OK) {
 		log_write(LOG_ERROR, "store", "%s", az_last_message());
 		return EXIT_FAILURE;
 	}
--- a/fake/worker.c
+++ b/fake/worker.c
@@ -19,12 +19,12 @@
 struct alarm {
 	struct alarm *next;
 	int64_t at_us;
-	void (*fire)(struct worker *w, struct alarm *a);
+	void (*fire)(struct fake_worker *w, struct alarm *a);
 };
 
 struct listener {
 	struct poll_handler handler;
-	struct worker *worker;
+	struct fake_worker *worker;
 	bool control;
 };
 
@@ -34,7 +34,7 @@
 	struct poll_handler handler;
 	struct conn *next;
 	struct conn *prev;
-	struct worker *worker;
+	struct fake_worker *worker;
 	apr_pool_t *pool;
 	http_parser parser;
 	struct buf in;
@@ -83,9 +83,9 @@
 	json_int_t cancelled;
 };
 
-struct worker {
+struct fake_worker {
 	struct duty duty;
-	struct worker_settings settings;
+	struct fake_worker_settings settings;
 	apr_pool_t *pool;
 	struct listener service;
 	struct listener control;
@@ -106,7 +106,7 @@
 
 /* ---- alarms ---- */
 
-static void alarm_set(struct worker *w, struct alarm *a, int64_t at_us)
+static void alarm_set(struct fake_worker *w, struct alarm *a, int64_t at_us)
 {
 	struct alarm **p = &w->alarms;
 
@@ -118,7 +118,7 @@
 	duty_arm(&w->duty, w->alarms->at_us);
 }
 
-static void alarm_clear(struct worker *w, const struct alarm *a)
+static void alarm_clear(struct fake_worker *w, const struct alarm *a)
 {
 	for (struct alarm **p = &w->alarms; *p; p = &(*p)->next)
 		if (*p == a) {
@@ -129,7 +129,7 @@
 
 static void worker_on_timer(struct duty *d, int64_t now_us)
 {
-	struct worker *w = az_container_of(d, struct worker, duty);
+	struct fake_worker *w = az_container_of(d, struct fake_worker, duty);
 
 	while (w->alarms && w->alarms->at_us <= now_us) {
 		struct alarm *a = w->alarms;
@@ -156,7 +156,7 @@
 	return e;
 }
 
-static void job_cancel(struct worker *w, struct job *j)
+static void job_cancel(struct fake_worker *w, struct job *j)
 {
 	j->conn = NULL;
 	if (!slot_pool_remove(&w->slots, &j->item))
@@ -167,7 +167,7 @@
 
 static void conn_free(struct conn *c)
 {
-	struct worker *w = c->worker;
+	struct fake_worker *w = c->worker;
 
 	duty_poll(&w->duty, &c->handler, 0);
 	alarm_clear(w, &c->alarm);
@@ -246,7 +246,7 @@
 
 /* ---- work ---- */
 
-static char *job_body(const struct worker *w, const struct job *j)
+static char *job_body(const struct fake_worker *w, const struct job *j)
 {
 	json_t *o = json_pack("{s:s, s:s, s:i, s:s, s:s, s:i}", "worker",
 			      w->settings.name, "run_id", j->run_id, "run",
@@ -269,7 +269,7 @@
 }
 
 /* Answers a request and goes on with the next one of its connection. */
-static void job_send(struct worker *w, struct job *j, enum fault_action a)
+static void job_send(struct fake_worker *w, struct job *j, enum fault_action a)
 {
 	struct conn *c = j->conn;
 	char *body;
@@ -307,7 +307,7 @@
 	conn_settle(c);
 }
 
-static void late_done(struct worker *w, struct alarm *a)
+static void late_done(struct fake_worker *w, struct alarm *a)
 {
 	job_send(w, az_container_of(a, struct job, alarm), FAULT_PASS);
 }
@@ -328,15 +328,15 @@
 	free(j);
 }
 
-static bool health_ok(const struct worker *w)
+static bool health_ok(const struct fake_worker *w)
 {
 	return fault_health_ok(&w->fault, w->settings.health_lag_us,
 			       w->duty.now_us);
 }
 
-static void start_waiting(struct worker *w);
+static void start_waiting(struct fake_worker *w);
 
-static void job_done(struct worker *w, struct alarm *al)
+static void job_done(struct fake_worker *w, struct alarm *al)
 {
 	struct job *j = az_container_of(al, struct job, alarm);
 	bool ok = health_ok(w);
@@ -359,7 +359,7 @@
 	start_waiting(w);
 }
 
-static void job_start(struct worker *w, struct job *j)
+static void job_start(struct fake_worker *w, struct job *j)
 {
 	int64_t us = w->settings.probe_us;
 
@@ -375,7 +375,7 @@
 	alarm_set(w, &j->alarm, w->duty.now_us + us);
 }
 
-static void start_waiting(struct worker *w)
+static void start_waiting(struct fake_worker *w)
 {
 	struct slot_item *expired = NULL;
 	struct slot_item *i;
@@ -393,7 +393,7 @@
 
 static void answer_load(struct conn *c)
 {
-	struct worker *w = c->worker;
+	struct fake_worker *w = c->worker;
 
 	if (w->duty.now_us - w->load_us >= w->settings.health_lag_us) {
 		w->load_us = w->duty.now_us;
@@ -417,7 +417,7 @@
 static struct job *job_new(struct conn *c)
 {
 	struct job *j = calloc(1, sizeof(*j));
-	struct worker *w = c->worker;
+	struct fake_worker *w = c->worker;
 
 	if (!j)
 		abort();
@@ -442,7 +442,7 @@
 
 static void serve(struct conn *c)
 {
-	struct worker *w = c->worker;
+	struct fake_worker *w = c->worker;
 	struct job *j;
 	enum fault_action a = FAULT_PASS;
 
@@ -481,7 +481,7 @@
 
 /* ---- control ---- */
 
-static json_t *runs_json(const struct worker *w, bool ids)
+static json_t *runs_json(const struct fake_worker *w, bool ids)
 {
 	json_t *o = json_pack("{s:s, s:i, s:i}", "worker", w->settings.name,
 			      "ids", (int)apr_hash_count(w->runs.counts),
@@ -502,7 +502,7 @@
 	return o;
 }
 
-static json_t *counts_json(const struct worker *w)
+static json_t *counts_json(const struct fake_worker *w)
 {
 	const struct worker_counts *n = &w->counts;
 
@@ -516,7 +516,7 @@
 		"waiting", (int)w->slots.waiting);
 }
 
-static void apply_fault(struct worker *w)
+static void apply_fault(struct fake_worker *w)
 {
 	const struct fault_ops *f = w->fault.ops;
 
@@ -534,7 +534,7 @@
 
 static void serve_control(struct conn *c)
 {
-	struct worker *w = c->worker;
+	struct fake_worker *w = c->worker;
 	bool post = c->parser.method == HTTP_POST;
 	bool keep = http_should_keep_alive(&c->parser);
 	char *query = strchr(c->path, '?');
@@ -699,7 +699,7 @@
 
 static const struct poll_ops conn_ops = { conn_ready };
 
-static void conn_opened(struct worker *w, struct alarm *a)
+static void conn_opened(struct fake_worker *w, struct alarm *a)
 {
 	struct conn *c = az_container_of(a, struct conn, alarm);
 
@@ -709,7 +709,7 @@
 
 static void conn_new(struct listener *l, apr_socket_t *sock, apr_pool_t *pool)
 {
-	struct worker *w = l->worker;
+	struct fake_worker *w = l->worker;
 	struct conn *c = calloc(1, sizeof(*c));
 
 	if (!c)
@@ -757,7 +757,7 @@
 
 static const struct poll_ops listener_ops = { listener_ready };
 
-static enum az_status listener_open(struct worker *w, struct listener *l,
+static enum az_status listener_open(struct fake_worker *w, struct listener *l,
 				    const char *address, bool control)
 {
 	apr_sockaddr_t *sa;
@@ -788,7 +788,7 @@
 
 static void worker_on_stop(struct duty *d)
 {
-	struct worker *w = az_container_of(d, struct worker, duty);
+	struct fake_worker *w = az_container_of(d, struct fake_worker, duty);
 
 	for (struct conn *c = w->conns, *next; c; c = next) {
 		next = c->next;
@@ -799,10 +799,11 @@
 static const struct duty_ops worker_ops = { "worker", worker_on_timer,
 					    worker_on_stop };
 
-struct worker *worker_create(const struct worker_settings *s,
-			     struct timer_service *timers, apr_pool_t *pool)
+struct fake_worker *fake_worker_create(const struct fake_worker_settings *s,
+				       struct timer_service *timers,
+				       apr_pool_t *pool)
 {
-	struct worker *w = apr_pcalloc(pool, sizeof(*w));
+	struct fake_worker *w = apr_pcalloc(pool, sizeof(*w));
 
 	w->settings = *s;
 	w->pool = pool;
@@ -824,12 +825,12 @@
 	return w;
 }
 
-enum az_status worker_start(struct worker *w)
+enum az_status fake_worker_start(struct fake_worker *w)
 {
 	return duty_start(&w->duty);
 }
 
-void worker_stop(struct worker *w)
+void fake_worker_stop(struct fake_worker *w)
 {
 	duty_stop(&w->duty);
 }
--- a/fake/worker_main.c
+++ b/fake/worker_main.c
@@ -87,7 +87,7 @@
 
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
-	struct worker_settings *s = state->input;
+	struct fake_worker_settings *s = state->input;
 
 	switch (key) {
 	case OPT_LISTEN:
@@ -158,18 +158,20 @@
 
 int main(int argc, char **argv)
 {
-	struct worker_settings s = { .name = "worker",
-				     .health_path = "/health",
-				     .slots = 6,
-				     .backlog = 64,
-				     .shedding = true,
-				     .service = { .mean_us = 20 * US_PER_MS,
-						  .cold_factor_percent = 500 },
-				     .connect_us = US_PER_MS,
-				     .probe_us = 25 * US_PER_MS,
-				     .seed = 1 };
+	struct fake_worker_settings s = {
+		.name = "worker",
+		.health_path = "/health",
+		.slots = 6,
+		.backlog = 64,
+		.shedding = true,
+		.service = { .mean_us = 20 * US_PER_MS,
+			     .cold_factor_percent = 500 },
+		.connect_us = US_PER_MS,
+		.probe_us = 25 * US_PER_MS,
+		.seed = 1
+	};
 	struct timer_service *timers;
-	struct worker *w;
+	struct fake_worker *w;
 	apr_pool_t *pool;
 	sigset_t signals;
 	int got;
@@ -185,15 +187,15 @@
 	sigaddset(&signals, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	timers = timer_service_create(pool);
-	w = worker_create(&s, timers, pool);
+	w = fake_worker_create(&s, timers, pool);
 	if (!w || timer_service_start(timers) != AZ_OK ||
-	    worker_start(w) != AZ_OK) {
+	    fake_worker_start(w) != AZ_OK) {
 		log_write(LOG_ERROR, "worker", "%s", az_last_message());
 		return EXIT_FAILURE;
 	}
 	log_write(LOG_INFO, "worker", "listening on %s", s.listen);
 	sigwait(&signals, &got);
-	worker_stop(w);
+	fake_worker_stop(w);
 	timer_service_stop(timers);
 	return EXIT_SUCCESS;
 }
