--- a/lib/az.h
+++ b/lib/az.h
@@ -120,6 +120,11 @@
 uint64_t hash_bytes(const void *data, size_t len_bytes, uint64_t seed);
 uint64_t hash_string(const char *s);
 
+/* ---- memory ---- */
+
+/** Zeroed memory; aborts if there is none, as no part can go on without. */
+void *az_alloc(size_t bytes);
+
 /* ---- growing byte buffers ---- */
 
 struct buf {
@@ -254,6 +259,9 @@
 	const struct reply_ops *ops;
 };
 
+/** Answers with a refusal of the fleet's own. */
+void reply_refuse(struct reply_to *to, enum error_kind k);
+
 /* ---- duties ---- */
 
 struct poll_handler;
--- a/lib/request.c
+++ b/lib/request.c
@@ -3,24 +3,29 @@
 
 #include "lib/az.h"
 
-static void *alloc(size_t n)
+void *az_alloc(size_t bytes)
 {
-	void *p = calloc(1, n);
+	void *p = calloc(1, bytes);
 
 	if (!p)
 		abort();
 	return p;
 }
 
+void reply_refuse(struct reply_to *to, enum error_kind k)
+{
+	to->ops->answer(to, answer_new(k));
+}
+
 static char *dup_string(const char *s)
 {
-	return strcpy(alloc(strlen(s) + 1), s);
+	return strcpy(az_alloc(strlen(s) + 1), s);
 }
 
 struct request *request_new(const char *method, const char *path,
 			    const char *service)
 {
-	struct request *r = alloc(sizeof(*r));
+	struct request *r = az_alloc(sizeof(*r));
 
 	strncpy(r->method, method, sizeof(r->method) - 1);
 	r->path = dup_string(path);
@@ -30,7 +35,7 @@
 
 struct request *request_copy(const struct request *r)
 {
-	struct request *c = alloc(sizeof(*c));
+	struct request *c = az_alloc(sizeof(*c));
 
 	*c = *r;
 	c->path = dup_string(r->path);
@@ -55,7 +60,7 @@
 
 struct answer *answer_new(enum error_kind k)
 {
-	struct answer *a = alloc(sizeof(*a));
+	struct answer *a = az_alloc(sizeof(*a));
 
 	a->kind = k;
 	a->outcome = error_info(k)->outcome;
@@ -65,7 +70,7 @@
 
 struct answer *answer_copy(const struct answer *a)
 {
-	struct answer *c = alloc(sizeof(*c));
+	struct answer *c = az_alloc(sizeof(*c));
 
 	*c = *a;
 	memset(&c->headers, 0, sizeof(c->headers));
--- a/ticket/ticket.h
+++ b/ticket/ticket.h
@@ -120,7 +120,6 @@
 
 /* ---- the duty ---- */
 
-struct ticket_duty;
 struct route;
 struct peer;
 struct membership;
@@ -134,6 +133,43 @@
 	struct membership *membership;
 };
 
+#define ADOPTED_MAX 16
+
+/** A ticket presented through this daemon to an issuer elsewhere. */
+struct submission {
+	struct submission *next;
+	struct submission *prev;
+	uint64_t id;
+	struct ticket ticket;
+	struct request *request; /**< NULL: status */
+	int64_t deadline_us;
+	int64_t again_us; /**< 0 while a presentation is out */
+	struct reply_to *reply;
+};
+
+struct ticket_duty {
+	struct duty duty;
+	struct ticket_settings settings;
+	uint8_t key[TICKET_KEY_BYTES];
+	uint64_t next_sequence; /**< atomic */
+	int32_t stopping; /**< atomic; adopts no ledger */
+	int32_t frozen; /**< atomic; issues no ticket */
+	uint32_t in_flight; /**< atomic */
+	struct ledger *ledgers[1 + ADOPTED_MAX]; /**< own first */
+	int64_t adopted_us[1 + ADOPTED_MAX];
+	uint32_t ledger_count;
+	struct ledger *arriving; /**< parts of it are still missing */
+	uint32_t arriving_next;
+	struct submission *submissions;
+	uint64_t next_submission;
+	int64_t armed_us;
+	int64_t expired_us;
+	struct counter *issued;
+	struct counter *presented;
+	struct counter *joined;
+	struct counter *unknown;
+};
+
 struct ticket_duty *ticket_create(const struct ticket_settings *s,
 				  struct timer_service *timers,
 				  apr_pool_t *pool);
@@ -183,4 +219,30 @@
 void ticket_adopt(struct ticket_duty *d, struct ledger_image *i,
 		  struct reply_to *reply);
 
+/* ---- between the files of this slice ---- */
+
+struct present_msg {
+	struct msg msg;
+	struct ticket ticket;
+	struct request *request;
+	int64_t deadline_us;
+	struct reply_to *reply;
+};
+
+void ticket_arm(struct ticket_duty *d, int64_t at_us);
+/** Ledger served here for an incarnation, or NULL. */
+struct ledger *ticket_ledger(struct ticket_duty *d, uint64_t incarnation);
+void ticket_send_present(struct ticket_duty *d, const struct msg_ops *ops,
+			 const struct ticket *t, struct request *q,
+			 int64_t deadline_us, struct reply_to *reply);
+/** Takes the request. */
+void ticket_present_here(struct ticket_duty *d, struct present_msg *p);
+void ticket_present_drop(struct msg *m);
+/** Refuses waiters whose time is up; returns the earliest deadline left. */
+int64_t ticket_due_waiters(struct ticket_duty *d, int64_t now_us);
+/** Presents again what is due; returns when to look next. */
+int64_t ticket_try_submissions(struct ticket_duty *d, int64_t now_us);
+void submission_end(struct ticket_duty *d, struct submission *s,
+		    struct answer *a);
+
 #endif
