--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	-I. $(shell pkg-config --cflags $(PKGS)) $(CFLAGS)
 LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -pthread $(SAN)
 
-SLICES = lib front route ticket cell health upstream peer member conf admin
+SLICES = lib front route ticket cell health upstream peer member conf admin fake
 NOT_LIBRARY = %_test.c %_measure.c %_main.c
 SRC = $(filter-out $(NOT_LIBRARY),$(wildcard $(addsuffix /*.c,$(SLICES))))
 OBJ = $(SRC:%.c=$(BUILD)/%.o)
@@ -16,7 +16,7 @@
 MEASURES = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_measure.c))
 PROGRAMS = $(patsubst %_main.c,$(BUILD)/%_main,$(wildcard fake/*_main.c \
 	fault/*_main.c)) $(patsubst cmd/%,$(BUILD)/bin/%,$(wildcard cmd/*))
-FILES = $(wildcard */*.c */*.h cmd/*/*.c)
+FILES = $(wildcard */*.c */*.h cmd/*/*.c cmd/*/*.h)
 
 all: $(PROGRAMS) $(TESTS) $(MEASURES)
 
@@ -33,7 +33,8 @@
 	@echo "make bench     added latency and cost of one, two and three daemons"
 	@echo "make format lint   formatter and linter, in check mode"
 
--include $(OBJ:.o=.d) $(wildcard $(BUILD)/fault/*.d)
+-include $(OBJ:.o=.d) $(patsubst %.c,$(BUILD)/%.d,$(wildcard */*_test.c \
+	*/*_measure.c */*_main.c cmd/*/*.c fault/*.c))
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
--- /dev/null
+++ b/conf/relay.c
@@ -0,0 +1,191 @@
+#include <stdlib.h>
+
+#include "conf/conf.h"
+#include "member/member.h"
+
+/* A start without an answer from a peer is tried again after this. */
+#define START_RETRY_US US_PER_S
+/* A watcher that has not reached the store for this long asks elsewhere. */
+#define STORE_SILENT_US (3 * US_PER_S)
+#define REMOTE_INTERVAL_US US_PER_S
+#define BACKOFF_FIRST_US (200 * US_PER_MS)
+#define BACKOFF_MAX_US (10 * US_PER_S)
+
+static bool counts(const struct member *m, uint32_t dc)
+{
+	return m->dc == dc && !m->stopping;
+}
+
+static uint64_t weight(uint64_t id)
+{
+	return hash_bytes(&id, sizeof(id), 0x77617463);
+}
+
+bool conf_is_watcher(const struct member_view *v, uint64_t self, uint32_t dc)
+{
+	uint64_t own = weight(self);
+	uint32_t above = 0;
+
+	for (uint32_t i = 0; i < v->member_count; i++)
+		if (counts(&v->members[i], dc) && v->members[i].id != self &&
+		    weight(v->members[i].id) > own)
+			above++;
+	return above < CONF_WATCHERS;
+}
+
+/* The watchers of a data centre, the first by weight first. */
+static uint32_t find_watchers(const struct member_view *v, uint32_t dc,
+			      const struct member *out[CONF_WATCHERS])
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < v->member_count; i++) {
+		const struct member *m = &v->members[i];
+		uint32_t at;
+
+		if (!counts(m, dc))
+			continue;
+		for (at = count; at && weight(m->id) > weight(out[at - 1]->id);
+		     at--)
+			if (at < CONF_WATCHERS)
+				out[at] = out[at - 1];
+		if (at < CONF_WATCHERS)
+			out[at] = m;
+		if (count < CONF_WATCHERS)
+			count++;
+	}
+	return count;
+}
+
+static void add_target(const struct member *m, uint64_t self,
+		       const struct member **out, uint32_t *count)
+{
+	for (uint32_t i = 0; i < *count; i++)
+		if (out[i] == m)
+			return;
+	if (m->id != self)
+		out[(*count)++] = m;
+}
+
+/* Places in a tree are counted from its root on, by id and around. Daemons
+ * whose views differ leave a member out; its other tree or a digest reaches
+ * it. */
+static void add_children(const struct member_view *v, uint64_t self,
+			 uint32_t dc, uint64_t root, const struct member **out,
+			 uint32_t *count)
+{
+	uint32_t total = 0;
+	uint32_t first = 0;
+	uint32_t own = 0;
+
+	for (uint32_t i = 0; i < v->member_count; i++) {
+		const struct member *m = &v->members[i];
+
+		if (m->dc != dc)
+			continue;
+		first += m->id < root;
+		own += m->id < self;
+		total++;
+	}
+	if (!total)
+		return;
+	own = (own + total - first) % total;
+	for (uint32_t i = 0, at = 0; i < v->member_count; i++) {
+		uint32_t place;
+
+		if (v->members[i].dc != dc)
+			continue;
+		place = (at++ + total - first) % total;
+		if (place > own * CONF_RELAY_CHILDREN &&
+		    place <= (own + 1) * CONF_RELAY_CHILDREN)
+			add_target(&v->members[i], self, out, count);
+	}
+}
+
+uint32_t conf_relay_targets(const struct member_view *v, uint64_t self,
+			    uint32_t dc, bool outside,
+			    const struct member *out[CONF_RELAY_MAX])
+{
+	const struct member *roots[CONF_WATCHERS];
+	uint32_t roots_count = find_watchers(v, dc, roots);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < roots_count; i++) {
+		if (outside)
+			add_target(roots[i], self, out, &count);
+		add_children(v, self, dc, roots[i]->id, out, &count);
+	}
+	return count;
+}
+
+const struct member *conf_pick_member(const struct member_view *v,
+				      uint64_t self, uint32_t dc, bool other,
+				      uint64_t random)
+{
+	const struct member *found = NULL;
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < v->member_count; i++)
+		if (v->members[i].id != self &&
+		    (v->members[i].dc != dc) == other)
+			n++;
+	if (!n)
+		return NULL;
+	random %= n;
+	for (uint32_t i = 0; i < v->member_count && !found; i++)
+		if (v->members[i].id != self &&
+		    (v->members[i].dc != dc) == other && !random--)
+			found = &v->members[i];
+	return found;
+}
+
+int64_t conf_backoff_us(uint32_t failures, uint64_t random)
+{
+	int64_t wait = BACKOFF_FIRST_US;
+
+	for (uint32_t i = 1; i < failures && wait < BACKOFF_MAX_US; i++)
+		wait *= 2;
+	if (wait > BACKOFF_MAX_US)
+		wait = BACKOFF_MAX_US;
+	/* The random half keeps watchers from returning all at once. */
+	return wait / 2 + (int64_t)(random % (uint64_t)(wait / 2 + 1));
+}
+
+bool conf_asking_digest(const struct conf_asking *a, uint64_t own,
+			uint64_t digest, int64_t now_us)
+{
+	if (digest == own || now_us < a->list_until_us)
+		return false;
+	for (uint32_t i = 0; i < 16; i++)
+		if (a->behind[i] == digest)
+			return false;
+	return true;
+}
+
+void conf_asking_behind(struct conf_asking *a, uint64_t digest)
+{
+	a->behind[a->behind_next++ % 16] = digest;
+}
+
+void conf_asking_moved(struct conf_asking *a)
+{
+	for (uint32_t i = 0; i < 16; i++)
+		a->behind[i] = 0;
+}
+
+bool conf_asking_start(struct conf_asking *a, int64_t now_us)
+{
+	if (a->loaded || now_us < a->next_start_us)
+		return false;
+	a->next_start_us = now_us + START_RETRY_US;
+	return true;
+}
+
+bool conf_asking_remote(struct conf_asking *a, bool watcher, int64_t now_us)
+{
+	if (!watcher || now_us < a->store_ok_us + STORE_SILENT_US ||
+	    now_us < a->next_remote_us)
+		return false;
+	a->next_remote_us = now_us + REMOTE_INTERVAL_US;
+	return true;
+}
--- a/fault/fleet.c
+++ b/fault/fleet.c
@@ -25,7 +25,7 @@
 #define STOP_MS 40000
 #define POLL_MS 20
 /* Beyond this a daemon is not coming back; it takes about a second. */
-#define READY_MS 30000
+#define READY_MS 20000
 
 void sleep_ms(uint32_t ms)
 {
@@ -278,6 +278,11 @@
 		if (!f->daemons[i].process.pid)
 			continue;
 		*from = *to = i;
+		if (has_ended(&f->daemons[i].process)) {
+			fail(f, "d%u ended by itself, status %x", i,
+			     f->daemons[i].process.status);
+			continue;
+		}
 		if (!learn(f, i, text))
 			return false;
 		for (uint32_t j = 0; j < f->daemon_count; j++) {
--- a/member/probe.c
+++ b/member/probe.c
@@ -8,11 +8,19 @@
 #include "member/member.h"
 
 #define SLOW_SCORE_MAX 8
+/* Bounds the traffic while a whole region is out of reach. */
+#define REMOTE_ACCUSED_MAX 4
 /* An observer that hears nobody may be the one that is cut off. */
 #define DEAF_PERIODS 2
 /* It acts for itself after that long, but tells nobody. */
 #define ISOLATED_US (10 * US_PER_S)
 
+bool swim_is_deaf(const struct swim *s)
+{
+	return s->live_count > 2 &&
+	       s->now_us - s->heard_us > DEAF_PERIODS * s->period_us;
+}
+
 static int64_t retry_us(const struct swim *s)
 {
 	return s->period_us / 4 * (1 + s->slow_score);
@@ -172,12 +180,45 @@
 	ping(s, n, p->nonce, out);
 }
 
+void swim_probe_doubt(struct swim *s, struct swim_out *out)
+{
+	for (uint32_t i = 0; i < SWIM_DOUBTS_MAX; i++) {
+		struct swim_node *n =
+			s->doubts[i] ? swim_find(s, s->doubts[i]) : NULL;
+
+		s->doubts[i] = 0;
+		if (!n || !swim_is_live(n))
+			continue;
+		swim_probe_start(s, n, out);
+		return;
+	}
+}
+
 static bool has_helpers(const struct swim *s)
 {
 	return s->live_count > 2;
 }
 
-static void accuse(struct swim *s, struct swim_probe *p, struct swim_node *n)
+/* If one member of another data centre is silent, all of it may be; few probes
+ * go there, so the next follows at once. */
+static void probe_same_dc(struct swim *s, const struct swim_node *n,
+			  struct swim_out *out)
+{
+	uint32_t accusing = 0;
+	struct swim_node *next;
+
+	for (uint32_t i = 0; i < SWIM_PROBES_MAX; i++)
+		accusing += s->probes[i].active && s->probes[i].accusing &&
+			    s->probes[i].remote;
+	next = accusing <= REMOTE_ACCUSED_MAX ?
+		       in_dc(s, n->member.dc, n->member.id) :
+		       NULL;
+	if (next && next->member.state == MEMBER_ALIVE)
+		swim_probe_start(s, next, out);
+}
+
+static void accuse(struct swim *s, struct swim_probe *p, struct swim_node *n,
+		   struct swim_out *out)
 {
 	s->counts.probes_failed++;
 	/* Helpers that do not answer either speak against the observer. */
@@ -192,7 +233,9 @@
 	p->accused_us = s->now_us;
 	p->nack_count = 0;
 	if (n->member.state == MEMBER_ALIVE)
-		swim_set_state(s, n, MEMBER_SUSPECT, true);
+		swim_set_state(s, n, MEMBER_SUSPECT, !swim_is_deaf(s));
+	if (p->remote)
+		probe_same_dc(s, n, out);
 }
 
 static void declare_dead(struct swim *s, struct swim_probe *p,
@@ -200,17 +243,18 @@
 {
 	s->counts.declared_dead++;
 	p->active = false;
+	n->scope = swim_scope_of(s, &n->member);
 	swim_set_state(s, n, MEMBER_DEAD, spread);
+	n->unshared = !spread;
 }
 
 static void judge(struct swim *s, struct swim_probe *p, struct swim_node *n)
 {
 	int64_t age_us = s->now_us - p->accused_us;
-	bool deaf = s->now_us - s->heard_us > DEAF_PERIODS * s->period_us;
 
 	if (age_us < suspicion_us(s, p))
 		return;
-	if (!has_helpers(s) || (p->nack_count && !deaf))
+	if (!has_helpers(s) || (p->nack_count && !swim_is_deaf(s)))
 		declare_dead(s, p, n, true);
 	else if (age_us > ISOLATED_US)
 		declare_dead(s, p, n, false);
@@ -228,12 +272,14 @@
 	}
 	p->step++;
 	if (!p->accusing && p->step == 4)
-		accuse(s, p, n);
+		accuse(s, p, n, out);
 	else if (p->accusing)
 		judge(s, p, n);
 	if (!p->active)
 		return;
 	p->next_us = s->now_us + retry_us(s);
+	if (p->accusing && p->remote)
+		p->next_us += retry_us(s);
 	if (p->step != 3)
 		ping(s, n, p->nonce, out);
 	if (p->step < 3 || (p->accusing && p->step % 2 == 0))
