--- a/cmd/azhctl/azhctl.c
+++ b/cmd/azhctl/azhctl.c
@@ -514,38 +514,46 @@
 /* Merges the decision into the object. A change to another worker is no
  * conflict and is merged with; one to the same worker is. */
 static enum az_status write_decision(struct store *s, const char *worker,
-				     enum worker_admin admin)
+				     enum worker_admin admin,
+				     const struct store_list *known)
 {
 	enum worker_admin first = WORKER_IN_SERVICE;
-	char key[CONF_KEY_MAX_BYTES];
+	struct conf_step step = { 0 };
 	enum az_status r = AZ_CONFLICT;
-	uint64_t other = 0;
+	uint64_t write_id;
+	bool deleted;
 
-	operator_key(key, worker);
+	operator_key(step.key, worker);
+	for (uint32_t i = 0; i < known->count; i++)
+		if (!strcmp(known->objects[i].key, step.key))
+			step.above = known->objects[i].version;
 	for (uint32_t i = 0; i < DECIDE_TRIES && r == AZ_CONFLICT; i++) {
 		struct buf text = { 0 };
 		struct store_object now;
 		enum worker_admin held;
 		uint64_t version;
 
-		r = read_decisions(s, key, &now);
+		r = read_decisions(s, step.key, &now);
 		if (r != AZ_OK)
 			return r;
 		held = conf_decision((char *)now.value.data, worker);
 		if (!i)
 			first = held;
-		if (held != first && held != admin)
+		if (held != first && held != admin) {
+			conf_header_parse((char *)now.value.data, &write_id,
+					  &deleted);
 			r = az_fail(AZ_CONFLICT,
 				    "the decision about %s was changed by "
 				    "write %016" PRIx64,
-				    worker, other);
-		if (r == AZ_OK && held != admin) {
+				    worker, write_id);
+			i = DECIDE_TRIES;
+		} else if (held != admin ||
+			   (step.above && now.version <= step.above)) {
 			conf_decide((char *)now.value.data, worker, admin,
 				    &text);
-			r = store_update(s, key, now.version, (char *)text.data,
-					 random_u64(), false, &version, &other);
-		} else if (r == AZ_CONFLICT) {
-			i = DECIDE_TRIES;
+			step.if_version = now.version;
+			step.text = (char *)text.data;
+			r = conf_write_step(s, &step, random_u64(), &version);
 		}
 		buf_free(&text);
 		store_object_free(&now);
@@ -559,6 +567,7 @@
 		!strcmp(o->command, "drain") ? WORKER_DRAINING :
 		!strcmp(o->command, "eject") ? WORKER_EJECTED :
 					       WORKER_IN_SERVICE;
+	struct store_list known = { 0 };
 	struct store_list held;
 	enum az_status r;
 
@@ -569,8 +578,11 @@
 		return fail(r);
 	r = check_decision(o, &held, admin);
 	store_list_free(&held);
+	if (r == AZ_OK && o->daemons && !each_daemon(o, add_versions, &known))
+		r = AZ_IO;
 	if (r == AZ_OK)
-		r = write_decision(s, o->args[0], admin);
+		r = write_decision(s, o->args[0], admin, &known);
+	store_list_free(&known);
 	return r == AZ_OK ? print_digest(s) : fail(r);
 }
 
@@ -655,8 +667,8 @@
 static const struct argp_option argp_options[] = {
 	{ "store", 's', "URL", 0, "the platform's object API", 0 },
 	{ "daemons", 'd', "ADDRESSES", 0,
-	  "administration addresses, IP:PORT separated by commas; apply then "
-	  "writes above the versions that these daemons hold",
+	  "administration addresses, IP:PORT separated by commas; writes then "
+	  "go above the versions that these daemons hold",
 	  0 },
 	{ "token-file", 't', "FILE", 0, "token of the administration API", 0 },
 	{ "site", 'i', "SITE", 0, "site whose overlay applies, for decisions",
