ticket: a daemon that just started does not call an issuer gone

Cause: a fresh daemon learns the departed daemons and their successors only when it compares its members with others. Until then it told callers issuer-gone, which is final, about tickets whose ledger a successor served.

Ruled out: the handover (every ledger arrived whole) and the older daemons, which found the successor.

Change: for 32 membership periods after its start a daemon answers issuer-unreachable, which callers repeat, if membership does not list the issuer.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -9,6 +9,8 @@
 #include "cmd/azhd/azhd.h"
 
 #define REACH_CONNECT_MS 500
+/* Eight comparisons of departed members within the data centre, one beyond. */
+#define SETTLE_PERIODS 32
 
 const char *argp_program_version = "azhd 0.1";
 
@@ -239,8 +241,13 @@
 	};
 	struct route_settings rs = { me.id,   d->incarnation, me.dc, me.region,
 				     d->conf, d->membership,  NULL,  NULL };
-	struct ticket_settings ts = { s->peer.ip, s->peer.port, d->incarnation,
-				      NULL,	  NULL,		d->membership };
+	struct ticket_settings ts = {
+		.ip = s->peer.ip,
+		.port = s->peer.port,
+		.incarnation = d->incarnation,
+		.membership = d->membership,
+		.settle_us = s->member_period_ms * SETTLE_PERIODS * US_PER_MS,
+	};
 	struct front_settings fs = {
 		.ip = s->front.ip,
 		.port = s->front.port,
--- a/ticket/submit.c
+++ b/ticket/submit.c
@@ -113,6 +113,15 @@
 		     s->deadline_us, courier_new(d, s));
 }
 
+/* "Gone" is final for the caller, so it is not said by a daemon that has not
+ * heard of all departed issuers and their successors yet. */
+static enum error_kind unlisted_kind(const struct ticket_duty *d)
+{
+	return d->duty.now_us - d->started_us < d->settings.settle_us ?
+		       ERR_ISSUER_UNREACHABLE :
+		       ERR_ISSUER_GONE;
+}
+
 static void submission_try(struct ticket_duty *d, struct submission *s)
 {
 	const struct member_view *v = membership_view(d->settings.membership);
@@ -122,7 +131,7 @@
 	if (issuer)
 		present_there(d, s, issuer);
 	else
-		submission_end(d, s, answer_new(ERR_ISSUER_GONE));
+		submission_end(d, s, answer_new(unlisted_kind(d)));
 	member_view_release(v);
 }
 
--- a/ticket/ticket.c
+++ b/ticket/ticket.c
@@ -132,10 +132,12 @@
 
 enum az_status ticket_start(struct ticket_duty *d)
 {
-	enum az_status s = duty_start(&d->duty);
+	enum az_status s;
 
+	d->started_us = clock_now_us();
+	s = duty_start(&d->duty);
 	if (s == AZ_OK)
-		duty_arm(&d->duty, clock_now_us() + EXPIRE_EVERY_US);
+		duty_arm(&d->duty, d->started_us + EXPIRE_EVERY_US);
 	return s;
 }
 
--- a/ticket/ticket.h
+++ b/ticket/ticket.h
@@ -131,6 +131,9 @@
 	struct route *route;
 	struct peer *peer;
 	struct membership *membership;
+	/** Until then after the start an issuer that membership does not list
+	 * may be one whose departure this daemon has not heard of yet. */
+	int64_t settle_us;
 };
 
 #define ADOPTED_MAX 16
@@ -164,6 +167,7 @@
 	uint64_t next_submission;
 	int64_t armed_us;
 	int64_t expired_us;
+	int64_t started_us;
 	struct counter *issued;
 	struct counter *presented;
 	struct counter *joined;
