peer: count what was written before a connection broke

Cause: conn_flush() did not advance out_base when a write failed after another one of the same turn had succeeded, so that a call of which bytes were written passed for unsent: peer-unreachable, which claims not-run and allows a second forward.

Ruled out: the same in upstream, which counts after each write.

Change: out_base advances in any case. Found by reading; the window (a reset between two writes of one turn) is too short for a test by events, so there is none.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -208,8 +208,9 @@
 static bool conn_flush(struct conn *c)
 {
 	uint32_t done = 0;
+	bool broken = false;
 
-	while (done < c->out.len_bytes) {
+	while (!broken && done < c->out.len_bytes) {
 		apr_size_t n = c->out.len_bytes - done;
 		apr_status_t rv = apr_socket_send(
 			c->poll.sock, (char *)c->out.data + done, &n);
@@ -219,10 +220,13 @@
 		else if (APR_STATUS_IS_EAGAIN(rv))
 			break;
 		else
-			return false;
+			broken = true;
 	}
 	counter_add(c->peer->bytes_out, done);
+	/* Also if it broke: a call of which bytes were written may arrive. */
 	c->out_base += done;
+	if (broken)
+		return false;
 	c->out.len_bytes -= done;
 	memmove(c->out.data, c->out.data + done, c->out.len_bytes);
 	duty_poll(&c->peer->duty, &c->poll,
