--- a/cell/cell.c
+++ b/cell/cell.c
@@ -13,6 +13,10 @@
 #define IDLE_CELL_US (300 * US_PER_S)
 #define PROBE_TIMEOUT_MS 1000
 #define SHED_STATUS 503
+/* Costs of a choice; a busy worker costs 0 to 100. A worker on trial comes
+ * after every healthy one for work that must not repeat. */
+#define COST_SEVERITY 1000U
+#define COST_TRIAL 500U
 
 struct waiter {
 	struct waiter *next;
@@ -137,7 +141,8 @@
 /* A healthy worker before an unhealthy one, then the least busy for its
  * slots. An unhealthy one that the entry did not exclude is still used: homes
  * never exclude by themselves, else together they could empty the pool. */
-static int32_t choose_worker(const struct homed_cell *c, uint16_t excluded)
+static int32_t choose_worker(const struct homed_cell *c,
+			     const struct forward *f)
 {
 	int32_t best = -1;
 	uint32_t best_cost = UINT32_MAX;
@@ -172,7 +177,7 @@
 	const struct cell_call *c =
 		az_container_of(i, const struct cell_call, item);
 
-	return choose_worker(arg, c->forward->excluded) >= 0;
+	return choose_worker(arg, c->forward) >= 0;
 }
 
 /* ---- dispatch ---- */
@@ -230,7 +235,7 @@
 				   &expired))) {
 		struct cell_call *c =
 			az_container_of(i, struct cell_call, item);
-		int32_t w = choose_worker(cell, c->forward->excluded);
+		int32_t w = choose_worker(cell, c->forward);
 
 		send_to_worker(h, c, (uint8_t)w, false);
 	}
@@ -360,9 +365,9 @@
 	return NULL;
 }
 
-/* A worker that this home cannot connect to may be cut off from it alone. */
-static void ask_another(struct cell_home *h, const struct homed_cell *cell,
-			uint8_t w)
+/* A worker that this home cannot reach may be cut off from it alone. With
+ * nobody to ask the home believes itself. */
+static void ask_another(struct cell_home *h, struct homed_cell *cell, uint8_t w)
 {
 	const struct conf_worker *worker = cell->conf_cell->workers[w];
 	const struct member_view *v = membership_view(h->settings.membership);
@@ -383,6 +388,8 @@
 					   m->incarnation };
 		peer_reach(h->settings.peer, &to, worker->ip, worker->port,
 			   h->duty.now_us + REACH_TIMEOUT_US, &r->reply);
+	} else {
+		reach_answer(&cell->reach[w], false);
 	}
 	member_view_release(v);
 }
@@ -859,6 +866,27 @@
 	send_to_worker(h, c, w, fresh);
 }
 
+static bool is_unhealthy(const struct homed_cell *cell, uint8_t w,
+			 const struct health_verdict *v)
+{
+	const struct reach *r = &cell->reach[w];
+
+	return v->severity && !r->cut && (!v->unreachable || r->down);
+}
+
+/* Blame that rests on silence alone is confirmed before it is reported. */
+static void confirm_unreachable(struct cell_home *h, struct homed_cell *cell)
+{
+	for (uint8_t w = 0; w < cell->conf_cell->worker_count; w++) {
+		struct health_verdict v =
+			cell->health->ops->verdict(cell->health, w);
+
+		if (v.severity && v.unreachable && h->settings.peer &&
+		    reach_connect_failed(&cell->reach[w], h->duty.now_us))
+			ask_another(h, cell, w);
+	}
+}
+
 /* A worker that others reach is healthy: the cell moves to another home. */
 static uint32_t add_reports(const struct cell_home *h,
 			    const struct homed_cell *cell, struct report *list,
@@ -878,8 +906,7 @@
 				cell->conf_cell->workers[w]->id,
 				REPORT_WORKER_LEAVING, 255
 			};
-		else if (n < MEMBER_REPORTS_MAX && v.severity &&
-			 !cell->reach[w].cut)
+		else if (n < MEMBER_REPORTS_MAX && is_unhealthy(cell, w, &v))
 			list[n++] = (struct report){
 				cell->conf_cell->workers[w]->id,
 				REPORT_WORKER_UNHEALTHY, v.severity
@@ -910,6 +937,7 @@
 
 	refresh_conf(h, cell);
 	cell->health->ops->tick(cell->health, now_us);
+	confirm_unreachable(h, cell);
 	if (cell->conf_cell->service->health_path[0]) {
 		w = cell->health->ops->next_probe(cell->health, now_us, &fresh);
 		if (w >= 0)
--- a/cell/cell.h
+++ b/cell/cell.h
@@ -120,6 +120,7 @@
 struct reach {
 	int64_t asked_us; /**< another daemon was asked last; 0: never */
 	bool cut; /**< others reach the worker, this home does not */
+	bool down; /**< nobody who was asked reaches it */
 };
 
 /** A connection to the worker could not be made. True if a daemon in another
--- a/cell/reach.c
+++ b/cell/reach.c
@@ -14,9 +14,11 @@
 void reach_answer(struct reach *r, bool reachable_elsewhere)
 {
 	r->cut = reachable_elsewhere;
+	r->down = !reachable_elsewhere;
 }
 
 void reach_connected(struct reach *r)
 {
 	r->cut = false;
+	r->down = false;
 }
--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -196,8 +196,8 @@
 		.ip = s->peer.ip,
 		.peer_port = s->peer.port,
 		.member_port = s->member.port,
-		.dc = (uint32_t)hash_string(s->data_centre),
-		.region = (uint32_t)hash_string(s->region),
+		.dc = conf_place_id(s->data_centre),
+		.region = conf_place_id(s->region),
 		.state = MEMBER_ALIVE,
 	};
 
@@ -275,7 +275,7 @@
 		.store_url = apr_psprintf(d->pool, "http://%s", s->store),
 		.site = s->site,
 		.member_id = hash_string(s->name),
-		.dc = (uint32_t)hash_string(s->data_centre),
+		.dc = conf_place_id(s->data_centre),
 		.vms_interval_ms = s->vms_interval_ms,
 		.current = d->conf,
 		.links = conf_links_create(d->membership, d->peer, d->pool),
--- a/cmd/azhd/drain.c
+++ b/cmd/azhd/drain.c
@@ -96,8 +96,8 @@
 static void hand_over(struct azhd *d)
 {
 	const struct member_view *v = membership_view(d->membership);
-	uint32_t dc = (uint32_t)hash_string(d->settings.data_centre);
-	uint32_t region = (uint32_t)hash_string(d->settings.region);
+	uint32_t dc = conf_place_id(d->settings.data_centre);
+	uint32_t region = conf_place_id(d->settings.region);
 	const struct member *m =
 		member_home(v, hash_string(d->settings.name), dc, region);
 	struct ledger_image **parts;
