--- a/spec/ticket.pml
+++ b/spec/ticket.pml
@@ -137,6 +137,10 @@
 /* An outcome reaches the caller. */
 inline tell(p, outcome)
 {
+#ifdef REACH_RETRY
+	/* Reached: the work ran by a second call. */
+	assert(outcome != RAN || forward[1] == UNSENT);
+#endif
 	if
 	:: outcome == RAN ->
 		assert(runs[ticket_of[p]] == 1);
@@ -269,10 +273,20 @@
 #endif
 		:: else ->
 			if
-			:: ledger[ticket_of[p]] == UNUSED ->
+			:: ledger[ticket_of[p]] == UNUSED &&
+			   forward[inc * CALLS] == UNSENT ->
 				ledger[ticket_of[p]] = RUNNING;
 				joined[p] = 1;
 				send(inc * CALLS)
+#if defined(LEDGER_REOPENS) || defined(LEDGER_FORGETS)
+			:: ledger[ticket_of[p]] == UNUSED &&
+			   forward[inc * CALLS] != UNSENT &&
+			   forward[inc * CALLS + 1] == UNSENT ->
+				ledger[ticket_of[p]] = RUNNING;
+				current[ticket_of[p]] = 1;
+				joined[p] = 1;
+				send(inc * CALLS + 1)
+#endif
 			/* Refused and recorded. */
 			:: ledger[ticket_of[p]] == UNUSED ->
 				ledger[ticket_of[p]] = NOT_RUN;
@@ -343,12 +357,12 @@
 {
 	if
 	:: (c) % CALLS < CALLS - 1 ->
-		current[TICKET_OF_CALL(c)] = (c) % CALLS + 1;
 #ifndef STALE_ANSWERS_ACCEPTED
 		reply[c] = 0;
 		query[c] = 0;
 #endif
-		send((c) + 1)
+		send((c) + 1);
+		current[TICKET_OF_CALL(c)]++
 	:: ledger_end(TICKET_OF_CALL(c), NOT_RUN)
 	fi
 }
@@ -439,6 +453,10 @@
 		:: FORWARD_FITS(c) && table[c] == UNSEEN -> table[c] = QUEUED
 		:: FORWARD_FITS(c) &&
 		   (table[c] == SEALED || table[c] == FORGOTTEN) ->
+#ifdef REACH_SEAL
+			/* Reached: a forward comes after its seal. */
+			assert(table[c] != SEALED);
+#endif
 			answer_call(c, NOT_RUN)
 		:: else /* a copy joins */
 		fi
