--- a/spec/conf.pml
+++ b/spec/conf.pml
@@ -78,7 +78,9 @@
 /* A copy of an ended write whose condition is gone does nothing any more. */
 inline drop_late()
 {
-#ifndef UNCONDITIONAL
+#ifdef UNCONDITIONAL
+	skip
+#else
 	for (i : 0 .. WRITES - 1) {
 		if
 		:: write[i] != WAITING -> request[i] = 0
@@ -120,7 +122,9 @@
 	ver = new_ver[w];
 	id = w + 1;
 	history = history | BIT(w);
+#ifndef LIVENESS
 	assert(winner[ver] == 0);
+#endif
 	winner[ver] = w + 1;
 	if
 	:: ver > latest -> latest = ver
@@ -419,5 +423,15 @@
 #define AS_STORE (ver == applied[0] && id == content[0] || \
 	restored && ver < applied[0])
 #ifdef LIVENESS
+/* Time goes on when nothing else does, so that each run is infinite. */
+bit tick;
+
+active proctype time()
+{
+	do
+	:: tick = 1 - tick
+	od
+}
+
 ltl in_force { <> [] (SAME && AS_STORE) }
 #endif
--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -376,6 +376,16 @@
 }
 
 #ifdef LIVENESS
+/* Time goes on when nothing else does, so that each run is infinite. */
+bit tick;
+
+active proctype time()
+{
+	do
+	:: tick = 1 - tick
+	od
+}
+
 /* Without losses and restarts, and under weak fairness: every presentation is
  * answered without the entry's own timeout, and a frozen ledger is adopted. */
 ltl answered {
--- a/spec/leaving.pml
+++ b/spec/leaving.pml
@@ -16,9 +16,11 @@
  * looks idle, one of another view. More would repeat these cases. One cell, two
  * workers, since cells share nothing but the stopping daemon.
  */
+#ifndef REQUESTS
 #define REQUESTS 3
+#endif
 #define SENDERS 2
-#define SENDER(r) ((r) / 2)
+#define SENDER(r) ((r) % 2)
 
 #define A 0
 #define B 1
@@ -30,15 +32,16 @@
 #define AT_WORKER 3
 #define ANSWERED 4
 #define CUT 5
+#define DROPPED 6
 
 /* State of daemon A. */
 #define SERVING 0
 #define STOPPING 1
 #define GONE 2
 
-byte where[REQUESTS];
-byte home_of[REQUESTS];
-byte worker_of[REQUESTS];
+byte where[3];
+byte home_of[3];
+byte worker_of[3];
 bit view[SENDERS]; /* the home that the sender knows */
 bit a_refused[REQUESTS]; /* A refused it as not run */
 byte a;
@@ -48,7 +51,7 @@
 bit left; /* it has exited */
 
 #define ANSWERED_ALL (where[0] == ANSWERED && where[1] == ANSWERED && \
-	where[2] == ANSWERED)
+	(where[2] == ANSWERED || REQUESTS < 3))
 
 #define AT_WORKER_0(r) (where[r] == AT_WORKER && worker_of[r] == 0)
 
@@ -185,7 +188,20 @@
 {
 	byte i;
 
-end:	a = STOPPING;
+end:	atomic {
+		a = STOPPING
+#ifdef DROPS_QUEUE
+		;
+		for (i : 0 .. REQUESTS - 1) {
+			if
+			:: where[i] == QUEUED && home_of[i] == A ->
+				where[i] = DROPPED
+			:: else
+			fi
+		}
+		i = 0
+#endif
+	}
 end2:	atomic {
 		MAY_EXIT ->
 		a = GONE;
@@ -218,5 +234,15 @@
 
 /* Under weak fairness: each request is answered, A exits, worker 0 exits. */
 #ifdef LIVENESS
+/* Time goes on when nothing else does, so that each run is infinite. */
+bit tick;
+
+active proctype time()
+{
+	do
+	:: tick = 1 - tick
+	od
+}
+
 ltl answered { <> (ANSWERED_ALL && a == GONE && left) }
 #endif
