--- a/spec/run.sh
+++ b/spec/run.sh
@@ -8,6 +8,8 @@
 MEMORY_MB=1400
 JOBS=4
 DEPTH=100000
+# What pan says when it has left out a part of the search.
+INCOMPLETE='not completed|too small|out of memory|MEMLIM|memory limit'
 
 # model : name : safety or liveness : bounds and variant : expected.
 # What is expected is `pass` or a pattern of the error that pan reports. The
@@ -64,7 +66,7 @@
 leaving:exit when connections are closed:safety:-DEXIT_WHEN_CLOSED:where\[i\]!=5
 leaving:queue dropped by the stop:liveness:-DREQUESTS=2 -DLIVENESS -DDROPS_QUEUE:acceptance cycle
 conf:unconditional write:safety:-DDAEMONS=2 -DUNCONDITIONAL:winner
-conf:daemon applies whatever comes:safety:-DSERIAL -DAPPLIES_ANYTHING:applied
+conf:daemon applies whatever comes:safety:-DSERIAL -DRESTORE -DAPPLIES_ANYTHING:applied
 conf:lost reply taken for failure:safety:-DDAEMONS=2 -DLOST_IS_FAILURE:took_effect
 conf:conflict of a repeated write is refusal:safety:-DDAEMONS=2 -DCONFLICT_IS_REFUSAL:took_effect
 conf:reads back the latest id only:safety:-DDAEMONS=2 -DREADS_BACK_LATEST:took_effect
@@ -90,7 +92,6 @@
 	dir=$2/$3
 	IFS=: read -r model name mode flags expected <"$dir/job"
 	cd "$dir" || exit 2
-	# shellcheck disable=SC2086
 	if test "$mode" = safety
 	then
 		build="-DSAFETY -DNOREDUCE"
@@ -99,26 +100,23 @@
 		build="-DNFAIR=8 -DNOREDUCE"
 		search="-a -f"
 	fi
+	# shellcheck disable=SC2086 # flags are several words
 	{
 		spin -a $flags "$spec/$model.pml" &&
 		gcc -w -O2 $build -DCOLLAPSE -DMEMLIM=$MEMORY_MB -o pan pan.c
-	} >build 2>&1
+	} >build.log 2>&1
 	if test $? != 0
 	then
-		verdict="not built: $(grep -i error build | head -n 1)"
+		verdict="not built: $(grep -i error build.log | head -n 1)"
 	else
+		# shellcheck disable=SC2086
 		./pan -m$DEPTH $search >out 2>&1
 		error=$(grep '^pan:1:' out | head -n 1)
 		if test -n "$error"
 		then
 			verdict="rejected"
-		elif grep -q 'errors: 0$' out &&
-			! grep -qiE 'not completed|too small|out of memory|memlim|truncat|reached' out
-		then
-			verdict=pass
-		elif grep -q 'errors: 0$' out &&
-			! grep -qiE 'not completed|too small|out of memory|memlim|truncat' out &&
-			grep -q 'depth reached' out
+		elif grep -q 'depth reached [0-9]*, errors: 0$' out &&
+			! grep -qE "$INCOMPLETE" out
 		then
 			verdict=pass
 		else
@@ -141,11 +139,12 @@
 	fi
 	printf '%-9s %-42s %9s %6s %6s  %-10s %-10s %s\n' "$model" "$name" \
 		"$states" "$depth" "$seconds" "$verdict" "$want" "$ok" >line
-	if test $ok = FAIL
+	if test "$ok" = FAIL
 	then
-		cat build out | head -n 20 >why
+		cat build.log out | head -n 20 >why
+		# shellcheck disable=SC2086
 		test "$verdict" = rejected && test -f "$model.pml.trail" &&
-			spin -t -p -g $flags "$spec/$model.pml" 2>&1 |
+			spin -k "$model.pml.trail" -p -g $flags "$spec/$model.pml" 2>&1 |
 			tail -n 60 >>why
 	fi
 	rm -f pan pan.* ./*.trail
--- a/spec/ticket.pml
+++ b/spec/ticket.pml
@@ -378,9 +378,7 @@
 		reply[c] = reply[c] - RAN;
 		if
 		:: ACCEPTED(c) ->
-#ifdef OLD_ANSWERS_ACCEPTED
 			assert(inc == c / CALLS);
-#endif
 			ledger_end(TICKET_OF_CALL(ACCEPTED_AS(c)), RAN)
 		:: else
 		fi
@@ -389,7 +387,9 @@
 		reply[c] & NOT_RUN ->
 		reply[c] = reply[c] - NOT_RUN;
 		if
-		:: ACCEPTED(c) -> next_call(ACCEPTED_AS(c))
+		:: ACCEPTED(c) ->
+			assert(inc == c / CALLS);
+			next_call(ACCEPTED_AS(c))
 		:: else
 		fi
 	}
@@ -398,6 +398,7 @@
 		reply[c] = reply[c] - UNKNOWN;
 		if
 		:: ACCEPTED(c) ->
+			assert(inc == c / CALLS);
 			ledger_end(TICKET_OF_CALL(ACCEPTED_AS(c)), UNKNOWN)
 		:: else
 		fi
