--- a/cell/cell.c
+++ b/cell/cell.c
@@ -151,11 +151,13 @@
 		struct health_verdict v;
 		uint32_t cost;
 
-		if (!is_eligible(c, w, excluded) || !has_free_slot(c, w))
+		if (!is_eligible(c, w, f->excluded) || !has_free_slot(c, w))
 			continue;
 		v = c->health->ops->verdict(c->health, w);
-		cost = v.severity * 1000U +
+		cost = v.severity * COST_SEVERITY +
 		       c->busy[w] * 100U / usable_slots(c, w);
+		if (v.reads_only && !f->request->idempotent)
+			cost += COST_TRIAL;
 		if (cost < best_cost) {
 			best = w;
 			best_cost = cost;
