--- a/member/member_test.c
+++ b/member/member_test.c
@@ -139,6 +139,11 @@
 	return to == 3;
 }
 
+static bool mute_cut(struct model *m, uint32_t from, uint32_t to)
+{
+	return from == 3;
+}
+
 static void count_live_others(const struct model *m, uint32_t not )
 {
 	for (uint32_t i = 0; i < m->count; i++)
@@ -147,13 +152,12 @@
 				CU_ASSERT(model_sees(m, i, j));
 }
 
-/* Guards against a daemon that hears nobody and has all others declared
- * dead, at once or when it hears again. */
-static void test_deaf_daemon_harms_nobody(void)
+static void cut_off_one(bool (*cut)(struct model *m, uint32_t from,
+				    uint32_t to))
 {
 	struct model *m = running_fleet(40);
 
-	m->cut = deaf_cut;
+	m->cut = cut;
 	for (int32_t s = 0; s < 60; s++) {
 		model_run(m, US_PER_S);
 		count_live_others(m, 3);
@@ -168,6 +172,14 @@
 	model_free(m);
 }
 
+/* Guards against a daemon that hears nobody, or is heard by nobody, and has all
+ * others declared dead, at once or when its path is back. */
+static void test_cut_off_daemon_harms_nobody(void)
+{
+	cut_off_one(deaf_cut);
+	cut_off_one(mute_cut);
+}
+
 /* Guards against a death that was declared from another region and counts for
  * the member's own neighbours, as after a cut between regions. */
 static void test_death_from_afar_is_checked_near(void)
@@ -739,7 +751,7 @@
 	{ "no false death under loss", test_no_false_death_under_loss },
 	{ "no false death under one-way cuts",
 	  test_no_false_death_under_one_way_cuts },
-	{ "deaf daemon harms nobody", test_deaf_daemon_harms_nobody },
+	{ "cut off daemon harms nobody", test_cut_off_daemon_harms_nobody },
 	{ "death from afar is checked near",
 	  test_death_from_afar_is_checked_near },
 	{ "restart", test_restart },
