member: budget of bytes a second

Rumours now draw on a budget of 6 KB/s with 200 KB saved for bursts; without budget there is no gossip and datagrams stay below 300 bytes.

--- a/member/member.h
+++ b/member/member.h
@@ -132,6 +132,8 @@
 #define SWIM_TOMBSTONES_MAX 4096
 #define SWIM_OUT_MAX 64
 #define SWIM_HELPERS 3
+/** Saved for bursts; with 6 KB/s it makes 11 KB/s over 40 s. */
+#define SWIM_BUDGET_MAX_BYTES 200000
 #define SWIM_DOUBTS_MAX 8
 /** Tickets live 10 minutes; their issuer must be found as long. */
 #define SWIM_DEPARTED_KEEP_US (900 * US_PER_S)
@@ -323,6 +325,8 @@
 	int64_t tick_us;
 	int64_t period_at_us;
 	int64_t probe_at_us;
+	int64_t budget_bytes; /**< what rumours may still use; may be below 0 */
+	int64_t budget_us; /**< when it was last filled up */
 	int64_t gossip_at_us;
 	int64_t quiet_until_us; /**< after a pause nobody is accused */
 	int64_t announce_until_us; /**< own digest changed: gossip without
--- a/member/member_test.c
+++ b/member/member_test.c
@@ -415,9 +415,15 @@
 	for (uint32_t i = 0; i < 2 * SWIM_SEEDS_MAX; i++)
 		swim_add_seed(s, MODEL_IP + i, 1);
 	CU_ASSERT_EQUAL(s->seed_count, SWIM_SEEDS_MAX);
+	/* Thousands of rumours wait, as while a region is cut off. */
 	for (uint32_t i = 0; i < m->count; i++)
+		m->daemons[i].bytes = 0;
+	model_run(m, 60 * US_PER_S);
+	for (uint32_t i = 0; i < m->count; i++) {
+		CU_ASSERT(m->daemons[i].bytes < UINT64_C(60) * 12000);
 		CU_ASSERT(m->daemons[i].longest_bytes <=
 			  SWIM_DATAGRAM_MAX_BYTES);
+	}
 	model_free(m);
 }
 
--- a/member/probe.c
+++ b/member/probe.c
@@ -210,7 +210,7 @@
 	for (uint32_t i = 0; i < SWIM_PROBES_MAX; i++)
 		accusing += s->probes[i].active && s->probes[i].accusing &&
 			    s->probes[i].remote;
-	next = accusing <= REMOTE_ACCUSED_MAX ?
+	next = accusing <= REMOTE_ACCUSED_MAX && s->budget_bytes > 0 ?
 		       in_dc(s, n->member.dc, n->member.id) :
 		       NULL;
 	if (next && next->member.state == MEMBER_ALIVE)
--- a/member/roster.c
+++ b/member/roster.c
@@ -795,6 +795,8 @@
 	/* Periods of daemons started together do not coincide. */
 	s->period_at_us = now_us + swim_random_below(s, (uint32_t)s->period_us);
 	s->probe_at_us = s->period_at_us;
+	s->budget_us = now_us;
+	s->budget_bytes = SWIM_BUDGET_MAX_BYTES;
 	return s;
 }
 
--- a/member/swim.c
+++ b/member/swim.c
@@ -28,8 +28,31 @@
 #define CROWD_RUMOURS 16
 #define JOIN_DONE 2
 
+/* While a region is cut off, thousands of rumours wait; without a budget a
+ * daemon of 3,700 sent 56 KB/s, and all control together may use 12. */
+#define BUDGET_BYTES_A_S 6000
+#define POOR_BYTES 300
+/* IPv4 and UDP. */
+#define HEADERS_BYTES 28
+
 /* ---- sending ---- */
 
+static void fill_budget(struct swim *s)
+{
+	s->budget_bytes +=
+		(s->now_us - s->budget_us) * BUDGET_BYTES_A_S / US_PER_S;
+	if (s->budget_bytes > SWIM_BUDGET_MAX_BYTES)
+		s->budget_bytes = SWIM_BUDGET_MAX_BYTES;
+	s->budget_us = s->now_us;
+}
+
+static void spend_budget(struct swim *s, const struct swim_out *out)
+{
+	for (uint32_t i = 0; i < out->count; i++)
+		s->budget_bytes -=
+			swim_msg_bytes(&out->list[i].msg) + HEADERS_BYTES;
+}
+
 struct swim_msg *swim_emit_to(struct swim *s, struct swim_out *out, uint32_t ip,
 			      uint16_t port, enum swim_kind kind)
 {
@@ -66,9 +89,13 @@
 
 void swim_finish(struct swim *s, struct swim_msg *m)
 {
-	swim_fill(s, m,
-		  s->rumour_count > CROWD_RUMOURS ? SWIM_DATAGRAM_MAX_BYTES :
-						    SWIM_DATAGRAM_AIM_BYTES);
+	uint32_t aim_bytes = SWIM_DATAGRAM_AIM_BYTES;
+
+	if (s->budget_bytes <= 0)
+		aim_bytes = POOR_BYTES;
+	else if (s->rumour_count > CROWD_RUMOURS)
+		aim_bytes = SWIM_DATAGRAM_MAX_BYTES;
+	swim_fill(s, m, aim_bytes);
 }
 
 static void add_self(struct swim *s, struct swim_msg *m)
@@ -118,7 +145,7 @@
 {
 	bool local = s->dc_live_count > 1;
 
-	if (s->now_us < s->gossip_at_us ||
+	if (s->now_us < s->gossip_at_us || s->budget_bytes <= 0 ||
 	    (!s->rumour_count && s->now_us >= s->announce_until_us))
 		return;
 	s->gossip_at_us = s->now_us + s->period_us / GOSSIPS_A_PERIOD;
@@ -524,6 +551,7 @@
 	s->tick_us = now_us;
 	if (s->leaving)
 		return;
+	fill_budget(s);
 	if (paused)
 		after_pause(s, out);
 	swim_probe_tick(s, out);
@@ -537,6 +565,7 @@
 	local_probe_turn(s, out);
 	join_turn(s, out);
 	gossip_turn(s, out);
+	spend_budget(s, out);
 }
 
 /* ---- receiving ---- */
@@ -619,6 +648,7 @@
 	default:
 		break;
 	}
+	spend_budget(s, out);
 }
 
 /* ---- own state ---- */
