peer: a stopping daemon says which calls it took

Cause, found by the model of the planned stop: a forward that is written just as the stopping daemon becomes idle is cut, and its sender is left in doubt. Ruled out: waiting for the views to move (the model has the race with all views moved). Change: GOAWAY with the sequence of the last call taken; calls above it are not run and are tried elsewhere; the daemon exits when it is idle and its peers have closed, or at its bound.

--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,7 @@
 	@echo "make bench     added latency and cost of one, two and three daemons"
 	@echo "make format lint   formatter and linter, in check mode"
 
--include $(OBJ:.o=.d) $(patsubst %.c,$(BUILD)/%.d,$(wildcard */*_test.c \
-	*/*_measure.c */*_main.c cmd/*/*.c))
+-include $(wildcard $(BUILD)/*/*.d $(BUILD)/cmd/*/*.d)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
--- a/cmd/azhd/drain.c
+++ b/cmd/azhd/drain.c
@@ -31,6 +31,18 @@
 			  in_flight(d));
 }
 
+/* Peers and callers close once their calls are answered; a caller that keeps an
+ * idle connection is waited for no longer than the balancer's time. */
+static void wait_until_alone(struct azhd *d, int64_t until_us)
+{
+	int64_t idle_until_us =
+		clock_now_us() + d->settings.drain_ms * US_PER_MS;
+
+	while ((peer_inbound(d->peer) && clock_now_us() < until_us) ||
+	       (front_connections(d->front) && clock_now_us() < idle_until_us))
+		sleep_ms(CHECK_MS);
+}
+
 /** Lets the main thread wait for one answer. */
 struct wait_reply {
 	struct reply_to reply;
@@ -139,5 +151,7 @@
 	wait_until_idle(d, until_us);
 	hand_over(d);
 	sleep_ms(d->settings.member_period_ms * FAREWELL_PERIODS);
+	peer_quiesce(d->peer);
 	wait_until_idle(d, until_us);
+	wait_until_alone(d, until_us);
 }
--- a/front/front.c
+++ b/front/front.c
@@ -480,6 +480,14 @@
 		close(listener);
 }
 
+uint32_t front_connections(struct front *f)
+{
+	const union MHD_DaemonInfo *i = MHD_get_daemon_info(
+		f->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return i ? i->num_connections : 0;
+}
+
 void front_stop(struct front *f)
 {
 	if (f->daemon)
--- a/front/front.h
+++ b/front/front.h
@@ -96,6 +96,8 @@
 /** Takes no new connections; answers close those that are open. */
 void front_quiesce(struct front *f);
 uint32_t front_in_flight(struct front *f);
+/** Open connections of callers. */
+uint32_t front_connections(struct front *f);
 void front_stop(struct front *f);
 
 #endif
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -29,6 +29,7 @@
 	bool outbound;
 	bool dedicated; /**< carries one call */
 	bool retired; /**< takes no new calls */
+	bool going_away; /**< inbound: what still arrives is not taken */
 	enum conn_state state;
 	struct peer_target target; /**< of an outbound one */
 	uint64_t key[2]; /**< the target's, for by_target */
@@ -49,6 +50,7 @@
 	uint32_t xid;
 	bool encoded;
 	uint64_t start; /**< stream position of its first byte */
+	uint64_t sequence; /**< of its record on the connection */
 	struct msg msg;
 	struct peer *peer;
 	struct peer_target target;
@@ -75,6 +77,8 @@
 	uint64_t next_conn;
 	uint32_t next_xid;
 	uint32_t serving; /**< atomic */
+	uint32_t inbound; /**< atomic */
+	bool quiet; /**< peer_quiesce() was called */
 	int64_t armed_us;
 	struct counter *calls;
 	struct counter *lost;
@@ -83,15 +87,6 @@
 	struct counter *bytes_out;
 };
 
-static void *alloc(size_t n)
-{
-	void *p = calloc(1, n);
-
-	if (!p)
-		abort();
-	return p;
-}
-
 static void target_key(const struct peer_target *t, uint64_t key[2])
 {
 	key[0] = (uint64_t)t->ip << 16 | t->port;
@@ -170,6 +165,8 @@
 	while (c->calls)
 		call_fail(c->calls);
 	duty_poll(&p->duty, &c->poll, 0);
+	if (!c->outbound)
+		__atomic_sub_fetch(&p->inbound, 1, __ATOMIC_RELAXED);
 	if (c->poll.sock)
 		apr_socket_close(c->poll.sock);
 	if (c->outbound &&
@@ -190,7 +187,7 @@
 
 static struct conn *conn_new(struct peer *p)
 {
-	struct conn *c = alloc(sizeof(*c));
+	struct conn *c = az_alloc(sizeof(*c));
 
 	if (apr_pool_create_unmanaged_ex(&c->pool, NULL, NULL))
 		abort();
@@ -237,6 +234,7 @@
 	k->start = c->out_base + c->out.len_bytes;
 	peer_put_call(&c->out, &c->session, &c->peer->settings.keys, k->xid,
 		      k->procedure, &k->body);
+	k->sequence = c->session.sent;
 	buf_free(&k->body);
 }
 
@@ -449,7 +447,7 @@
 static enum az_status on_call(struct conn *c, const struct peer_record *r)
 {
 	struct peer *p = c->peer;
-	struct server_call *s = alloc(sizeof(*s));
+	struct server_call *s = az_alloc(sizeof(*s));
 	uint32_t n = __atomic_add_fetch(&p->serving, 1, __ATOMIC_RELAXED);
 	enum az_status st = AZ_OK;
 
@@ -520,9 +518,32 @@
 	}
 	call_unlink(k);
 	call_answer(k, a);
+	if (c->retired && !c->calls)
+		return az_fail(AZ_EOF, "nothing left on a retired connection");
 	return AZ_OK;
 }
 
+/* Calls that the other end did not take may be tried elsewhere. */
+static enum az_status on_goaway(struct conn *c, const struct peer_record *r)
+{
+	struct call_out *after;
+	uint64_t last;
+	enum az_status st = peer_get_goaway(r, &last);
+
+	if (st != AZ_OK)
+		return st;
+	c->retired = true;
+	forget_target(c);
+	for (struct call_out *k = c->calls; k; k = after) {
+		after = k->next;
+		if (k->encoded && k->sequence <= last)
+			continue;
+		call_unlink(k);
+		call_answer(k, answer_new(ERR_PEER_UNREACHABLE));
+	}
+	return c->calls ? AZ_OK : az_fail(AZ_EOF, "the peer goes away");
+}
+
 static enum az_status on_record(struct conn *c, const struct peer_record *r)
 {
 	c->used_us = c->peer->duty.now_us;
@@ -531,8 +552,10 @@
 			       on_hello_call(c, r) :
 			       az_fail(AZ_DENIED, "call before HELLO");
 	if (r->is_call)
-		return on_call(c, r);
-	return c->state == CONN_HELLO ? on_hello_reply(c, r) : on_reply(c, r);
+		return c->going_away ? AZ_OK : on_call(c, r);
+	if (c->state == CONN_HELLO)
+		return on_hello_reply(c, r);
+	return r->xid == PEER_XID_GOAWAY ? on_goaway(c, r) : on_reply(c, r);
 }
 
 /* ---- sockets ---- */
@@ -666,6 +689,7 @@
 	struct conn *c = conn_new(l->peer);
 
 	(void)events;
+	__atomic_add_fetch(&l->peer->inbound, 1, __ATOMIC_RELAXED);
 	if (apr_socket_accept(&c->poll.sock, h->sock, c->pool)) {
 		c->poll.sock = NULL;
 		conn_close(c);
@@ -734,7 +758,7 @@
 				 enum peer_procedure proc, int64_t deadline_us,
 				 struct reply_to *reply)
 {
-	struct call_out *k = alloc(sizeof(*k));
+	struct call_out *k = az_alloc(sizeof(*k));
 
 	k->msg.ops = &call_ops;
 	k->peer = p;
@@ -823,6 +847,67 @@
 	call_send(k);
 }
 
+static void send_goaway(struct conn *c)
+{
+	struct buf body = { 0 };
+
+	c->going_away = true;
+	peer_put_goaway(&body, c->session.received);
+	peer_put_reply(&c->out, &c->session, &c->peer->settings.keys,
+		       PEER_XID_GOAWAY, &body);
+	buf_free(&body);
+}
+
+static void quiesce_run(struct msg *m, struct duty *to)
+{
+	struct peer *p = az_container_of(to, struct peer, duty);
+	struct conn *after;
+
+	free(m);
+	p->quiet = true;
+	duty_poll(&p->duty, &p->listener.poll, 0);
+	apr_socket_close(p->listener.poll.sock);
+	for (struct conn *c = p->conns; c; c = after) {
+		after = c->next;
+		if (c->outbound)
+			continue;
+		if (c->state == CONN_READY)
+			send_goaway(c);
+		if (c->state != CONN_READY || !conn_flush(c))
+			conn_close(c);
+	}
+}
+
+static void quiesce_drop(struct msg *m)
+{
+	free(m);
+}
+
+static const struct msg_ops quiesce_ops = { "peer-quiesce", quiesce_run,
+					    quiesce_drop };
+
+void peer_quiesce(struct peer *p)
+{
+	struct msg *m = az_alloc(sizeof(*m));
+
+	m->ops = &quiesce_ops;
+	duty_send(&p->duty, m);
+}
+
+uint16_t peer_port(const struct peer *p)
+{
+	apr_sockaddr_t *sa;
+
+	if (apr_socket_addr_get(&sa, APR_LOCAL, p->listener.poll.sock))
+		return 0;
+	return sa->port;
+}
+
+uint32_t peer_inbound(struct peer *p)
+{
+	return __atomic_load_n(&p->inbound, __ATOMIC_RELAXED);
+}
+
 struct keys_msg {
 	struct msg msg;
 	struct fleet_keys keys;
@@ -846,7 +931,7 @@
 
 void peer_set_keys(struct peer *p, const struct fleet_keys *k)
 {
-	struct keys_msg *m = alloc(sizeof(*m));
+	struct keys_msg *m = az_alloc(sizeof(*m));
 
 	m->msg.ops = &keys_ops;
 	m->keys = *k;
@@ -913,7 +998,8 @@
 
 	while (p->conns)
 		conn_close(p->conns);
-	apr_socket_close(p->listener.poll.sock);
+	if (!p->quiet)
+		apr_socket_close(p->listener.poll.sock);
 }
 
 static const struct duty_ops duty_ops = { "peer", on_timer, on_stop };
@@ -969,3 +1055,8 @@
 {
 	duty_stop(&p->duty);
 }
+
+void peer_destroy(struct peer *p)
+{
+	duty_destroy(&p->duty);
+}
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -119,6 +119,12 @@
 void peer_put_reach(struct buf *out, uint32_t ip, uint16_t port);
 enum az_status peer_get_reach(const struct peer_record *r, uint32_t *ip,
 			      uint16_t *port);
+/** GOAWAY is a reply with this xid: calls above the sequence in its body were
+ * not taken and are certainly not run. */
+#define PEER_XID_GOAWAY 0U
+void peer_put_goaway(struct buf *out, uint64_t last_sequence);
+enum az_status peer_get_goaway(const struct peer_record *r,
+			       uint64_t *last_sequence);
 void peer_put_bytes(struct buf *out, const struct buf *body);
 enum az_status peer_get_bytes(const struct peer_record *r, struct buf *body);
 
@@ -173,6 +179,15 @@
 			 struct timer_service *timers, apr_pool_t *pool);
 enum az_status peer_start(struct peer *p);
 void peer_stop(struct peer *p);
+/** Once stopped, and when no part can answer any more. */
+void peer_destroy(struct peer *p);
+/** Takes no new connection and no new call; tells the callers which calls were
+ * taken, so that they try the others elsewhere. */
+void peer_quiesce(struct peer *p);
+/** Port in use, if the settings leave it to the kernel (0). */
+uint16_t peer_port(const struct peer *p);
+/** Connections of other daemons that are open. Any thread. */
+uint32_t peer_inbound(struct peer *p);
 void peer_set_keys(struct peer *p, const struct fleet_keys *k);
 
 /*
--- a/peer/peer_test.c
+++ b/peer/peer_test.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <CUnit/Basic.h>
@@ -223,6 +224,136 @@
 	buf_free(&body);
 }
 
+/* ---- two daemons in one process ---- */
+
+/** Holds the answers of forwards until the test gives them. */
+struct holder {
+	struct peer_handler handler;
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	struct reply_to *held;
+	struct answer *answer; /* of the caller's side */
+	struct reply_to reply;
+};
+
+static void hold_forward(struct peer_handler *h, struct forward *f,
+			 struct reply_to *reply)
+{
+	struct holder *o = az_container_of(h, struct holder, handler);
+
+	forward_free(f);
+	pthread_mutex_lock(&o->lock);
+	o->held = reply;
+	pthread_cond_signal(&o->changed);
+	pthread_mutex_unlock(&o->lock);
+}
+
+static const struct peer_handler_ops holder_ops = { .forward = hold_forward };
+
+static void got_answer(struct reply_to *to, struct answer *a)
+{
+	struct holder *o = az_container_of(to, struct holder, reply);
+
+	pthread_mutex_lock(&o->lock);
+	o->answer = a;
+	pthread_cond_signal(&o->changed);
+	pthread_mutex_unlock(&o->lock);
+}
+
+static const struct reply_ops got_ops = { got_answer };
+
+static struct reply_to *wait_held(struct holder *o)
+{
+	struct reply_to *r;
+
+	pthread_mutex_lock(&o->lock);
+	while (!o->held)
+		pthread_cond_wait(&o->changed, &o->lock);
+	r = o->held;
+	o->held = NULL;
+	pthread_mutex_unlock(&o->lock);
+	return r;
+}
+
+static enum error_kind wait_answer(struct holder *o)
+{
+	enum error_kind k;
+
+	pthread_mutex_lock(&o->lock);
+	while (!o->answer)
+		pthread_cond_wait(&o->changed, &o->lock);
+	k = o->answer->kind;
+	answer_free(o->answer);
+	o->answer = NULL;
+	pthread_mutex_unlock(&o->lock);
+	return k;
+}
+
+static struct peer *start_peer(struct holder *o, uint64_t incarnation,
+			       struct timer_service *timers, apr_pool_t *pool)
+{
+	struct peer_settings s = {
+		.ip = 0x7f000001,
+		.member_id = incarnation,
+		.incarnation = incarnation,
+		.in_flight_max = 4,
+		.keys = keys,
+		.handler = &o->handler,
+	};
+	struct peer *p = peer_create(&s, timers, pool);
+
+	if (!p || peer_start(p) != AZ_OK)
+		abort();
+	return p;
+}
+
+static void send_forward(struct peer *p, const struct peer_target *to,
+			 struct holder *o)
+{
+	struct forward *f = az_alloc(sizeof(*f));
+
+	*f = sample_forward();
+	peer_forward(p, to, f, clock_now_us() + 60 * US_PER_S, &o->reply);
+}
+
+/* Guards against a planned stop that cuts a call it took, or leaves a caller
+ * in doubt about a call it did not take. */
+static void test_quiesce_answers_what_was_taken(void)
+{
+	struct holder o = { .handler = { &holder_ops }, .reply = { &got_ops } };
+	apr_pool_t *pool;
+	struct timer_service *timers;
+	struct peer *server;
+	struct peer *client;
+	struct peer_target to = { 0x7f000001, 0, 11 };
+	struct peer_target other = { 0x7f000001, 0, 12 };
+	struct reply_to *held;
+
+	apr_pool_create(&pool, NULL);
+	timers = timer_service_create(pool);
+	timer_service_start(timers);
+	pthread_mutex_init(&o.lock, NULL);
+	pthread_cond_init(&o.changed, NULL);
+	server = start_peer(&o, 11, timers, pool);
+	client = start_peer(&o, 22, timers, pool);
+	to.port = other.port = peer_port(server);
+	send_forward(client, &other, &o);
+	CU_ASSERT_EQUAL(wait_answer(&o), ERR_PEER_UNREACHABLE);
+	send_forward(client, &to, &o);
+	held = wait_held(&o);
+	peer_quiesce(server);
+	send_forward(client, &to, &o);
+	CU_ASSERT_EQUAL(wait_answer(&o), ERR_PEER_UNREACHABLE);
+	held->ops->answer(held, answer_new(ERR_NONE));
+	CU_ASSERT_EQUAL(wait_answer(&o), ERR_NONE);
+	peer_stop(client);
+	peer_stop(server);
+	timer_service_stop(timers);
+	peer_destroy(client);
+	peer_destroy(server);
+	apr_pool_destroy(pool);
+}
+
 int main(void)
 {
 	CU_pSuite s;
@@ -240,6 +371,7 @@
 	CU_add_test(s, "key change", test_key_change_overlaps);
 	CU_add_test(s, "bad keys", test_bad_keys_are_refused);
 	CU_add_test(s, "handover", test_handover_crosses_whole);
+	CU_add_test(s, "quiesce", test_quiesce_answers_what_was_taken);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
 }
--- a/peer/rpc.c
+++ b/peer/rpc.c
@@ -640,6 +640,24 @@
 	return AZ_OK;
 }
 
+void peer_put_goaway(struct buf *out, uint64_t last_sequence)
+{
+	struct buf b;
+	XDR x;
+
+	put_begin(&x, &b, FIXED_BYTES);
+	put_end(&x, &b, xdr_uint64_t(&x, &last_sequence), out);
+}
+
+enum az_status peer_get_goaway(const struct peer_record *r,
+			       uint64_t *last_sequence)
+{
+	XDR x;
+
+	get_begin(&x, r);
+	return xdr_uint64_t(&x, last_sequence) ? AZ_OK : malformed("goaway");
+}
+
 void peer_put_bytes(struct buf *out, const struct buf *body)
 {
 	struct buf copy = *body;
--- a/route/route.c
+++ b/route/route.c
@@ -71,15 +71,6 @@
 	struct counter *queries;
 };
 
-static void *alloc(size_t n)
-{
-	void *p = calloc(1, n);
-
-	if (!p)
-		abort();
-	return p;
-}
-
 uint32_t route_in_flight(struct route *r)
 {
 	return __atomic_load_n(&r->in_flight, __ATOMIC_RELAXED);
@@ -154,7 +145,7 @@
 static void courier_answer(struct reply_to *to, struct answer *a)
 {
 	struct courier *c = az_container_of(to, struct courier, reply);
-	struct attempt_msg *m = alloc(sizeof(*m));
+	struct attempt_msg *m = az_alloc(sizeof(*m));
 
 	m->msg.ops = &attempt_ops;
 	m->courier = c;
@@ -167,7 +158,7 @@
 static struct reply_to *courier_new(struct route *r, const struct pending *p,
 				    uint64_t sequence, bool query)
 {
-	struct courier *c = alloc(sizeof(*c));
+	struct courier *c = az_alloc(sizeof(*c));
 
 	c->reply.ops = &courier_ops;
 	c->route = r;
@@ -185,7 +176,7 @@
 
 	if (s)
 		return s;
-	s = alloc(sizeof(*s));
+	s = az_alloc(sizeof(*s));
 	s->id = id;
 	retry_budget_init(&s->budget);
 	apr_hash_set(r->services, &s->id, sizeof(s->id), s);
@@ -201,7 +192,7 @@
 	if (s->masks && s->conf == conf && s->view_version == v->version)
 		return s->masks;
 	free(s->masks);
-	s->masks = alloc((cs->cell_count + 1) * sizeof(*s->masks));
+	s->masks = az_alloc((cs->cell_count + 1) * sizeof(*s->masks));
 	if (s->conf != conf) {
 		if (s->conf)
 			conf_release(s->conf);
@@ -244,7 +235,7 @@
 static struct forward *new_forward(struct pending *p, const struct attempt *a,
 				   const struct pick *pick, int64_t now_us)
 {
-	struct forward *f = alloc(sizeof(*f));
+	struct forward *f = az_alloc(sizeof(*f));
 
 	f->id = a->id;
 	f->home_incarnation = a->home.incarnation;
@@ -514,7 +505,7 @@
 {
 	struct submit_msg *s = az_container_of(m, struct submit_msg, msg);
 	struct route *r = az_container_of(to, struct route, duty);
-	struct pending *p = alloc(sizeof(*p));
+	struct pending *p = az_alloc(sizeof(*p));
 	enum error_kind k;
 
 	p->id = ++r->next_pending;
@@ -546,7 +537,7 @@
 void route_submit(struct route *r, struct request *q, int64_t resolve_until_us,
 		  struct reply_to *reply)
 {
-	struct submit_msg *s = alloc(sizeof(*s));
+	struct submit_msg *s = az_alloc(sizeof(*s));
 
 	s->msg.ops = &submit_ops;
 	s->request = q;
