--- a/health/health.c
+++ b/health/health.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <stdio.h>
 
 #include "health/health.h"
 
@@ -15,30 +16,49 @@
 #define WINDOW_WARM 1024
 
 /**
- * Scores are sequential tests on single requests. Against the 90 % quantile T
- * of the worker's own history a healthy worker drifts down (-0.3 a request for
- * exponential service times), one three times slower drifts up by 0.5 and one
- * ten times slower by 1.7. The cap on one request keeps a single slow one far
- * below the limits.
+ * Scores are sequential tests on single requests. T is about the 90 % quantile
+ * of the worker's own history. With exponential service times a healthy worker
+ * drifts down by 0.25 a request, one three times slower up by 0.5, one ten
+ * times slower up by 2.2. The cap on one request keeps two very slow ones below
+ * the limits.
  */
-#define STEP_NORMAL (-0.45)
-#define STEP_SLOW 1.0 /* above T */
-#define STEP_SLOWER 2.0 /* above 2 T */
-#define STEP_SLOWEST 3.0 /* above 4 T */
-#define LIMIT_SEVERE 14.0
+#define STEP_NORMAL (-0.35)
+#define STEP_SLOW 0.8 /* above T */
+#define STEP_SLOWER 2.2 /* above 2 T */
+#define STEP_SLOWEST 4.5 /* above 4 T */
+#define LIMIT_SEVERE 11.5
 /** A mild slowdown has more time, which separates it from a shared one. */
-#define LIMIT_MILD 22.0
-#define RATIO_SEVERE 5.0
+#define LIMIT_MILD 16.0
+/** A sum of a few extreme requests is not a slow worker: most of the last
+ * requests, or the recent median, must be slow too. */
+#define SEVERE_WINDOW 4
+#define SEVERE_SLOW 3
+#define SEVERE_SLOWER 2
+#define MILD_WINDOW 8
+#define MILD_SLOW 3
+#define RATIO_MILD 1.5
+#define SCORE_MAX (2 * LIMIT_MILD)
 /** A pause of the worker (garbage collection, disk) shorter than this delays
- * all its slots at once but is not a fault. */
-#define SPAN_MIN_US (700 * US_PER_MS)
-
-#define ERROR_SHARE_MIN 0.02
+ * all its slots at once but is not a fault: the slow requests must have been
+ * dispatched over a longer time. */
+#define SPAN_MIN_US (500 * US_PER_MS)
+
+#define LIMIT_FAULT 16.0
+/** Assumed of a worker without history; an error budget of 1 % is common. */
+#define ERROR_SHARE_FIRST 0.007
+#define ERROR_SHARE_MIN 0.01
 /** A reset on a pooled connection is often only the worker's idle limit. */
 #define POOLED_RESET_SHARE 0.5
 
 /** Threshold while there is no history; answers seen raise it. */
 #define UNLEARNED_US US_PER_S
+/** One request outstanding for longer than this asks for a fresh connection:
+ * a home that prefers idle workers sends no second one to a silent worker. */
+#define QUIET_FACTOR 6
+#define QUIET_MIN_US (300 * US_PER_MS)
+#define CHECK_GAP_US US_PER_S
+#define CHECKS_FAILED_MAX 2
+#define DROPS_MAX 3
 #define PROBE_LIMIT_MIN_US (250 * US_PER_MS)
 #define CHECK_WAIT_MAX_US US_PER_S
 #define PROBE_LOST_US (5 * US_PER_S)
@@ -46,8 +66,11 @@
 /** Share of the others that look bad from which on the observer suspects
  * itself. */
 #define SHARED_SHARE 0.75
-#define LOOKS_BAD_SCORE (LIMIT_SEVERE / 4)
-#define LOOKS_BAD_RATIO 1.7
+#define SHARED_SAMPLES 8
+#define SHARED_SLOW_SHARE 0.3
+#define SHARED_WAIT_US (3 * US_PER_S)
+#define LOOKS_BAD_SCORE 3.0
+#define LOOKS_BAD_RATIO 1.5
 #define RECENT_EJECTION_US (10 * US_PER_S)
 
 #define OUT_BASE_US (5 * US_PER_S)
@@ -58,13 +81,23 @@
 #define TRIAL_ANSWERS 10
 #define TRIAL_WEIGHT 10
 #define TRIAL_LIMIT (LIMIT_SEVERE / 2)
+#define ANSWERS_NEEDED 16
 #define RAMP_US (10 * US_PER_S)
+/** A worker that has been steadily slow for this long is taken as it is. */
+#define RELEARN_US (600 * US_PER_S)
+
+enum reason {
+	REASON_SLOW,
+	REASON_FAULT,
+	REASON_SILENT,
+};
 
 /** Check of a silent worker over a fresh connection. */
 enum check {
 	CHECK_NONE,
 	CHECK_WANTED,
 	CHECK_SENT,
+	CHECK_PASSED, /**< dropped at the next tick if still silent */
 };
 
 struct worker {
@@ -74,28 +107,42 @@
 	struct history history;
 	int64_t slowest_us; /**< answer seen while there is no history */
 	int64_t recent_us[RECENT];
+	int64_t recent_at_us[RECENT]; /**< their dispatch */
 	uint32_t recent_count;
 	double ratio; /**< recent median against the history's median */
+	uint32_t slow_bits; /**< last requests, 1: above T */
+	uint32_t slower_bits; /**< above 2 T */
+	int64_t limit_us; /**< T, set by refresh() */
+	int64_t longest_us; /**< longest wait that was answered */
 	double slow; /**< score of all requests that ended */
 	double slow_answered; /**< of those with a whole answer */
 	double slow_total; /**< and of those outstanding */
-	int64_t slow_since_us;
+	int64_t slow_first_us; /**< dispatch of the first slow one in it */
+	int64_t slow_last_us;
+	int64_t stall_from_us; /**< last gap between answers above T */
+	int64_t stall_to_us;
 	double fault;
-	int64_t fault_since_us;
 	double error_share; /**< own history */
 	double bad_share; /**< of the last requests */
 	int64_t out_us[OUTSTANDING_MAX]; /**< dispatch times */
 	uint32_t out_count;
-	int64_t last_us; /**< last dispatch or end of a request */
-	int64_t answered_us; /**< dispatch of the last request answered */
+	uint32_t out_slow; /**< of these, above T */
+	uint32_t out_slower; /**< above 2 T */
+	int64_t answer_us; /**< last answer of any kind */
+	int64_t oldest_us; /**< dispatch of the oldest slow one */
 	int64_t dropped_us; /**< requests dispatched before are no evidence */
 	int64_t silent_us; /**< for take_silent() */
 	enum check check;
 	int64_t check_us;
+	uint32_t checks_failed;
+	uint32_t drops; /**< in a row without a later answer */
 	bool refused;
+	bool no_connection; /**< the last failure was a connect timeout */
 	bool unreachable;
 	uint32_t flaps;
+	int64_t wait_us; /**< since when is_shared() waits; 0: not */
 	int64_t out_until_us;
+	int64_t slow_out_us; /**< first ejection for slowness in a row */
 	int64_t probe_at_us;
 	int64_t probe_sent_us; /**< 0: none outstanding */
 	uint32_t probes_good;
@@ -130,7 +177,10 @@
 	w->slow = w->slow_answered = w->slow_total = 0;
 	w->fault = 0;
 	w->bad_share = 0;
+	w->slow_bits = w->slower_bits = 0;
 	w->check = CHECK_NONE;
+	w->checks_failed = 0;
+	w->drops = 0;
 	w->recent_count = 0;
 	w->ratio = 1;
 }
@@ -143,7 +193,9 @@
 	w->unreachable = false;
 	w->refused = false;
 	w->slowest_us = 0;
-	w->error_share = 0;
+	w->longest_us = 0;
+	w->error_share = ERROR_SHARE_FIRST;
+	w->limit_us = UNLEARNED_US;
 	clear_scores(w);
 	history_init(&w->history, WINDOW_COLD);
 }
@@ -178,20 +230,21 @@
 	return r[n / 4];
 }
 
-/** Latency above which a request counts as slow. */
-static int64_t slow_us(const struct pool *p, const struct worker *w)
+/** Sets the latency above which a request counts as slow. */
+static void refresh_limit(const struct pool *p, struct worker *w)
 {
 	double t;
 
 	if (!learned(w)) {
 		t = (double)w->slowest_us * 4;
-		return t > UNLEARNED_US ? (int64_t)t : UNLEARNED_US;
+		w->limit_us = t > UNLEARNED_US ? (int64_t)t : UNLEARNED_US;
+		return;
 	}
 	t = (double)history_quantile_us(&w->history, 90);
 	t *= 1 + 2 / sqrt(w->history.total);
 	if (t < 2.0 * (double)history_quantile_us(&w->history, 50))
 		t = 2.0 * (double)history_quantile_us(&w->history, 50);
-	return (int64_t)(t * common_ratio(p, w));
+	w->limit_us = (int64_t)(t * common_ratio(p, w));
 }
 
 static double slow_step(int64_t latency_us, int64_t limit_us)
@@ -211,14 +264,15 @@
 	return (x > y) - (x < y);
 }
 
-static void update_ratio(struct worker *w, int64_t latency_us)
+static void update_ratio(struct worker *w, int64_t latency_us, int64_t now_us)
 {
 	int64_t sorted[RECENT];
 	uint32_t n;
 	uint32_t middle;
 	int64_t median_us = history_quantile_us(&w->history, 50);
 
-	w->recent_us[w->recent_count++ % RECENT] = latency_us;
+	w->recent_us[w->recent_count % RECENT] = latency_us;
+	w->recent_at_us[w->recent_count++ % RECENT] = now_us - latency_us;
 	n = w->recent_count < RECENT ? w->recent_count : RECENT;
 	memcpy(sorted, w->recent_us, n * sizeof(*sorted));
 	qsort(sorted, n, sizeof(*sorted), compare_i64);
@@ -226,19 +280,18 @@
 	w->ratio = median_us ? (double)sorted[middle] / (double)median_us : 1;
 }
 
-static void add_score(double *score, int64_t *since_us, double step,
-		      int64_t now_us)
+static void add_score(double *score, double step)
 {
-	if (*score <= 0)
-		*since_us = now_us;
 	*score += step;
 	if (*score < 0)
 		*score = 0;
+	if (*score > SCORE_MAX)
+		*score = SCORE_MAX;
 }
 
-static void add_fault(struct worker *w, bool bad, double weight, int64_t now_us)
+static void add_fault(struct worker *w, bool bad, double weight)
 {
-	double p0 = 2 * w->error_share;
+	double p0 = 3 * w->error_share;
 	double p1;
 
 	if (p0 < ERROR_SHARE_MIN)
@@ -250,30 +303,70 @@
 	if (w->state != HEALTH_UNHEALTHY)
 		w->error_share +=
 			((bad ? 1 : 0) - w->error_share) / WINDOW_WARM;
-	add_score(&w->fault, &w->fault_since_us,
-		  bad ? weight * 2 * log(p1 / p0) :
-			2 * log((1 - p1) / (1 - p0)),
-		  now_us);
+	add_score(&w->fault, bad ? weight * 2 * log(p1 / p0) :
+				   2 * log((1 - p1) / (1 - p0)));
+}
+
+/** Keeps the span over which the slow requests were dispatched. */
+static void note_slow(struct worker *w, int64_t dispatch_us)
+{
+	if (w->slow <= 0) {
+		w->slow_first_us = w->slow_last_us = dispatch_us;
+		return;
+	}
+	if (dispatch_us < w->slow_first_us)
+		w->slow_first_us = dispatch_us;
+	if (dispatch_us > w->slow_last_us)
+		w->slow_last_us = dispatch_us;
+}
+
+/**
+ * Wait of a request that is answered now, without the time in a stall that an
+ * earlier request has already counted: a pause of the worker delays all its
+ * slots at once and is one piece of evidence.
+ */
+static int64_t own_wait_us(struct worker *w, int64_t latency_us, int64_t now_us)
+{
+	int64_t at_us = now_us - latency_us;
+	int64_t from_us = at_us;
+	int64_t wait_us = latency_us;
+
+	if (from_us < w->stall_from_us)
+		from_us = w->stall_from_us;
+	if (from_us < w->stall_to_us)
+		wait_us -= w->stall_to_us - from_us;
+	from_us = w->answer_us > at_us ? w->answer_us : at_us;
+	if (now_us - from_us > w->limit_us) {
+		w->stall_from_us = from_us;
+		w->stall_to_us = now_us;
+	}
+	return wait_us;
 }
 
-static void add_latency(struct pool *p, struct worker *w, int64_t latency_us,
-			bool answered, int64_t now_us)
+static void add_latency(struct worker *w, int64_t latency_us, bool answered,
+			int64_t now_us)
 {
-	int64_t limit_us = slow_us(p, w);
-	double step = slow_step(latency_us, limit_us);
+	int64_t wait_us =
+		answered ? own_wait_us(w, latency_us, now_us) : latency_us;
+	double step = slow_step(wait_us, w->limit_us);
 
+	if (step > 0)
+		note_slow(w, now_us - latency_us);
 	if (learned(w) || (!answered && step > 0))
-		add_score(&w->slow, &w->slow_since_us, step, now_us);
+		add_score(&w->slow, step);
+	if (answered || step > 0) {
+		w->slow_bits = w->slow_bits << 1 | (step > 0);
+		w->slower_bits = w->slower_bits << 1 | (step > STEP_SLOW);
+	}
 	if (!answered)
 		return;
-	if (learned(w)) {
-		w->slow_answered += step;
-		if (w->slow_answered < 0)
-			w->slow_answered = 0;
-	} else if (latency_us > w->slowest_us) {
+	if (latency_us > w->longest_us)
+		w->longest_us = latency_us;
+	if (learned(w))
+		add_score(&w->slow_answered, step);
+	else if (latency_us > w->slowest_us)
 		w->slowest_us = latency_us;
-	}
-	update_ratio(w, latency_us);
+	update_ratio(w, latency_us, now_us);
 	if (w->state != HEALTH_UNHEALTHY)
 		history_add(&w->history, latency_us);
 	if (step < 0)
@@ -284,23 +377,33 @@
 
 /* ---- judgement ---- */
 
-static void eject(struct pool *p, struct worker *w, bool unreachable,
-		  int64_t now_us)
+static void eject(struct worker *w, enum reason reason, int64_t now_us)
 {
 	int64_t out_us = w->refused ? OUT_REFUSED_US : OUT_BASE_US;
 
-	if (now_us - w->state_us > FLAP_FORGET_US)
+	if (w->state == HEALTH_OK && now_us - w->state_us > FLAP_FORGET_US) {
 		w->flaps = 0;
+		w->slow_out_us = 0;
+	}
+	if (reason != REASON_SLOW)
+		w->slow_out_us = 0;
+	else if (!w->slow_out_us)
+		w->slow_out_us = now_us;
 	out_us <<= w->flaps;
 	if (w->flaps < FLAPS_MAX)
 		w->flaps++;
 	enter(w, HEALTH_UNHEALTHY, now_us);
-	w->unreachable = unreachable;
+	w->unreachable = reason == REASON_SILENT && w->answer_us < w->oldest_us;
 	w->out_until_us = now_us + out_us;
+	if (getenv("HT"))
+		printf("# reason %d slow %.1f ans %.1f tot %.1f ratio %.2f bits %x %x out %u %u lim %ld span %ld fault %.1f\n",
+		       reason, w->slow, w->slow_answered, w->slow_total,
+		       w->ratio, w->slow_bits, w->slower_bits, w->out_slow,
+		       w->out_slower, (long)w->limit_us,
+		       (long)(w->slow_last_us - w->slow_first_us), w->fault);
 	w->probe_at_us = w->out_until_us;
 	w->probe_backoff = 0;
 	w->check = CHECK_NONE;
-	(void)p;
 }
 
 static void set_severity(struct worker *w)
@@ -320,6 +423,16 @@
 	w->severity = s < 1 ? 1 : s > 255 ? 255 : (uint8_t)s;
 }
 
+/** Slow ones among the last requests, those outstanding first. */
+static uint32_t count_slow(uint32_t outstanding, uint32_t bits, uint32_t window)
+{
+	uint32_t n = outstanding;
+
+	for (uint32_t i = 0; i + outstanding < window; i++)
+		n += bits >> i & 1;
+	return n;
+}
+
 static bool looks_bad(const struct worker *w, int64_t now_us)
 {
 	if (w->state == HEALTH_UNHEALTHY)
@@ -328,12 +441,34 @@
 	       w->fault >= LOOKS_BAD_SCORE || w->ratio >= LOOKS_BAD_RATIO;
 }
 
-/** True if nearly all peers look bad too, so that the fault is on the way. */
-static bool is_shared(const struct pool *p, const struct worker *self,
-		      int64_t now_us)
+/** Requests of `w` since `since_us` that ended or are slow, and the slow ones.
+ */
+static void count_since(const struct worker *w, int64_t since_us, uint32_t *all,
+			uint32_t *slow)
+{
+	uint32_t n = w->recent_count < RECENT ? w->recent_count : RECENT;
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (w->recent_at_us[i] < since_us)
+			continue;
+		(*all)++;
+		*slow += w->recent_us[i] > w->limit_us;
+	}
+	*all += w->out_slow;
+	*slow += w->out_slow;
+}
+
+/**
+ * True if nearly all peers look bad too, so that the fault is on the way; and,
+ * for a short time, if many of their last requests were slow: the first worker
+ * to reach its limit is the most extreme of the pool.
+ */
+static bool is_shared(const struct pool *p, struct worker *self, int64_t now_us)
 {
 	uint32_t others = 0;
 	uint32_t bad = 0;
+	uint32_t slow = 0;
+	uint32_t all = 0;
 
 	for (uint32_t i = 0; i < p->pool.worker_count; i++) {
 		const struct worker *w = &p->workers[i];
@@ -344,91 +479,158 @@
 		others++;
 		if (looks_bad(w, now_us))
 			bad++;
+		count_since(w, self->slow_first_us - self->limit_us, &all,
+			    &slow);
 	}
-	return others && bad >= SHARED_SHARE * others;
+	if (!others)
+		return false;
+	if (bad >= SHARED_SHARE * others)
+		return true;
+	if (all >= SHARED_SAMPLES && slow < SHARED_SLOW_SHARE * all) {
+		self->wait_us = 0;
+		return false;
+	}
+	if (!self->wait_us)
+		self->wait_us = now_us;
+	return now_us - self->wait_us < SHARED_WAIT_US;
 }
 
-static void sum_outstanding(struct pool *p, struct worker *w, int64_t now_us)
+/** Adds the requests outstanding to the score. */
+static void sum_outstanding(struct worker *w, int64_t now_us)
 {
-	int64_t limit_us = slow_us(p, w);
 	double sum = 0;
 
+	w->out_slow = w->out_slower = 0;
+	w->oldest_us = now_us;
 	for (uint32_t i = 0; i < w->out_count; i++) {
-		double step = slow_step(now_us - w->out_us[i], limit_us);
+		double step = slow_step(now_us - w->out_us[i], w->limit_us);
 
-		if (step > 0 && w->out_us[i] > w->dropped_us)
-			sum += step;
+		if (step < 0 || w->out_us[i] <= w->dropped_us)
+			continue;
+		sum += step;
+		w->out_slow++;
+		w->out_slower += step > STEP_SLOW;
+		if (w->out_us[i] < w->oldest_us)
+			w->oldest_us = w->out_us[i];
 	}
-	if (w->slow <= 0 && sum <= 0)
-		w->slow_since_us = now_us;
 	w->slow_total = w->slow + sum;
 }
 
-static int64_t probe_limit_us(const struct pool *p, const struct worker *w)
+/** Age of a single request from which on the worker is checked. */
+static int64_t quiet_us(const struct worker *w)
 {
-	int64_t t = learned(w) ? 4 * slow_us(p, w) : UNLEARNED_US;
+	int64_t us = QUIET_FACTOR * w->limit_us;
+
+	if (!learned(w))
+		us = 4 * w->limit_us;
+	if (us < 2 * w->longest_us)
+		us = 2 * w->longest_us;
+	return us > QUIET_MIN_US ? us : QUIET_MIN_US;
+}
+
+static int64_t probe_limit_us(const struct worker *w)
+{
+	int64_t t = learned(w) ? 4 * w->limit_us : UNLEARNED_US;
 
 	return t > PROBE_LIMIT_MIN_US ? t : PROBE_LIMIT_MIN_US;
 }
 
-/** Silent: blames the worker only once fresh connections fail too. */
-static void judge_silence(struct pool *p, struct worker *w, int64_t now_us)
+static void fail_check(struct worker *w, int64_t now_us)
 {
-	if (w->check == CHECK_NONE) {
-		if (w->dropped_us && w->answered_us <= w->dropped_us) {
-			eject(p, w, true, now_us);
-			return;
+	w->check = CHECK_NONE;
+	w->check_us = 0;
+	if (++w->checks_failed >= CHECKS_FAILED_MAX ||
+	    w->slow_total >= LIMIT_SEVERE)
+		eject(w, REASON_SILENT, now_us);
+}
+
+/** Silent: blames the worker only once fresh connections fail too. */
+static void judge_silence(struct worker *w, int64_t now_us)
+{
+	switch (w->check) {
+	case CHECK_NONE:
+		if (w->drops >= DROPS_MAX) {
+			eject(w, REASON_SILENT, now_us);
+		} else if (!w->check_us || w->drops ||
+			   now_us - w->check_us > CHECK_GAP_US) {
+			w->check = CHECK_WANTED;
+			w->check_us = now_us;
 		}
-		w->check = CHECK_WANTED;
-		w->check_us = now_us;
-	} else if (w->check == CHECK_WANTED) {
+		break;
+	case CHECK_WANTED:
 		if (now_us - w->check_us > CHECK_WAIT_MAX_US)
-			eject(p, w, true, now_us);
-	} else if (now_us - w->check_us > probe_limit_us(p, w)) {
-		eject(p, w, true, now_us);
+			fail_check(w, now_us);
+		break;
+	case CHECK_SENT:
+		if (now_us - w->check_us > probe_limit_us(w))
+			fail_check(w, now_us);
+		break;
+	case CHECK_PASSED:
+		/* The worker answers: only the connections are bad. */
+		w->check = CHECK_NONE;
+		w->silent_us = quiet_us(w);
+		w->dropped_us = now_us;
+		w->slow = w->slow_answered;
+		w->checks_failed = 0;
+		w->drops++;
+		break;
 	}
 }
 
+static bool is_slow(const struct worker *w)
+{
+	int64_t last_us = w->slow_last_us;
+
+	if (last_us - w->slow_first_us < SPAN_MIN_US)
+		return false;
+	if (w->slow_answered >= LIMIT_MILD && w->ratio >= RATIO_MILD &&
+	    count_slow(w->out_slow, w->slow_bits, MILD_WINDOW) >= MILD_SLOW)
+		return true;
+	return w->slow_total >= LIMIT_SEVERE &&
+	       w->slow_answered >= LIMIT_SEVERE / 2 &&
+	       count_slow(w->out_slow, w->slow_bits, SEVERE_WINDOW) >=
+		       SEVERE_SLOW &&
+	       count_slow(w->out_slower, w->slower_bits, SEVERE_WINDOW) >=
+		       SEVERE_SLOWER;
+}
+
+static bool is_silent(const struct worker *w, int64_t now_us)
+{
+	return now_us - w->oldest_us > quiet_us(w);
+}
+
 static void judge(struct pool *p, struct worker *w, int64_t now_us)
 {
-	double limit = w->ratio >= RATIO_SEVERE ? LIMIT_SEVERE : LIMIT_MILD;
 	bool slow;
-	bool silent;
 
-	sum_outstanding(p, w, now_us);
+	sum_outstanding(w, now_us);
 	if (w->state == HEALTH_UNHEALTHY)
 		return;
-	if (w->state == HEALTH_RECOVERING && w->ramp) {
-		if (w->slow_answered >= TRIAL_LIMIT ||
-		    w->fault >= TRIAL_LIMIT) {
-			eject(p, w, false, now_us);
-			return;
-		}
+	if (w->state == HEALTH_RECOVERING &&
+	    (w->slow_answered >= TRIAL_LIMIT || w->fault >= TRIAL_LIMIT)) {
+		eject(w, w->fault >= TRIAL_LIMIT ? REASON_FAULT : REASON_SLOW,
+		      now_us);
+		return;
 	}
-	if (w->fault >= LIMIT_SEVERE) {
+	if (w->fault >= LIMIT_FAULT) {
 		if (!is_shared(p, w, now_us))
-			eject(p, w, false, now_us);
+			eject(w,
+			      w->no_connection ? REASON_SILENT : REASON_FAULT,
+			      now_us);
 		return;
 	}
-	slow = w->slow_answered >= limit ||
-	       (w->slow_total >= LIMIT_SEVERE &&
-		w->slow_answered >= LIMIT_SEVERE / 2 &&
-		w->ratio >= RATIO_SEVERE);
-	silent = w->slow_total >= LIMIT_SEVERE &&
-		 w->slow_answered < LIMIT_SEVERE / 4;
-	if (now_us - w->slow_since_us < SPAN_MIN_US)
-		return;
-	if (!slow && !silent) {
-		if (w->slow_total < LIMIT_SEVERE)
+	slow = is_slow(w);
+	if (!slow && !is_silent(w, now_us)) {
+		if (w->check != CHECK_SENT)
 			w->check = CHECK_NONE;
 		return;
 	}
 	if (is_shared(p, w, now_us))
 		return;
 	if (slow)
-		eject(p, w, false, now_us);
+		eject(w, REASON_SLOW, now_us);
 	else
-		judge_silence(p, w, now_us);
+		judge_silence(w, now_us);
 }
 
 /* ---- return to service ---- */
@@ -440,6 +642,8 @@
 	w->unreachable = false;
 	clear_scores(w);
 	w->dropped_us = now_us;
+	if (w->slow_out_us && now_us - w->slow_out_us > RELEARN_US)
+		history_init(&w->history, WINDOW_WARM);
 }
 
 static void advance(struct pool *p, struct worker *w, int64_t now_us)
@@ -458,8 +662,13 @@
 		break;
 	case HEALTH_UNHEALTHY:
 		if (now_us >= w->out_until_us &&
-		    w->probes_good >= PROBES_NEEDED)
-			start_trial(w, now_us);
+		    (w->probes_good >= PROBES_NEEDED ||
+		     w->answers_good >= ANSWERS_NEEDED)) {
+			if (w->refused)
+				start_cold(w, true, now_us);
+			else
+				start_trial(w, now_us);
+		}
 		break;
 	case HEALTH_RECOVERING:
 		if (!w->ramp && w->answers_good >= TRIAL_ANSWERS) {
@@ -479,19 +688,14 @@
 		      const struct health_sample *s, int64_t now_us)
 {
 	bool good = (s->event == HEALTH_ANSWERED || s->event == HEALTH_SHED) &&
-		    s->latency_us <= probe_limit_us(p, w);
+		    s->latency_us <= probe_limit_us(w);
 
 	w->probe_sent_us = 0;
 	if (w->check == CHECK_SENT) {
-		w->check = CHECK_NONE;
-		if (good) {
-			/* The worker answers: only the connections are bad. */
-			w->silent_us = 4 * slow_us(p, w);
-			w->dropped_us = now_us;
-			w->slow = w->slow_answered;
-		} else {
-			eject(p, w, true, now_us);
-		}
+		if (good)
+			w->check = CHECK_PASSED;
+		else
+			fail_check(w, now_us);
 		return;
 	}
 	if (w->state != HEALTH_UNHEALTHY)
@@ -502,7 +706,7 @@
 		return;
 	}
 	w->probes_good = 0;
-	if (w->probe_backoff < 4)
+	if (w->probe_backoff < (w->refused ? 2 : 4))
 		w->probe_backoff++;
 	w->probe_at_us =
 		now_us + ((int64_t)p->settings.probe_interval_ms * US_PER_MS
@@ -518,7 +722,6 @@
 
 	if (w->out_count < OUTSTANDING_MAX)
 		w->out_us[w->out_count++] = now_us;
-	w->last_us = now_us;
 }
 
 /** Takes the request out that was dispatched nearest to `at_us`. */
@@ -538,6 +741,16 @@
 	return found_us;
 }
 
+/** The worker answered a request dispatched at `at_us`, in whatever way. */
+static void note_answer(struct worker *w, int64_t at_us, int64_t now_us)
+{
+	w->answer_us = now_us;
+	w->checks_failed = 0;
+	w->no_connection = false;
+	if (at_us > w->dropped_us)
+		w->drops = 0;
+}
+
 static void policy_record(struct health_pool *hp, uint8_t worker,
 			  const struct health_sample *s, int64_t now_us)
 {
@@ -551,7 +764,6 @@
 		return;
 	}
 	at_us = take_outstanding(w, now_us - s->latency_us);
-	w->last_us = now_us;
 	w->shed += ((s->event == HEALTH_SHED ? 1 : 0) - w->shed) / 16;
 	if (s->event != HEALTH_ANSWERED && s->event != HEALTH_SERVER_ERROR &&
 	    s->event != HEALTH_SHED && s->event != HEALTH_CONNECT_REFUSED &&
@@ -559,36 +771,34 @@
 		return;
 	switch (s->event) {
 	case HEALTH_ANSWERED:
-		if (w->refused && w->state != HEALTH_UNHEALTHY)
+		if (w->refused && s->fresh && w->state != HEALTH_UNHEALTHY)
 			start_cold(w, true, now_us);
-		add_fault(w, false, 1, now_us);
-		add_latency(p, w, s->latency_us, true, now_us);
-		if (at_us > w->answered_us)
-			w->answered_us = at_us;
+		add_fault(w, false, 1);
+		add_latency(w, s->latency_us, true, now_us);
+		note_answer(w, at_us, now_us);
 		break;
 	case HEALTH_SERVER_ERROR:
 	case HEALTH_TRUNCATED:
-		add_fault(w, true, 1, now_us);
-		if (at_us > w->answered_us)
-			w->answered_us = at_us;
+		add_fault(w, true, 1);
+		note_answer(w, at_us, now_us);
 		break;
 	case HEALTH_RESET:
-		add_fault(w, true, s->fresh ? 1 : POOLED_RESET_SHARE, now_us);
+		add_fault(w, true, s->fresh ? 1 : POOLED_RESET_SHARE);
 		break;
 	case HEALTH_CONNECT_REFUSED:
 		w->refused = true;
-		add_fault(w, true, 1, now_us);
+		add_fault(w, true, 1);
 		break;
 	case HEALTH_CONNECT_TIMEOUT:
-		add_fault(w, true, 1, now_us);
+		w->no_connection = true;
+		add_fault(w, true, 1);
 		break;
 	case HEALTH_TIMEOUT:
 	case HEALTH_CANCELLED:
-		add_latency(p, w, s->latency_us, false, now_us);
+		add_latency(w, s->latency_us, false, now_us);
 		break;
 	case HEALTH_SHED:
-		if (at_us > w->answered_us)
-			w->answered_us = at_us;
+		note_answer(w, at_us, now_us);
 		break;
 	}
 	judge(p, w, now_us);
@@ -603,6 +813,7 @@
 	for (uint32_t i = 0; i < hp->worker_count; i++) {
 		struct worker *w = &p->workers[i];
 
+		refresh_limit(p, w);
 		judge(p, w, now_us);
 		advance(p, w, now_us);
 		set_severity(w);
