--- a/health/health.c
+++ b/health/health.c
@@ -10,6 +10,9 @@
 
 /** History needed before a worker is judged against it. */
 #define LEARN_MIN 30
+/** Above this score nothing is learned; a lower bound would drop enough of a
+ * healthy worker's slow requests to bias T downwards. */
+#define FREEZE_SCORE 7.0
 /** While a worker is cold its history is short, so that it follows the warm-up.
  */
 #define WINDOW_COLD 64
@@ -26,7 +29,7 @@
 #define STEP_SLOW 0.8 /* above T */
 #define STEP_SLOWER 2.2 /* above 2 T */
 #define STEP_SLOWEST 4.5 /* above 4 T */
-#define LIMIT_SEVERE 11.5
+#define LIMIT_SEVERE 12.0
 /** A mild slowdown has more time, which separates it from a shared one. */
 #define LIMIT_MILD 16.0
 /** A sum of a few extreme requests is not a slow worker: most of the last
@@ -37,13 +40,16 @@
 #define MILD_WINDOW 8
 #define MILD_SLOW 3
 #define RATIO_MILD 1.5
+#define RATIO_CLEAR 1.8
+#define LIMIT_CLEAR 12.0 /* if the recent median is above RATIO_CLEAR */
+#define RATIO_SEVERE 4.0
 #define SCORE_MAX (2 * LIMIT_MILD)
 /** A pause of the worker (garbage collection, disk) shorter than this delays
  * all its slots at once but is not a fault: the slow requests must have been
  * dispatched over a longer time. */
 #define SPAN_MIN_US (500 * US_PER_MS)
 
-#define LIMIT_FAULT 16.0
+#define LIMIT_FAULT 17.0
 /** Assumed of a worker without history; an error budget of 1 % is common. */
 #define ERROR_SHARE_FIRST 0.007
 #define ERROR_SHARE_MIN 0.01
@@ -58,6 +64,7 @@
 #define QUIET_MIN_US (300 * US_PER_MS)
 #define CHECK_GAP_US US_PER_S
 #define CHECKS_FAILED_MAX 2
+#define QUIET_MANY 3
 #define DROPS_MAX 3
 #define PROBE_LIMIT_MIN_US (250 * US_PER_MS)
 #define CHECK_WAIT_MAX_US US_PER_S
@@ -66,11 +73,22 @@
 /** Share of the others that look bad from which on the observer suspects
  * itself. */
 #define SHARED_SHARE 0.75
-#define SHARED_SAMPLES 8
-#define SHARED_SLOW_SHARE 0.3
+/** Requests of the peers that are compared before a worker is blamed. */
+#define PEER_REQUESTS_SEVERE 10
+#define PEER_REQUESTS_MILD 24
+#define PEER_ANSWERS 3
+#define PEER_DEVIATIONS 1.5
+#define PEER_RATIO_MIN 1.35
+#define PEER_ENDED 5
+#define PEER_BAD_SHARE 0.25
+#define RATIO_UNANSWERED 100.0
+#define ONSET_STEP 0.3
 #define SHARED_WAIT_US (3 * US_PER_S)
 #define LOOKS_BAD_SCORE 3.0
-#define LOOKS_BAD_RATIO 1.5
+/** With few peers chance makes a larger ratio. */
+#define LOOKS_BAD_RATIO_FEW 1.5
+#define LOOKS_BAD_RATIO 1.3
+#define PEERS_FEW 3
 #define RECENT_EJECTION_US (10 * US_PER_S)
 
 #define OUT_BASE_US (5 * US_PER_S)
@@ -108,6 +126,9 @@
 	int64_t slowest_us; /**< answer seen while there is no history */
 	int64_t recent_us[RECENT];
 	int64_t recent_at_us[RECENT]; /**< their dispatch */
+	int64_t ended_at_us[RECENT]; /**< dispatch of the last that ended */
+	uint32_t ended_bad; /**< bit i: that in ended_at_us[i] failed */
+	uint32_t ended_count;
 	uint32_t recent_count;
 	double ratio; /**< recent median against the history's median */
 	uint32_t slow_bits; /**< last requests, 1: above T */
@@ -122,12 +143,14 @@
 	int64_t stall_from_us; /**< last gap between answers above T */
 	int64_t stall_to_us;
 	double fault;
+	int64_t fault_first_us; /**< dispatch of the first failure in it */
 	double error_share; /**< own history */
 	double bad_share; /**< of the last requests */
 	int64_t out_us[OUTSTANDING_MAX]; /**< dispatch times */
 	uint32_t out_count;
 	uint32_t out_slow; /**< of these, above T */
 	uint32_t out_slower; /**< above 2 T */
+	uint32_t out_quiet; /**< for long enough to check the worker */
 	int64_t answer_us; /**< last answer of any kind */
 	int64_t oldest_us; /**< dispatch of the oldest slow one */
 	int64_t dropped_us; /**< requests dispatched before are no evidence */
@@ -207,6 +230,11 @@
 	return w->state != HEALTH_COLD && w->history.total >= LEARN_MIN;
 }
 
+static double looks_bad_ratio(uint32_t peers)
+{
+	return peers > PEERS_FEW ? LOOKS_BAD_RATIO : LOOKS_BAD_RATIO_FEW;
+}
+
 /** Slowdown that the worker's peers share: the lower quartile of their recent
  * ratios, 1 unless it is clearly above. */
 static double common_ratio(const struct pool *p, const struct worker *self)
@@ -225,7 +253,7 @@
 			r[j] = r[j - 1];
 		r[j] = w->ratio;
 	}
-	if (!n || r[n / 4] < 1.5)
+	if (!n || r[n / 4] < looks_bad_ratio(n))
 		return 1;
 	return r[n / 4];
 }
@@ -241,7 +269,7 @@
 		return;
 	}
 	t = (double)history_quantile_us(&w->history, 90);
-	t *= 1 + 2 / sqrt(w->history.total);
+	t *= 1 + 1.5 / sqrt(w->history.total);
 	if (t < 2.0 * (double)history_quantile_us(&w->history, 50))
 		t = 2.0 * (double)history_quantile_us(&w->history, 50);
 	w->limit_us = (int64_t)(t * common_ratio(p, w));
@@ -289,7 +317,20 @@
 		*score = SCORE_MAX;
 }
 
-static void add_fault(struct worker *w, bool bad, double weight)
+static void note_end(struct worker *w, bool bad, int64_t at_us)
+{
+	uint32_t i = w->ended_count++ % RECENT;
+
+	w->ended_at_us[i] = at_us;
+	w->ended_bad &= ~(1U << i);
+	if (!bad)
+		return;
+	w->ended_bad |= 1U << i;
+	if (w->fault <= 0)
+		w->fault_first_us = at_us;
+}
+
+static void add_fault(struct worker *w, bool bad, double weight, int64_t at_us)
 {
 	double p0 = 3 * w->error_share;
 	double p1;
@@ -299,6 +340,7 @@
 	if (p0 > 0.4)
 		p0 = 0.4;
 	p1 = p0 > 0.15 ? 2 * p0 : 0.3;
+	note_end(w, bad, at_us);
 	w->bad_share += ((bad ? 1 : 0) - w->bad_share) / 16;
 	if (w->state != HEALTH_UNHEALTHY)
 		w->error_share +=
@@ -321,35 +363,40 @@
 }
 
 /**
- * Wait of a request that is answered now, without the time in a stall that an
- * earlier request has already counted: a pause of the worker delays all its
- * slots at once and is one piece of evidence.
+ * Wait of a request without the time in a stall that an earlier one has already
+ * counted: a pause of the worker delays all its slots at once and is one piece
+ * of evidence.
  */
-static int64_t own_wait_us(struct worker *w, int64_t latency_us, int64_t now_us)
-{
-	int64_t at_us = now_us - latency_us;
-	int64_t from_us = at_us;
-	int64_t wait_us = latency_us;
-
-	if (from_us < w->stall_from_us)
-		from_us = w->stall_from_us;
-	if (from_us < w->stall_to_us)
-		wait_us -= w->stall_to_us - from_us;
-	from_us = w->answer_us > at_us ? w->answer_us : at_us;
-	if (now_us - from_us > w->limit_us) {
-		w->stall_from_us = from_us;
-		w->stall_to_us = now_us;
-	}
-	return wait_us;
+static int64_t own_wait_us(const struct worker *w, int64_t at_us,
+			   int64_t until_us)
+{
+	int64_t from_us = at_us > w->stall_from_us ? at_us : w->stall_from_us;
+	int64_t to_us = until_us < w->stall_to_us ? until_us : w->stall_to_us;
+
+	return until_us - at_us - (from_us < to_us ? to_us - from_us : 0);
+}
+
+/** Notes the gap between answers that a slow request ends. */
+static void note_stall(struct worker *w, int64_t now_us)
+{
+	if (now_us - w->answer_us <= w->limit_us)
+		return;
+	if (w->answer_us - w->stall_to_us > w->limit_us)
+		w->stall_from_us = w->answer_us;
+	w->stall_to_us = now_us;
 }
 
 static void add_latency(struct worker *w, int64_t latency_us, bool answered,
 			int64_t now_us)
 {
-	int64_t wait_us =
-		answered ? own_wait_us(w, latency_us, now_us) : latency_us;
+	int64_t wait_us = answered ?
+				  own_wait_us(w, now_us - latency_us, now_us) :
+				  latency_us;
 	double step = slow_step(wait_us, w->limit_us);
 
+	if (answered && latency_us > w->limit_us)
+		note_stall(w, now_us);
+
 	if (step > 0)
 		note_slow(w, now_us - latency_us);
 	if (learned(w) || (!answered && step > 0))
@@ -367,7 +414,8 @@
 	else if (latency_us > w->slowest_us)
 		w->slowest_us = latency_us;
 	update_ratio(w, latency_us, now_us);
-	if (w->state != HEALTH_UNHEALTHY)
+	/* Slow requests under suspicion would raise T until they fit it. */
+	if (w->state != HEALTH_UNHEALTHY && w->slow_answered < FREEZE_SCORE)
 		history_add(&w->history, latency_us);
 	if (step < 0)
 		w->answers_good++;
@@ -396,10 +444,10 @@
 	w->unreachable = reason == REASON_SILENT && w->answer_us < w->oldest_us;
 	w->out_until_us = now_us + out_us;
 	if (getenv("HT"))
-		printf("# reason %d slow %.1f ans %.1f tot %.1f ratio %.2f bits %x %x out %u %u lim %ld span %ld fault %.1f\n",
-		       reason, w->slow, w->slow_answered, w->slow_total,
-		       w->ratio, w->slow_bits, w->slower_bits, w->out_slow,
-		       w->out_slower, (long)w->limit_us,
+		printf("# %.2f reason %d slow %.1f ans %.1f tot %.1f ratio %.2f bits %x %x out %u %u lim %ld span %ld fault %.1f\n",
+		       now_us / 1e6, reason, w->slow, w->slow_answered,
+		       w->slow_total, w->ratio, w->slow_bits, w->slower_bits,
+		       w->out_slow, w->out_slower, (long)w->limit_us,
 		       (long)(w->slow_last_us - w->slow_first_us), w->fault);
 	w->probe_at_us = w->out_until_us;
 	w->probe_backoff = 0;
@@ -433,42 +481,129 @@
 	return n;
 }
 
-static bool looks_bad(const struct worker *w, int64_t now_us)
+static bool looks_bad(const struct worker *w, double ratio, int64_t now_us)
 {
 	if (w->state == HEALTH_UNHEALTHY)
 		return now_us - w->state_us < RECENT_EJECTION_US;
 	return w->slow_total >= LOOKS_BAD_SCORE ||
-	       w->fault >= LOOKS_BAD_SCORE || w->ratio >= LOOKS_BAD_RATIO;
+	       w->fault >= LOOKS_BAD_SCORE || w->ratio >= ratio;
 }
 
-/** Requests of `w` since `since_us` that ended or are slow, and the slow ones.
- */
-static void count_since(const struct worker *w, int64_t since_us, uint32_t *all,
-			uint32_t *slow)
+/** When the present slowness began: the run of last requests, back from the
+ * newest, with the largest sum of steps above the middle. */
+static int64_t onset_us(const struct worker *w)
+{
+	uint32_t n = w->recent_count < RECENT ? w->recent_count : RECENT;
+	double sum = 0;
+	double most = 0;
+	int64_t first_us = w->oldest_us;
+
+	for (uint32_t i = 1; i <= n; i++) {
+		uint32_t j = (w->recent_count - i) % RECENT;
+
+		sum += slow_step(w->recent_us[j], w->limit_us) - ONSET_STEP;
+		if (sum > most) {
+			most = sum;
+			first_us = w->recent_at_us[j];
+		}
+	}
+	return first_us < w->oldest_us ? first_us : w->oldest_us;
+}
+
+/** Ratios of `w`'s requests dispatched since then to its median; returns their
+ * number. */
+static uint32_t ratios_since(const struct worker *w, int64_t since_us,
+			     double *ratios)
 {
 	uint32_t n = w->recent_count < RECENT ? w->recent_count : RECENT;
+	double median_us = (double)history_quantile_us(&w->history, 50);
+	uint32_t count = 0;
+
+	if (median_us <= 0)
+		return 0;
+	for (uint32_t i = 0; i < n; i++)
+		if (w->recent_at_us[i] >= since_us)
+			ratios[count++] = (double)w->recent_us[i] / median_us;
+	for (uint32_t i = 0; i < w->out_slow; i++)
+		ratios[count++] = RATIO_UNANSWERED;
+	return count;
+}
+
+static int compare_double(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static double median_of(double *ratios, uint32_t n)
+{
+	uint32_t middle = n / 2;
+
+	if (!n)
+		return 1;
+	qsort(ratios, n, sizeof(*ratios), compare_double);
+	return ratios[middle];
+}
+
+/** Median ratio of the worker's own requests since its onset. */
+static double onset_ratio(const struct worker *w)
+{
+	double ratios[RECENT + OUTSTANDING_MAX];
+
+	return median_of(ratios, ratios_since(w, onset_us(w), ratios));
+}
+
+/** True if the peers' requests of the same time are known to be normal. */
+static bool peers_are_normal(const struct pool *p, const struct worker *self,
+			     enum reason reason, bool severe)
+{
+	double ratios[HEALTH_WORKERS_MAX * (RECENT + OUTSTANDING_MAX)];
+	int64_t since_us = onset_us(self);
+	uint32_t n = 0;
+	uint32_t ended = 0;
+	uint32_t bad = 0;
+	double most;
 
-	for (uint32_t i = 0; i < n; i++) {
-		if (w->recent_at_us[i] < since_us)
+	for (uint32_t i = 0; i < p->pool.worker_count; i++) {
+		const struct worker *w = &p->workers[i];
+
+		if (w == self || w->state == HEALTH_UNHEALTHY)
 			continue;
-		(*all)++;
-		*slow += w->recent_us[i] > w->limit_us;
+		n += ratios_since(w, since_us, ratios + n);
+		for (uint32_t j = 0; j < RECENT && j < w->ended_count; j++)
+			if (w->ended_at_us[j] >= self->fault_first_us) {
+				ended++;
+				bad += w->ended_bad >> j & 1;
+			}
 	}
-	*all += w->out_slow;
-	*slow += w->out_slow;
+	if (reason == REASON_FAULT)
+		return ended >= PEER_ENDED && bad < PEER_BAD_SHARE * ended;
+	if (reason == REASON_SILENT)
+		return n >= PEER_ANSWERS &&
+		       median_of(ratios, n) < RATIO_UNANSWERED / 2;
+	if (n < (severe ? PEER_REQUESTS_SEVERE : PEER_REQUESTS_MILD))
+		return false;
+	/* Median of n exponential times: 1.44 / sqrt(n) is the deviation of its
+	 * logarithm. */
+	most = exp(PEER_DEVIATIONS * 1.44 / sqrt(n));
+	if (most < PEER_RATIO_MIN)
+		most = PEER_RATIO_MIN;
+	return median_of(ratios, n) < most;
 }
 
 /**
- * True if nearly all peers look bad too, so that the fault is on the way; and,
- * for a short time, if many of their last requests were slow: the first worker
- * to reach its limit is the most extreme of the pool.
+ * True if nearly all peers look bad too, so that the fault is on the way, or,
+ * for a short time, if it is not known that their requests of the same time
+ * were normal: the first worker to reach its limit is the most extreme of the
+ * pool.
  */
-static bool is_shared(const struct pool *p, struct worker *self, int64_t now_us)
+static bool is_shared(const struct pool *p, struct worker *self,
+		      enum reason reason, bool severe, int64_t now_us)
 {
 	uint32_t others = 0;
 	uint32_t bad = 0;
-	uint32_t slow = 0;
-	uint32_t all = 0;
 
 	for (uint32_t i = 0; i < p->pool.worker_count; i++) {
 		const struct worker *w = &p->workers[i];
@@ -477,57 +612,70 @@
 				  now_us - w->state_us >= RECENT_EJECTION_US))
 			continue;
 		others++;
-		if (looks_bad(w, now_us))
+		if (looks_bad(w, looks_bad_ratio(p->pool.worker_count - 1),
+			      now_us))
 			bad++;
-		count_since(w, self->slow_first_us - self->limit_us, &all,
-			    &slow);
 	}
 	if (!others)
 		return false;
-	if (bad >= SHARED_SHARE * others)
+	if (bad >= SHARED_SHARE * others) {
+		self->wait_us = now_us;
 		return true;
-	if (all >= SHARED_SAMPLES && slow < SHARED_SLOW_SHARE * all) {
-		self->wait_us = 0;
-		return false;
 	}
+	/* A refusal comes from the worker's own VM, not from the way. */
+	if (reason == REASON_FAULT && self->refused)
+		return false;
+	if (peers_are_normal(p, self, reason, severe))
+		return false;
 	if (!self->wait_us)
 		self->wait_us = now_us;
 	return now_us - self->wait_us < SHARED_WAIT_US;
 }
 
+/** Age of a single request from which on the worker is checked. */
+static int64_t quiet_us(const struct worker *w)
+{
+	int64_t us = QUIET_FACTOR * w->limit_us;
+
+	if (!learned(w))
+		us = 4 * w->limit_us;
+	if (us < 2 * w->longest_us)
+		us = 2 * w->longest_us;
+	return us > QUIET_MIN_US ? us : QUIET_MIN_US;
+}
+
 /** Adds the requests outstanding to the score. */
 static void sum_outstanding(struct worker *w, int64_t now_us)
 {
+	int64_t quiet = quiet_us(w);
 	double sum = 0;
 
-	w->out_slow = w->out_slower = 0;
+	w->out_slow = w->out_slower = w->out_quiet = 0;
 	w->oldest_us = now_us;
+	for (uint32_t i = 0; i < w->out_count; i++)
+		if (w->out_us[i] < w->oldest_us && w->out_us[i] > w->dropped_us)
+			w->oldest_us = w->out_us[i];
 	for (uint32_t i = 0; i < w->out_count; i++) {
-		double step = slow_step(now_us - w->out_us[i], w->limit_us);
+		int64_t at_us = w->out_us[i];
+		int64_t until_us = now_us;
+		double step;
 
-		if (step < 0 || w->out_us[i] <= w->dropped_us)
+		if (at_us <= w->dropped_us)
+			continue;
+		w->out_quiet += now_us - at_us > quiet;
+		/* The present gap between answers counts once, too. */
+		if (at_us > w->oldest_us && w->answer_us > 0)
+			until_us = w->answer_us;
+		step = slow_step(own_wait_us(w, at_us, until_us), w->limit_us);
+		if (step < 0)
 			continue;
 		sum += step;
 		w->out_slow++;
 		w->out_slower += step > STEP_SLOW;
-		if (w->out_us[i] < w->oldest_us)
-			w->oldest_us = w->out_us[i];
 	}
 	w->slow_total = w->slow + sum;
 }
 
-/** Age of a single request from which on the worker is checked. */
-static int64_t quiet_us(const struct worker *w)
-{
-	int64_t us = QUIET_FACTOR * w->limit_us;
-
-	if (!learned(w))
-		us = 4 * w->limit_us;
-	if (us < 2 * w->longest_us)
-		us = 2 * w->longest_us;
-	return us > QUIET_MIN_US ? us : QUIET_MIN_US;
-}
-
 static int64_t probe_limit_us(const struct worker *w)
 {
 	int64_t t = learned(w) ? 4 * w->limit_us : UNLEARNED_US;
@@ -537,10 +685,10 @@
 
 static void fail_check(struct worker *w, int64_t now_us)
 {
-	w->check = CHECK_NONE;
-	w->check_us = 0;
+	w->check = CHECK_WANTED;
+	w->check_us = now_us;
 	if (++w->checks_failed >= CHECKS_FAILED_MAX ||
-	    w->slow_total >= LIMIT_SEVERE)
+	    w->out_quiet >= QUIET_MANY)
 		eject(w, REASON_SILENT, now_us);
 }
 
@@ -577,30 +725,40 @@
 	}
 }
 
-static bool is_slow(const struct worker *w)
+/** Slow requests spread over more time than a pause of the worker lasts. */
+static bool is_spread(const struct worker *w)
 {
-	int64_t last_us = w->slow_last_us;
+	return w->slow_last_us - w->slow_first_us >= SPAN_MIN_US;
+}
 
-	if (last_us - w->slow_first_us < SPAN_MIN_US)
-		return false;
-	if (w->slow_answered >= LIMIT_MILD && w->ratio >= RATIO_MILD &&
-	    count_slow(w->out_slow, w->slow_bits, MILD_WINDOW) >= MILD_SLOW)
-		return true;
+static bool is_mildly_slow(const struct worker *w)
+{
+	bool scored = w->slow_answered >= LIMIT_MILD && w->ratio >= RATIO_MILD;
+	bool clear = w->slow_answered >= LIMIT_CLEAR && w->ratio >= RATIO_CLEAR;
+
+	return (scored || clear) && is_spread(w) &&
+	       count_slow(w->out_slow, w->slow_bits, MILD_WINDOW) >= MILD_SLOW;
+}
+
+static bool is_severely_slow(const struct worker *w)
+{
 	return w->slow_total >= LIMIT_SEVERE &&
-	       w->slow_answered >= LIMIT_SEVERE / 2 &&
+	       w->slow_answered >= LIMIT_SEVERE / 2 && is_spread(w) &&
 	       count_slow(w->out_slow, w->slow_bits, SEVERE_WINDOW) >=
 		       SEVERE_SLOW &&
 	       count_slow(w->out_slower, w->slower_bits, SEVERE_WINDOW) >=
-		       SEVERE_SLOWER;
+		       SEVERE_SLOWER &&
+	       onset_ratio(w) >= RATIO_SEVERE;
 }
 
-static bool is_silent(const struct worker *w, int64_t now_us)
+static bool is_silent(const struct worker *w)
 {
-	return now_us - w->oldest_us > quiet_us(w);
+	return w->out_quiet > 0;
 }
 
 static void judge(struct pool *p, struct worker *w, int64_t now_us)
 {
+	bool severe;
 	bool slow;
 
 	sum_outstanding(w, now_us);
@@ -608,24 +766,29 @@
 		return;
 	if (w->state == HEALTH_RECOVERING &&
 	    (w->slow_answered >= TRIAL_LIMIT || w->fault >= TRIAL_LIMIT)) {
-		eject(w, w->fault >= TRIAL_LIMIT ? REASON_FAULT : REASON_SLOW,
-		      now_us);
+		enum reason r =
+			w->fault >= TRIAL_LIMIT ? REASON_FAULT : REASON_SLOW;
+
+		if (!is_shared(p, w, r, false, now_us))
+			eject(w, r, now_us);
 		return;
 	}
 	if (w->fault >= LIMIT_FAULT) {
-		if (!is_shared(p, w, now_us))
+		if (!is_shared(p, w, REASON_FAULT, false, now_us))
 			eject(w,
 			      w->no_connection ? REASON_SILENT : REASON_FAULT,
 			      now_us);
 		return;
 	}
-	slow = is_slow(w);
-	if (!slow && !is_silent(w, now_us)) {
+	severe = is_severely_slow(w);
+	slow = severe || is_mildly_slow(w);
+	if (!slow && !is_silent(w)) {
 		if (w->check != CHECK_SENT)
 			w->check = CHECK_NONE;
+		w->wait_us = 0;
 		return;
 	}
-	if (is_shared(p, w, now_us))
+	if (is_shared(p, w, slow ? REASON_SLOW : REASON_SILENT, severe, now_us))
 		return;
 	if (slow)
 		eject(w, REASON_SLOW, now_us);
@@ -773,25 +936,25 @@
 	case HEALTH_ANSWERED:
 		if (w->refused && s->fresh && w->state != HEALTH_UNHEALTHY)
 			start_cold(w, true, now_us);
-		add_fault(w, false, 1);
+		add_fault(w, false, 1, at_us);
 		add_latency(w, s->latency_us, true, now_us);
 		note_answer(w, at_us, now_us);
 		break;
 	case HEALTH_SERVER_ERROR:
 	case HEALTH_TRUNCATED:
-		add_fault(w, true, 1);
+		add_fault(w, true, 1, at_us);
 		note_answer(w, at_us, now_us);
 		break;
 	case HEALTH_RESET:
-		add_fault(w, true, s->fresh ? 1 : POOLED_RESET_SHARE);
+		add_fault(w, true, s->fresh ? 1 : POOLED_RESET_SHARE, at_us);
 		break;
 	case HEALTH_CONNECT_REFUSED:
 		w->refused = true;
-		add_fault(w, true, 1);
+		add_fault(w, true, 1, at_us);
 		break;
 	case HEALTH_CONNECT_TIMEOUT:
 		w->no_connection = true;
-		add_fault(w, true, 1);
+		add_fault(w, true, 1, at_us);
 		break;
 	case HEALTH_TIMEOUT:
 	case HEALTH_CANCELLED:
