--- a/health/health.c
+++ b/health/health.c
@@ -9,10 +9,12 @@
 #define RECENT 32
 
 /** History needed before a worker is judged against it. */
-#define LEARN_MIN 30
+#define LEARN_MIN 60
 /** Above this score nothing is learned; a lower bound would drop enough of a
  * healthy worker's slow requests to bias T downwards. */
 #define FREEZE_SCORE 7.0
+#define FREEZE_RATIO 1.8
+#define FROZEN_SHARE 8
 /** While a worker is cold its history is short, so that it follows the warm-up.
  */
 #define WINDOW_COLD 64
@@ -41,9 +43,11 @@
 #define MILD_SLOW 3
 #define RATIO_MILD 1.5
 #define RATIO_CLEAR 1.8
-#define LIMIT_CLEAR 12.0 /* if the recent median is above RATIO_CLEAR */
+#define LIMIT_CLEAR 11.0 /* if the recent median is above RATIO_CLEAR */
+#define RATIO_PLAIN 2.5
+#define LIMIT_PLAIN 9.5 /* if it is above RATIO_PLAIN */
 #define RATIO_SEVERE 4.0
-#define SCORE_MAX (2 * LIMIT_MILD)
+#define SCORE_MAX (LIMIT_MILD + 4)
 /** A pause of the worker (garbage collection, disk) shorter than this delays
  * all its slots at once but is not a fault: the slow requests must have been
  * dispatched over a longer time. */
@@ -77,8 +81,9 @@
 #define PEER_REQUESTS_SEVERE 10
 #define PEER_REQUESTS_MILD 24
 #define PEER_ANSWERS 3
-#define PEER_DEVIATIONS 1.5
-#define PEER_RATIO_MIN 1.35
+#define PEER_DEVIATIONS 1.2
+#define PEER_RATIO_MIN 1.25
+#define PEER_WINDOW_US (2 * US_PER_S)
 #define PEER_ENDED 5
 #define PEER_BAD_SHARE 0.25
 #define RATIO_UNANSWERED 100.0
@@ -89,6 +94,8 @@
 #define LOOKS_BAD_RATIO_FEW 1.5
 #define LOOKS_BAD_RATIO 1.3
 #define PEERS_FEW 3
+/** So long few peers must stay normal; a single look is too often luck. */
+#define NORMAL_HOLD_US (400 * US_PER_MS)
 #define RECENT_EJECTION_US (10 * US_PER_S)
 
 #define OUT_BASE_US (5 * US_PER_S)
@@ -105,7 +112,9 @@
 #define RELEARN_US (600 * US_PER_S)
 
 enum reason {
+	REASON_NONE,
 	REASON_SLOW,
+	REASON_VERY_SLOW,
 	REASON_FAULT,
 	REASON_SILENT,
 };
@@ -163,6 +172,7 @@
 	bool no_connection; /**< the last failure was a connect timeout */
 	bool unreachable;
 	uint32_t flaps;
+	int64_t normal_us; /**< since when its peers are known to be normal */
 	int64_t wait_us; /**< since when is_shared() waits; 0: not */
 	int64_t out_until_us;
 	int64_t slow_out_us; /**< first ejection for slowness in a row */
@@ -269,7 +279,7 @@
 		return;
 	}
 	t = (double)history_quantile_us(&w->history, 90);
-	t *= 1 + 1.5 / sqrt(w->history.total);
+	t *= 1 + 2 / sqrt(w->history.total);
 	if (t < 2.0 * (double)history_quantile_us(&w->history, 50))
 		t = 2.0 * (double)history_quantile_us(&w->history, 50);
 	w->limit_us = (int64_t)(t * common_ratio(p, w));
@@ -386,6 +396,14 @@
 	w->stall_to_us = now_us;
 }
 
+/** Slow requests under suspicion would raise T until they fit it; a lasting
+ * change is still learned in the end. */
+static bool is_frozen(const struct worker *w)
+{
+	return learned(w) &&
+	       (w->slow_answered >= FREEZE_SCORE || w->ratio >= FREEZE_RATIO);
+}
+
 static void add_latency(struct worker *w, int64_t latency_us, bool answered,
 			int64_t now_us)
 {
@@ -414,8 +432,8 @@
 	else if (latency_us > w->slowest_us)
 		w->slowest_us = latency_us;
 	update_ratio(w, latency_us, now_us);
-	/* Slow requests under suspicion would raise T until they fit it. */
-	if (w->state != HEALTH_UNHEALTHY && w->slow_answered < FREEZE_SCORE)
+	if (w->state != HEALTH_UNHEALTHY &&
+	    (!is_frozen(w) || w->ended_count % FROZEN_SHARE == 0))
 		history_add(&w->history, latency_us);
 	if (step < 0)
 		w->answers_good++;
@@ -433,7 +451,7 @@
 		w->flaps = 0;
 		w->slow_out_us = 0;
 	}
-	if (reason != REASON_SLOW)
+	if (reason != REASON_SLOW && reason != REASON_VERY_SLOW)
 		w->slow_out_us = 0;
 	else if (!w->slow_out_us)
 		w->slow_out_us = now_us;
@@ -441,7 +459,8 @@
 	if (w->flaps < FLAPS_MAX)
 		w->flaps++;
 	enter(w, HEALTH_UNHEALTHY, now_us);
-	w->unreachable = reason == REASON_SILENT && w->answer_us < w->oldest_us;
+	w->unreachable = w->no_connection || (reason == REASON_SILENT &&
+					      w->answer_us < w->oldest_us);
 	w->out_until_us = now_us + out_us;
 	if (getenv("HT"))
 		printf("# %.2f reason %d slow %.1f ans %.1f tot %.1f ratio %.2f bits %x %x out %u %u lim %ld span %ld fault %.1f\n",
@@ -555,42 +574,90 @@
 	return median_of(ratios, ratios_since(w, onset_us(w), ratios));
 }
 
-/** True if the peers' requests of the same time are known to be normal. */
-static bool peers_are_normal(const struct pool *p, const struct worker *self,
-			     enum reason reason, bool severe)
+/** True if the peers' requests since then are known to be normally fast. */
+static bool peers_are_fast(const struct pool *p, const struct worker *self,
+			   int64_t since_us, uint32_t needed)
 {
 	double ratios[HEALTH_WORKERS_MAX * (RECENT + OUTSTANDING_MAX)];
-	int64_t since_us = onset_us(self);
 	uint32_t n = 0;
+	double most;
+
+	for (uint32_t i = 0; i < p->pool.worker_count; i++) {
+		const struct worker *w = &p->workers[i];
+
+		if (w != self && w->state != HEALTH_UNHEALTHY)
+			n += ratios_since(w, since_us, ratios + n);
+	}
+	if (n < needed)
+		return false;
+	/* Median of n exponential times: 1.44 / sqrt(n) is the deviation of its
+	 * logarithm. */
+	most = exp(PEER_DEVIATIONS * 1.44 / sqrt(n));
+	if (most < PEER_RATIO_MIN)
+		most = PEER_RATIO_MIN;
+	return median_of(ratios, n) < most;
+}
+
+/** True if the peers answer, slowly or not, what they got since then. */
+static bool peers_answer(const struct pool *p, const struct worker *self,
+			 int64_t since_us)
+{
+	uint32_t answered = 0;
+	uint32_t quiet = 0;
+
+	for (uint32_t i = 0; i < p->pool.worker_count; i++) {
+		const struct worker *w = &p->workers[i];
+
+		if (w == self || w->state == HEALTH_UNHEALTHY)
+			continue;
+		quiet += w->out_quiet;
+		for (uint32_t j = 0; j < RECENT && j < w->recent_count; j++)
+			answered += w->recent_at_us[j] >= since_us;
+	}
+	return answered >= PEER_ANSWERS && answered > quiet;
+}
+
+/** True if the peers' requests since this worker's first failure succeed. */
+static bool peers_succeed(const struct pool *p, const struct worker *self)
+{
 	uint32_t ended = 0;
 	uint32_t bad = 0;
-	double most;
 
 	for (uint32_t i = 0; i < p->pool.worker_count; i++) {
 		const struct worker *w = &p->workers[i];
 
 		if (w == self || w->state == HEALTH_UNHEALTHY)
 			continue;
-		n += ratios_since(w, since_us, ratios + n);
 		for (uint32_t j = 0; j < RECENT && j < w->ended_count; j++)
 			if (w->ended_at_us[j] >= self->fault_first_us) {
 				ended++;
 				bad += w->ended_bad >> j & 1;
 			}
 	}
-	if (reason == REASON_FAULT)
-		return ended >= PEER_ENDED && bad < PEER_BAD_SHARE * ended;
-	if (reason == REASON_SILENT)
-		return n >= PEER_ANSWERS &&
-		       median_of(ratios, n) < RATIO_UNANSWERED / 2;
-	if (n < (severe ? PEER_REQUESTS_SEVERE : PEER_REQUESTS_MILD))
-		return false;
-	/* Median of n exponential times: 1.44 / sqrt(n) is the deviation of its
-	 * logarithm. */
-	most = exp(PEER_DEVIATIONS * 1.44 / sqrt(n));
-	if (most < PEER_RATIO_MIN)
-		most = PEER_RATIO_MIN;
-	return median_of(ratios, n) < most;
+	return ended >= PEER_ENDED && bad < PEER_BAD_SHARE * ended;
+}
+
+/** True if the peers' requests of the same time are known to be normal. */
+static bool peers_are_normal(const struct pool *p, const struct worker *self,
+			     enum reason reason, int64_t now_us)
+{
+	switch (reason) {
+	case REASON_FAULT:
+		return peers_succeed(p, self);
+	case REASON_SILENT:
+		return peers_answer(p, self, self->oldest_us);
+	case REASON_SLOW:
+		/* In a short window the quick requests have ended and the slow
+		 * ones are still outstanding. */
+		return peers_are_fast(p, self, now_us - PEER_WINDOW_US,
+				      PEER_REQUESTS_SEVERE) &&
+		       peers_are_fast(p, self, onset_us(self),
+				      PEER_REQUESTS_MILD);
+	case REASON_VERY_SLOW:
+	case REASON_NONE:
+		break;
+	}
+	return peers_are_fast(p, self, onset_us(self), PEER_REQUESTS_SEVERE);
 }
 
 /**
@@ -600,7 +667,7 @@
  * pool.
  */
 static bool is_shared(const struct pool *p, struct worker *self,
-		      enum reason reason, bool severe, int64_t now_us)
+		      enum reason reason, int64_t now_us)
 {
 	uint32_t others = 0;
 	uint32_t bad = 0;
@@ -620,13 +687,20 @@
 		return false;
 	if (bad >= SHARED_SHARE * others) {
 		self->wait_us = now_us;
+		self->normal_us = 0;
 		return true;
 	}
 	/* A refusal comes from the worker's own VM, not from the way. */
 	if (reason == REASON_FAULT && self->refused)
 		return false;
-	if (peers_are_normal(p, self, reason, severe))
-		return false;
+	if (peers_are_normal(p, self, reason, now_us)) {
+		if (!self->normal_us)
+			self->normal_us = now_us;
+		return reason != REASON_FAULT && reason != REASON_SILENT &&
+		       others <= PEERS_FEW &&
+		       now_us - self->normal_us < NORMAL_HOLD_US;
+	}
+	self->normal_us = 0;
 	if (!self->wait_us)
 		self->wait_us = now_us;
 	return now_us - self->wait_us < SHARED_WAIT_US;
@@ -735,8 +809,9 @@
 {
 	bool scored = w->slow_answered >= LIMIT_MILD && w->ratio >= RATIO_MILD;
 	bool clear = w->slow_answered >= LIMIT_CLEAR && w->ratio >= RATIO_CLEAR;
+	bool plain = w->slow_answered >= LIMIT_PLAIN && w->ratio >= RATIO_PLAIN;
 
-	return (scored || clear) && is_spread(w) &&
+	return (scored || clear || plain) && is_spread(w) &&
 	       count_slow(w->out_slow, w->slow_bits, MILD_WINDOW) >= MILD_SLOW;
 }
 
@@ -751,49 +826,41 @@
 	       onset_ratio(w) >= RATIO_SEVERE;
 }
 
-static bool is_silent(const struct worker *w)
+/** What the evidence against a worker amounts to; REASON_NONE: not enough. */
+static enum reason suspicion(const struct worker *w)
 {
-	return w->out_quiet > 0;
+	bool trial = w->state == HEALTH_RECOVERING;
+
+	if (w->fault >= (trial ? TRIAL_LIMIT : LIMIT_FAULT))
+		return REASON_FAULT;
+	if (is_severely_slow(w))
+		return REASON_VERY_SLOW;
+	if (is_mildly_slow(w) || (trial && w->slow_answered >= TRIAL_LIMIT))
+		return REASON_SLOW;
+	return w->out_quiet ? REASON_SILENT : REASON_NONE;
 }
 
 static void judge(struct pool *p, struct worker *w, int64_t now_us)
 {
-	bool severe;
-	bool slow;
+	enum reason r;
 
 	sum_outstanding(w, now_us);
 	if (w->state == HEALTH_UNHEALTHY)
 		return;
-	if (w->state == HEALTH_RECOVERING &&
-	    (w->slow_answered >= TRIAL_LIMIT || w->fault >= TRIAL_LIMIT)) {
-		enum reason r =
-			w->fault >= TRIAL_LIMIT ? REASON_FAULT : REASON_SLOW;
-
-		if (!is_shared(p, w, r, false, now_us))
-			eject(w, r, now_us);
-		return;
-	}
-	if (w->fault >= LIMIT_FAULT) {
-		if (!is_shared(p, w, REASON_FAULT, false, now_us))
-			eject(w,
-			      w->no_connection ? REASON_SILENT : REASON_FAULT,
-			      now_us);
-		return;
-	}
-	severe = is_severely_slow(w);
-	slow = severe || is_mildly_slow(w);
-	if (!slow && !is_silent(w)) {
-		if (w->check != CHECK_SENT)
-			w->check = CHECK_NONE;
-		w->wait_us = 0;
+	r = suspicion(w);
+	if (r != REASON_SILENT && w->check != CHECK_SENT)
+		w->check = CHECK_NONE;
+	if (r == REASON_NONE && w->slow_answered < LOOKS_BAD_SCORE)
+		w->wait_us = w->normal_us = 0;
+	if (r == REASON_NONE)
 		return;
-	}
-	if (is_shared(p, w, slow ? REASON_SLOW : REASON_SILENT, severe, now_us))
+	if (is_shared(p, w, r, now_us))
 		return;
-	if (slow)
-		eject(w, REASON_SLOW, now_us);
-	else
+
+	if (r == REASON_SILENT)
 		judge_silence(w, now_us);
+	else
+		eject(w, r, now_us);
 }
 
 /* ---- return to service ---- */
