--- a/health/health.c
+++ b/health/health.c
@@ -1,7 +1,6 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
-#include <stdio.h>
 
 #include "health/health.h"
 
@@ -462,12 +461,6 @@
 	w->unreachable = w->no_connection || (reason == REASON_SILENT &&
 					      w->answer_us < w->oldest_us);
 	w->out_until_us = now_us + out_us;
-	if (getenv("HT"))
-		printf("# %.2f reason %d slow %.1f ans %.1f tot %.1f ratio %.2f bits %x %x out %u %u lim %ld span %ld fault %.1f\n",
-		       now_us / 1e6, reason, w->slow, w->slow_answered,
-		       w->slow_total, w->ratio, w->slow_bits, w->slower_bits,
-		       w->out_slow, w->out_slower, (long)w->limit_us,
-		       (long)(w->slow_last_us - w->slow_first_us), w->fault);
 	w->probe_at_us = w->out_until_us;
 	w->probe_backoff = 0;
 	w->check = CHECK_NONE;
@@ -1001,8 +994,11 @@
 		return;
 	switch (s->event) {
 	case HEALTH_ANSWERED:
-		if (w->refused && s->fresh && w->state != HEALTH_UNHEALTHY)
-			start_cold(w, true, now_us);
+		if (w->refused && w->state != HEALTH_UNHEALTHY) {
+			w->refused = false;
+			if (s->fresh)
+				start_cold(w, true, now_us);
+		}
 		add_fault(w, false, 1, at_us);
 		add_latency(w, s->latency_us, true, now_us);
 		note_answer(w, at_us, now_us);
--- a/health/health_measure.c
+++ b/health/health_measure.c
@@ -122,35 +122,35 @@
 struct model {
 	uint64_t random;
 	int64_t now_us;
-	uint8_t workers;
 	double rate; /**< requests a second for the pool */
-	bool random_pick;
-	bool long_requests;
 	struct health_pool *pool;
-	struct stand_in w[HEALTH_WORKERS_MAX];
-	uint32_t order;
 	struct event *heap;
-	uint32_t heap_count;
 	struct model_call *calls;
-	uint32_t free_call;
+	struct stand_in w[HEALTH_WORKERS_MAX];
 	int64_t queue[QUEUE_MAX]; /**< deadline; negative: not idempotent */
-	uint32_t queue_head;
-	uint32_t queue_count;
 	struct conf_service service;
 	struct conf_cell cell;
 	struct conf_worker conf[HEALTH_WORKERS_MAX];
-	uint16_t mask;
 	/* results */
-	bool was_out[HEALTH_WORKERS_MAX];
-	bool touched[HEALTH_WORKERS_MAX]; /**< has or had a real fault */
 	int64_t first_out_us;
 	int64_t dropped_us;
+	double lowest_share;
 	uint32_t ejections; /**< of faulty workers */
 	uint32_t false_ejections;
 	uint32_t probes;
 	uint32_t served;
 	uint32_t failed;
-	double lowest_share;
+	/* small state */
+	uint32_t order;
+	uint32_t heap_count;
+	uint32_t queue_head;
+	uint32_t queue_count;
+	uint16_t mask;
+	bool was_out[HEALTH_WORKERS_MAX];
+	bool touched[HEALTH_WORKERS_MAX]; /**< has or had a real fault */
+	uint8_t workers;
+	bool random_pick;
+	bool long_requests;
 };
 
 static bool trace;
@@ -298,10 +298,7 @@
 		   (s->fault == FAULT_ERRORS && chance(m, 30))) {
 		c->outcome = HEALTH_SERVER_ERROR;
 	}
-	if (c->silent || answers_nothing(s)) {
-		c->outcome = HEALTH_TIMEOUT;
-		*end_us = c->deadline_us;
-	} else if (*end_us > c->deadline_us) {
+	if (c->silent || answers_nothing(s) || *end_us > c->deadline_us) {
 		c->outcome = HEALTH_TIMEOUT;
 		*end_us = c->deadline_us;
 	}
