health: median kept sorted; full weight under the floor

Sorting the last 32 latencies for each request took 55 % of the measurement's time (perf, 12 workers).

An unhealthy worker that the floor keeps in had a weight of 10 %, which would have reduced the capacity below the floor. Its weight is now 100 %; entries leave it out where the floor allows.

--- a/health/health.c
+++ b/health/health.c
@@ -134,6 +134,7 @@
 	int64_t slowest_us; /**< answer seen while there is no history */
 	int64_t recent_us[RECENT];
 	int64_t recent_at_us[RECENT]; /**< their dispatch */
+	int64_t sorted_us[RECENT]; /**< recent_us in order */
 	int64_t ended_at_us[RECENT]; /**< dispatch of the last that ended */
 	uint32_t ended_bad; /**< bit i: that in ended_at_us[i] failed */
 	uint32_t ended_count;
@@ -293,28 +294,29 @@
 	return latency_us <= 4 * limit_us ? STEP_SLOWER : STEP_SLOWEST;
 }
 
-static int compare_i64(const void *a, const void *b)
-{
-	int64_t x = *(const int64_t *)a;
-	int64_t y = *(const int64_t *)b;
-
-	return (x > y) - (x < y);
-}
-
+/** Keeps the last latencies, and a sorted copy of them for their median. */
 static void update_ratio(struct worker *w, int64_t latency_us, int64_t now_us)
 {
-	int64_t sorted[RECENT];
-	uint32_t n;
-	uint32_t middle;
+	uint32_t slot = w->recent_count % RECENT;
+	uint32_t n = w->recent_count < RECENT ? w->recent_count : RECENT;
 	int64_t median_us = history_quantile_us(&w->history, 50);
-
-	w->recent_us[w->recent_count % RECENT] = latency_us;
-	w->recent_at_us[w->recent_count++ % RECENT] = now_us - latency_us;
-	n = w->recent_count < RECENT ? w->recent_count : RECENT;
-	memcpy(sorted, w->recent_us, n * sizeof(*sorted));
-	qsort(sorted, n, sizeof(*sorted), compare_i64);
-	middle = n / 2;
-	w->ratio = median_us ? (double)sorted[middle] / (double)median_us : 1;
+	int64_t *sorted = w->sorted_us;
+	uint32_t i = 0;
+
+	if (n == RECENT) {
+		while (sorted[i] != w->recent_us[slot])
+			i++;
+		n--;
+		memmove(sorted + i, sorted + i + 1, (n - i) * sizeof(*sorted));
+	}
+	for (i = n; i > 0 && sorted[i - 1] > latency_us; i--)
+		sorted[i] = sorted[i - 1];
+	sorted[i] = latency_us;
+	i = (n + 1) / 2;
+	w->ratio = median_us ? (double)sorted[i] / (double)median_us : 1;
+	w->recent_us[slot] = latency_us;
+	w->recent_at_us[slot] = now_us - latency_us;
+	w->recent_count++;
 }
 
 static void add_score(double *score, double step)
@@ -1071,7 +1073,7 @@
 				2 * TRIAL_WEIGHT);
 		break;
 	case HEALTH_UNHEALTHY:
-		v.weight_percent = TRIAL_WEIGHT;
+		/* Whoever the floor keeps in must bear its share. */
 		v.unreachable = w->unreachable;
 		break;
 	case HEALTH_RECOVERING:
