cell: connections that went silent are dropped, not their worker

Uses the health policy's finding: idle connections to the worker are closed, and idempotent requests that wait on silent ones fail as lost, so that the entry retries them; work that must not repeat is left to its deadline.

--- a/cell/cell.c
+++ b/cell/cell.c
@@ -205,7 +205,8 @@
 	c->token = r.token;
 	c->worker = w;
 	cell->busy[w]++;
-	cell->health->ops->dispatch(cell->health, w, h->duty.now_us);
+	if (!c->probe)
+		cell->health->ops->dispatch(cell->health, w, h->duty.now_us);
 	apr_hash_set(h->at_worker, &c->token, sizeof(c->token), c);
 	if (upstream_send(h->settings.upstream, &r) == AZ_OK)
 		return;
@@ -258,6 +259,7 @@
 	case UPSTREAM_CANCELLED_UNSENT:
 		return ERR_DEADLINE_NOT_RUN;
 	case UPSTREAM_CLOSED:
+	case UPSTREAM_SILENT:
 		return ERR_ANSWER_LOST;
 	case UPSTREAM_TRUNCATED:
 		return ERR_ANSWER_TRUNCATED;
@@ -290,6 +292,7 @@
 		return HEALTH_TRUNCATED;
 	case UPSTREAM_TIMEOUT:
 		return HEALTH_TIMEOUT;
+	case UPSTREAM_SILENT:
 	case UPSTREAM_CANCELLED:
 	case UPSTREAM_CANCELLED_UNSENT:
 		break;
@@ -931,20 +934,43 @@
 		conf_release(conf);
 }
 
-static void tick_cell(struct cell_home *h, struct homed_cell *cell)
+static void drop_silent(struct cell_home *h, struct homed_cell *cell)
+{
+	for (uint8_t w = 0; w < cell->conf_cell->worker_count; w++) {
+		const struct conf_worker *worker = cell->conf_cell->workers[w];
+		int64_t older_than_us =
+			cell->health->ops->take_silent(cell->health, w);
+
+		if (older_than_us <= 0)
+			continue;
+		log_write(LOG_WARN, "cell", "connections to %s went silent",
+			  worker->name);
+		upstream_drop_silent(h->settings.upstream, worker->ip,
+				     worker->port, older_than_us);
+	}
+}
+
+static void send_probes(struct cell_home *h, struct homed_cell *cell)
 {
-	int64_t now_us = h->duty.now_us;
 	bool fresh = false;
 	int32_t w;
 
+	if (!cell->conf_cell->service->health_path[0])
+		return;
+	while ((w = cell->health->ops->next_probe(cell->health, h->duty.now_us,
+						  &fresh)) >= 0)
+		probe(h, cell, (uint8_t)w, fresh);
+}
+
+static void tick_cell(struct cell_home *h, struct homed_cell *cell)
+{
+	int64_t now_us = h->duty.now_us;
+
 	refresh_conf(h, cell);
 	cell->health->ops->tick(cell->health, now_us);
 	confirm_unreachable(h, cell);
-	if (cell->conf_cell->service->health_path[0]) {
-		w = cell->health->ops->next_probe(cell->health, now_us, &fresh);
-		if (w >= 0)
-			probe(h, cell, (uint8_t)w, fresh);
-	}
+	drop_silent(h, cell);
+	send_probes(h, cell);
 	dispatch(h, cell);
 }
 
