--- /dev/null
+++ b/fake/relay_main.c
@@ -0,0 +1,556 @@
+/**
+ * @file
+ * Program: stand-in of the path between two daemons. Forwards TCP connections
+ * and can hold or drop one direction or both, make the connections that are
+ * open go silent while new ones work, and delay.
+ *
+ * POST /set?hold=none|to|from|both  bytes wait until they are released
+ *           drop=none|to|from|both  bytes are lost; a connection that lost
+ *                                   some stays mute in that direction
+ *           silence=open            connections open now carry nothing more
+ *           delay_ms=N
+ * "to" is towards the daemon. GET /counts tells connections and bytes.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <arpa/inet.h>
+#include <apr_general.h>
+#include <apr_network_io.h>
+#include <microhttpd.h>
+
+#include "lib/az.h"
+
+#define READ_BYTES 16384
+#define LISTEN_BACKLOG 512
+#define RING_SLOTS 64
+
+enum direction {
+	DIRECTION_TO,
+	DIRECTION_FROM,
+	DIRECTION_COUNT,
+};
+
+/** Bytes on their way, or the end of them. */
+struct chunk {
+	struct chunk *next;
+	int64_t due_us;
+	bool end;
+	struct buf bytes;
+	uint32_t sent_bytes;
+};
+
+struct pair;
+
+/** One socket of a pair. */
+struct side {
+	struct poll_handler poll;
+	struct pair *pair;
+	enum direction reads; /**< direction of the bytes read here */
+	bool ended;
+	bool mute; /**< what is read here is lost */
+	struct chunk *first; /**< to be written here */
+	struct chunk **last;
+};
+
+struct pair {
+	struct relay *relay;
+	struct pair *next;
+	struct pair *prev;
+	apr_pool_t *pool;
+	struct side sides[DIRECTION_COUNT]; /**< caller's, daemon's */
+	bool closing;
+};
+
+struct relay {
+	struct duty duty;
+	struct poll_handler listener;
+	apr_sockaddr_t *to;
+	struct pair *pairs;
+	bool hold[DIRECTION_COUNT];
+	bool drop[DIRECTION_COUNT];
+	int64_t delay_us;
+	int64_t connections; /**< atomic */
+	int64_t bytes[DIRECTION_COUNT]; /**< atomic, forwarded */
+};
+
+static void *alloc(size_t n)
+{
+	void *p = calloc(1, n);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+/* ---- pairs ---- */
+
+static void side_free(struct side *s)
+{
+	while (s->first) {
+		struct chunk *c = s->first;
+
+		s->first = c->next;
+		buf_free(&c->bytes);
+		free(c);
+	}
+	if (s->poll.sock) {
+		duty_poll(&s->pair->relay->duty, &s->poll, 0);
+		apr_socket_close(s->poll.sock);
+	}
+}
+
+static void pair_free(struct pair *p)
+{
+	if (p->prev)
+		p->prev->next = p->next;
+	else
+		p->relay->pairs = p->next;
+	if (p->next)
+		p->next->prev = p->prev;
+	side_free(&p->sides[0]);
+	side_free(&p->sides[1]);
+	apr_pool_destroy(p->pool);
+	free(p);
+}
+
+static struct side *other(struct side *s)
+{
+	return &s->pair->sides[1 - s->reads];
+}
+
+/* Writes what is due to a side. */
+static void side_write(struct side *s)
+{
+	struct relay *r = s->pair->relay;
+	enum direction d = 1 - s->reads;
+
+	while (s->first && !r->hold[d] && !s->pair->closing) {
+		struct chunk *c = s->first;
+		apr_size_t n = c->bytes.len_bytes - c->sent_bytes;
+		apr_status_t rv;
+
+		if (c->due_us > r->duty.now_us) {
+			duty_arm(&r->duty, c->due_us);
+			return;
+		}
+		if (c->end) {
+			s->pair->closing = true;
+			return;
+		}
+		rv = apr_socket_send(s->poll.sock,
+				     (char *)c->bytes.data + c->sent_bytes, &n);
+		if (rv != APR_SUCCESS) {
+			s->pair->closing = !APR_STATUS_IS_EAGAIN(rv);
+			return;
+		}
+		c->sent_bytes += (uint32_t)n;
+		__atomic_add_fetch(&r->bytes[d], (int64_t)n, __ATOMIC_RELAXED);
+		if (c->sent_bytes < c->bytes.len_bytes)
+			continue;
+		s->first = c->next;
+		if (!s->first)
+			s->last = &s->first;
+		buf_free(&c->bytes);
+		free(c);
+	}
+}
+
+static void side_wait(struct side *s)
+{
+	struct relay *r = s->pair->relay;
+	bool writes = s->first && !r->hold[1 - s->reads] &&
+		      s->first->due_us <= r->duty.now_us;
+	int16_t events = s->ended ? 0 : APR_POLLIN;
+
+	if (writes)
+		events |= APR_POLLOUT;
+	duty_poll(&r->duty, &s->poll, events);
+}
+
+/* Ends an event of a pair. */
+static void pair_settle(struct pair *p)
+{
+	side_write(&p->sides[0]);
+	side_write(&p->sides[1]);
+	if (p->closing || (p->sides[0].ended && p->sides[1].ended)) {
+		pair_free(p);
+		return;
+	}
+	side_wait(&p->sides[0]);
+	side_wait(&p->sides[1]);
+}
+
+static void forward(struct side *s, const char *data, uint32_t n, bool end)
+{
+	struct relay *r = s->pair->relay;
+	struct side *to = other(s);
+	struct chunk *c;
+
+	if (r->drop[s->reads])
+		s->mute = true;
+	if (s->mute)
+		return;
+	c = alloc(sizeof(*c));
+	c->due_us = r->duty.now_us + r->delay_us;
+	c->end = end;
+	if (n)
+		buf_append(&c->bytes, data, n);
+	*to->last = c;
+	to->last = &c->next;
+}
+
+static void side_read(struct side *s)
+{
+	char data[READ_BYTES];
+	apr_size_t n = sizeof(data);
+	apr_status_t rv = apr_socket_recv(s->poll.sock, data, &n);
+
+	if (APR_STATUS_IS_EAGAIN(rv))
+		return;
+	if (rv != APR_SUCCESS || !n) {
+		s->ended = true;
+		forward(s, NULL, 0, true);
+		return;
+	}
+	forward(s, data, (uint32_t)n, false);
+}
+
+static void side_ready(struct poll_handler *h, int16_t events)
+{
+	struct side *s = az_container_of(h, struct side, poll);
+
+	if (events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR))
+		side_read(s);
+	pair_settle(s->pair);
+}
+
+static const struct poll_ops side_ops = { side_ready };
+
+static void prepare(apr_socket_t *sock)
+{
+	apr_socket_opt_set(sock, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(sock, 0);
+	apr_socket_opt_set(sock, APR_TCP_NODELAY, 1);
+}
+
+static bool connect_daemon(struct relay *r, struct pair *p)
+{
+	struct side *s = &p->sides[1];
+	apr_status_t rv;
+
+	if (apr_socket_create(&s->poll.sock, APR_INET, SOCK_STREAM,
+			      APR_PROTO_TCP, p->pool) != APR_SUCCESS)
+		return false;
+	prepare(s->poll.sock);
+	rv = apr_socket_connect(s->poll.sock, r->to);
+	return rv == APR_SUCCESS || APR_STATUS_IS_EINPROGRESS(rv);
+}
+
+static void on_accept(struct poll_handler *h, int16_t events)
+{
+	struct relay *r = az_container_of(h, struct relay, listener);
+	struct pair *p = alloc(sizeof(*p));
+
+	(void)events;
+	if (apr_pool_create_unmanaged_ex(&p->pool, NULL, NULL) != APR_SUCCESS)
+		abort();
+	p->relay = r;
+	p->next = r->pairs;
+	if (p->next)
+		p->next->prev = p;
+	r->pairs = p;
+	for (int32_t i = 0; i < DIRECTION_COUNT; i++) {
+		p->sides[i].poll.ops = &side_ops;
+		p->sides[i].pair = p;
+		p->sides[i].reads = i;
+		p->sides[i].last = &p->sides[i].first;
+	}
+	if (apr_socket_accept(&p->sides[0].poll.sock, h->sock, p->pool) !=
+	    APR_SUCCESS) {
+		p->sides[0].poll.sock = NULL;
+		pair_free(p);
+		return;
+	}
+	prepare(p->sides[0].poll.sock);
+	__atomic_add_fetch(&r->connections, 1, __ATOMIC_RELAXED);
+	if (!connect_daemon(r, p))
+		p->closing = true;
+	pair_settle(p);
+}
+
+static const struct poll_ops listener_ops = { on_accept };
+
+/* ---- the duty ---- */
+
+static void settle_all(struct relay *r)
+{
+	struct pair *next;
+
+	for (struct pair *p = r->pairs; p; p = next) {
+		next = p->next;
+		pair_settle(p);
+	}
+}
+
+static void on_timer(struct duty *d, int64_t now_us)
+{
+	(void)now_us;
+	settle_all(az_container_of(d, struct relay, duty));
+}
+
+static void on_stop(struct duty *d)
+{
+	struct relay *r = az_container_of(d, struct relay, duty);
+
+	while (r->pairs)
+		pair_free(r->pairs);
+}
+
+static const struct duty_ops relay_ops = { "relay", on_timer, on_stop };
+
+/* ---- control ---- */
+
+/** An order of the control port; NULL members leave things as they are. */
+struct order {
+	struct msg msg;
+	int32_t hold; /**< mask of directions; -1: as it is */
+	int32_t drop;
+	bool silence;
+	int64_t delay_us; /**< -1: as it is */
+};
+
+static void set_mask(bool out[DIRECTION_COUNT], int32_t mask)
+{
+	for (int32_t i = 0; mask >= 0 && i < DIRECTION_COUNT; i++)
+		out[i] = mask >> i & 1;
+}
+
+static void order_run(struct msg *m, struct duty *to)
+{
+	struct order *o = az_container_of(m, struct order, msg);
+	struct relay *r = az_container_of(to, struct relay, duty);
+
+	set_mask(r->hold, o->hold);
+	set_mask(r->drop, o->drop);
+	if (o->delay_us >= 0)
+		r->delay_us = o->delay_us;
+	for (struct pair *p = r->pairs; o->silence && p; p = p->next)
+		p->sides[0].mute = p->sides[1].mute = true;
+	log_write(LOG_INFO, "relay", "hold=%d drop=%d silence=%d delay_us=%lld",
+		  o->hold, o->drop, o->silence, (long long)o->delay_us);
+	free(o);
+	settle_all(r);
+}
+
+static void order_drop(struct msg *m)
+{
+	free(az_container_of(m, struct order, msg));
+}
+
+static const struct msg_ops order_ops = { "order", order_run, order_drop };
+
+static bool parse_mask(const char *s, int32_t *out)
+{
+	static const char *const names[] = { "none", "to", "from", "both" };
+
+	*out = -1;
+	for (int32_t i = 0; s && i < 4; i++)
+		if (!strcmp(s, names[i]))
+			*out = i;
+	return !s || *out >= 0;
+}
+
+static bool parse_order(struct MHD_Connection *c, struct order *o)
+{
+	const char *silence = MHD_lookup_connection_value(
+		c, MHD_GET_ARGUMENT_KIND, "silence");
+	const char *delay = MHD_lookup_connection_value(
+		c, MHD_GET_ARGUMENT_KIND, "delay_ms");
+
+	o->msg.ops = &order_ops;
+	o->delay_us = delay ? strtol(delay, NULL, 10) * US_PER_MS : -1;
+	o->silence = silence && !strcmp(silence, "open");
+	return parse_mask(MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND,
+						      "hold"),
+			  &o->hold) &&
+	       parse_mask(MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND,
+						      "drop"),
+			  &o->drop) &&
+	       (!silence || o->silence);
+}
+
+static enum MHD_Result respond(struct MHD_Connection *c, uint32_t status,
+			       const char *text)
+{
+	struct MHD_Response *r = MHD_create_response_from_buffer(
+		strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result done = MHD_queue_response(c, status, r);
+
+	MHD_destroy_response(r);
+	return done;
+}
+
+static enum MHD_Result on_request(void *arg, struct MHD_Connection *c,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *data_bytes, void **state)
+{
+	static int seen;
+	struct relay *r = arg;
+	struct order *o;
+	char text[160];
+
+	(void)version;
+	(void)data;
+	if (*state != &seen || *data_bytes) {
+		*data_bytes = 0;
+		*state = &seen;
+		return MHD_YES;
+	}
+	if (!strcmp(url, "/counts")) {
+		snprintf(text, sizeof(text),
+			 "{\"connections\":%lld,\"to\":%lld,\"from\":%lld}",
+			 (long long)__atomic_load_n(&r->connections,
+						    __ATOMIC_RELAXED),
+			 (long long)__atomic_load_n(&r->bytes[DIRECTION_TO],
+						    __ATOMIC_RELAXED),
+			 (long long)__atomic_load_n(&r->bytes[DIRECTION_FROM],
+						    __ATOMIC_RELAXED));
+		return respond(c, MHD_HTTP_OK, text);
+	}
+	if (strcmp(url, "/set") != 0 || strcmp(method, "POST") != 0)
+		return respond(c, MHD_HTTP_NOT_FOUND, "not found\n");
+	o = alloc(sizeof(*o));
+	if (!parse_order(c, o)) {
+		free(o);
+		return respond(c, MHD_HTTP_BAD_REQUEST,
+			       "hold, drop: none, to, from, both; "
+			       "silence: open; delay_ms: a number\n");
+	}
+	duty_send(&r->duty, &o->msg);
+	return respond(c, MHD_HTTP_OK, "ok\n");
+}
+
+/* ---- program ---- */
+
+struct settings {
+	const char *listen;
+	const char *to;
+	const char *control;
+};
+
+static const struct argp_option options[] = {
+	{ "listen", 'l', "IP:PORT", 0, "where the daemon is dialled", 0 },
+	{ "to", 't', "IP:PORT", 0, "where the daemon listens", 0 },
+	{ "control", 'c', "IP:PORT", 0, "address for /set and /counts", 0 },
+	{ 0 },
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct settings *s = state->input;
+
+	switch (key) {
+	case 'l':
+		s->listen = arg;
+		return 0;
+	case 't':
+		s->to = arg;
+		return 0;
+	case 'c':
+		s->control = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (!s->listen || !s->to || !s->control)
+			argp_error(state,
+				   "--listen, --to and --control are needed");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {
+	options, parse, NULL, "Stand-in of the path between two daemons.",
+	NULL,	 NULL,	NULL
+};
+
+static apr_sockaddr_t *resolve(const char *address, apr_pool_t *pool)
+{
+	apr_sockaddr_t *sa;
+	char *host;
+	char *scope;
+	apr_port_t port;
+
+	if (apr_parse_addr_port(&host, &scope, &port, address, pool) !=
+		    APR_SUCCESS ||
+	    !host || !port ||
+	    apr_sockaddr_info_get(&sa, host, APR_INET, port, 0, pool) !=
+		    APR_SUCCESS) {
+		az_fail(AZ_INVALID, "'%s' is not IP:PORT", address);
+		return NULL;
+	}
+	return sa;
+}
+
+static enum az_status relay_open(struct relay *r, const struct settings *s,
+				 apr_pool_t *pool)
+{
+	apr_sockaddr_t *sa = resolve(s->listen, pool);
+	apr_sockaddr_t *control = resolve(s->control, pool);
+
+	r->to = resolve(s->to, pool);
+	if (!sa || !control || !r->to)
+		return AZ_INVALID;
+	if (apr_socket_create(&r->listener.sock, APR_INET, SOCK_STREAM,
+			      APR_PROTO_TCP, pool) != APR_SUCCESS)
+		return az_fail(AZ_IO, "no socket");
+	apr_socket_opt_set(r->listener.sock, APR_SO_REUSEADDR, 1);
+	apr_socket_opt_set(r->listener.sock, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(r->listener.sock, 0);
+	if (apr_socket_bind(r->listener.sock, sa) != APR_SUCCESS ||
+	    apr_socket_listen(r->listener.sock, LISTEN_BACKLOG) != APR_SUCCESS)
+		return az_fail(AZ_IO, "cannot listen on %s", s->listen);
+	r->listener.ops = &listener_ops;
+	duty_poll(&r->duty, &r->listener, APR_POLLIN);
+	if (!MHD_start_daemon(
+		    MHD_USE_INTERNAL_POLLING_THREAD,
+		    ntohs(control->sa.sin.sin_port), NULL, NULL, on_request, r,
+		    MHD_OPTION_SOCK_ADDR, &control->sa.sin,
+		    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END))
+		return az_fail(AZ_IO, "cannot listen on %s", s->control);
+	return AZ_OK;
+}
+
+int main(int argc, char **argv)
+{
+	static struct relay relay;
+	struct settings s = { NULL, NULL, NULL };
+	struct timer_service *timers;
+	apr_pool_t *pool;
+	sigset_t signals;
+	int got;
+
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	argp_parse(&argp, argc, argv, 0, NULL, &s);
+	log_set_source("relay");
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	timers = timer_service_create(pool);
+	if (duty_init(&relay.duty, &relay_ops, RING_SLOTS, timers) != AZ_OK ||
+	    relay_open(&relay, &s, pool) != AZ_OK ||
+	    timer_service_start(timers) != AZ_OK ||
+	    duty_start(&relay.duty) != AZ_OK) {
+		log_write(LOG_ERROR, "relay", "%s", az_last_message());
+		return EXIT_FAILURE;
+	}
+	sigwait(&signals, &got);
+	return EXIT_SUCCESS;
+}
--- a/fake/worker.c
+++ b/fake/worker.c
@@ -367,8 +367,11 @@
 		us = service_time_draw(&w->settings.service, &w->draw,
 				       w->duty.now_us - w->start_us);
 		w->counts.started++;
-		if (*j->run_id)
+		if (*j->run_id) {
 			j->run = run_table_add(&w->runs, j->run_id);
+			if (w->settings.run_log)
+				fprintf(w->settings.run_log, "%s\n", j->run_id);
+		}
 	}
 	us = fault_service_us(&w->fault, us, w->duty.now_us);
 	j->alarm.fire = job_done;
--- a/fake/worker_main.c
+++ b/fake/worker_main.c
@@ -29,6 +29,7 @@
 	OPT_COLD_START_FACTOR,
 	OPT_ANSWER_BYTES,
 	OPT_SEED,
+	OPT_RUN_LOG,
 };
 
 static const struct argp_option options[] = {
@@ -57,6 +58,8 @@
 	{ "answer-bytes", OPT_ANSWER_BYTES, "N", 0,
 	  "padding in each answer (0)", 0 },
 	{ "seed", OPT_SEED, "N", 0, "seed of the random numbers (1)", 0 },
+	{ "run-log", OPT_RUN_LOG, "FILE", 0,
+	  "append the id of each run; it outlives a killed worker", 0 },
 	{ 0 }
 };
 
@@ -141,6 +144,12 @@
 	case OPT_SEED:
 		s->seed = (uint64_t)number(state, arg, 9e15);
 		break;
+	case OPT_RUN_LOG:
+		s->run_log = fopen(arg, "ae");
+		if (!s->run_log)
+			argp_error(state, "cannot write %s", arg);
+		setlinebuf(s->run_log);
+		break;
 	case ARGP_KEY_END:
 		if (!s->listen)
 			argp_error(state, "--listen is missing");
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -169,9 +169,8 @@
 		__atomic_sub_fetch(&p->inbound, 1, __ATOMIC_RELAXED);
 	if (c->poll.sock)
 		apr_socket_close(c->poll.sock);
-	if (c->outbound &&
-	    apr_hash_get(p->by_target, &c->target, sizeof(c->target)) == c)
-		apr_hash_set(p->by_target, &c->target, sizeof(c->target), NULL);
+	if (c->outbound)
+		forget_target(c);
 	apr_hash_set(p->by_id, &c->id, sizeof(c->id), NULL);
 	if (c->prev)
 		c->prev->next = c->next;
@@ -206,8 +205,9 @@
 static bool conn_flush(struct conn *c)
 {
 	uint32_t done = 0;
+	bool broken = false;
 
-	while (done < c->out.len_bytes) {
+	while (!broken && done < c->out.len_bytes) {
 		apr_size_t n = c->out.len_bytes - done;
 		apr_status_t rv = apr_socket_send(
 			c->poll.sock, (char *)c->out.data + done, &n);
@@ -217,10 +217,13 @@
 		else if (APR_STATUS_IS_EAGAIN(rv))
 			break;
 		else
-			return false;
+			broken = true;
 	}
 	counter_add(c->peer->bytes_out, done);
+	/* Also if it broke: a call of which bytes were written may arrive. */
 	c->out_base += done;
+	if (broken)
+		return false;
 	c->out.len_bytes -= done;
 	memmove(c->out.data, c->out.data + done, c->out.len_bytes);
 	duty_poll(&c->peer->duty, &c->poll,
