cell: split the duty by what it does; ticket: wait for a new issuer's listing

Ruled out: departed records and the start of the entry, both handled before. Change: an unlisted issuer is looked up again for up to 2 s, at most half of the time that is left.

--- a/cell/cell.h
+++ b/cell/cell.h
@@ -6,13 +6,16 @@
 #ifndef CELL_CELL_H
 #define CELL_CELL_H
 
+#include <pthread.h>
+#include <apr_hash.h>
+
 #include "lib/az.h"
 #include "conf/conf.h"
 #include "health/health.h"
 #include "member/member.h"
+#include "upstream/upstream.h"
 
 struct peer;
-struct upstream;
 
 /** Names one forward; never used for a second. */
 struct call_id {
@@ -174,4 +177,85 @@
 /** Calls queued or at workers. Any thread. */
 uint32_t cell_home_in_flight(struct cell_home *h);
 
+/* ---- between the files of this slice ---- */
+
+struct waiter {
+	struct waiter *next;
+	struct reply_to *reply;
+};
+
+struct homed_cell;
+
+/** One admitted call, queued or at a worker. */
+struct cell_call {
+	struct queue_item item;
+	struct homed_cell *cell;
+	struct forward *forward;
+	struct call *entry; /**< NULL if the call needs no sealing */
+	struct waiter *waiters;
+	uint64_t token; /**< while at a worker, else 0 */
+	uint8_t worker;
+	bool cancelled;
+	bool probe;
+};
+
+struct homed_cell {
+	uint64_t id;
+	struct conf *conf; /**< keeps `conf_cell` */
+	const struct conf_cell *conf_cell;
+	struct rank_queue queue;
+	struct health_pool *health;
+	uint8_t busy[CELL_WORKERS_MAX];
+	bool draining[CELL_WORKERS_MAX]; /**< the worker's own signal */
+	struct reach reach[CELL_WORKERS_MAX];
+	int64_t used_us;
+};
+
+struct cell_home {
+	struct duty duty;
+	struct upstream_sink sink;
+	struct cell_settings settings;
+	apr_hash_t *cells;
+	apr_hash_t *at_worker; /**< token to cell_call */
+	struct call_table *calls;
+	uint64_t next_token;
+	uint32_t in_flight; /**< atomic */
+	pthread_mutex_t info_lock;
+	struct cell_info info[CELL_INFO_MAX];
+	uint32_t info_count;
+	struct counter *ran;
+	struct counter *refused;
+	struct counter *sealed;
+};
+
+/** Ends a call with `a`, which it takes, and frees it. */
+void cell_call_end(struct cell_home *h, struct cell_call *c, struct answer *a);
+void cell_call_refuse(struct cell_home *h, struct cell_call *c,
+		      enum error_kind k);
+bool cell_any_eligible(const struct homed_cell *c, uint16_t excluded);
+/** Binds a call to worker `w` and sends it there. */
+void cell_send(struct cell_home *h, struct cell_call *c, uint8_t w, bool fresh);
+void cell_refuse_expired(struct cell_home *h, struct queue_item *i);
+/** Sends queued calls to free workers. */
+void cell_dispatch(struct cell_home *h, struct homed_cell *cell);
+/** Receives what became of requests at workers. */
+extern const struct upstream_sink_ops cell_sink_ops;
+void cell_record_reach(struct cell_home *h, struct homed_cell *cell, uint8_t w,
+		       const struct upstream_result *r);
+/** Asks a daemon in another data centre to connect to a worker. */
+void cell_ask_another(struct cell_home *h, struct homed_cell *cell, uint8_t w);
+/** True if others reach a worker that this home does not. */
+bool cell_is_cut(const struct homed_cell *cell);
+/** The cell, made on first use; NULL if the configuration has none. */
+struct homed_cell *homed_cell_get(struct cell_home *h, uint64_t id);
+void homed_cell_refresh(struct cell_home *h, struct homed_cell *cell);
+void homed_cell_free(struct homed_cell *cell);
+void cell_tick(struct cell_home *h, struct homed_cell *cell);
+bool cell_is_unused(const struct homed_cell *cell, int64_t now_us);
+/** Adds what the home tells about a cell; returns the new length. */
+uint32_t cell_add_reports(const struct cell_home *h,
+			  const struct homed_cell *cell, struct report *list,
+			  uint32_t n);
+void cell_publish_info(struct cell_home *h);
+
 #endif
--- a/cell/cell_measure.c
+++ b/cell/cell_measure.c
@@ -16,11 +16,12 @@
 #define WORKERS 12
 #define SLOTS 6
 #define SERVICE_US (20 * US_PER_MS)
-#define CAPACITY_PER_S (WORKERS * SLOTS * US_PER_S / SERVICE_US)
+#define CAPACITY_PER_S ((double)(WORKERS * SLOTS * US_PER_S) / SERVICE_US)
 #define CELLS 6
 #define CELL_SLOTS (WORKERS * SLOTS / CELLS)
 #define DAEMONS 44
 #define RUN_US (60 * US_PER_S)
+#define COUNTED_S ((double)(RUN_US - WARM_US) / (double)US_PER_S)
 /* Bound of a worker's own queue, behind which it refuses. */
 #define WORKER_QUEUE_MAX 64
 #define WARM_US (5 * US_PER_S)
@@ -435,13 +436,12 @@
 
 	for (uint32_t k = 0; k < RANK_COUNT; k++)
 		n += r->good[k];
-	return n / (CAPACITY_PER_S * (double)(RUN_US - WARM_US) / US_PER_S);
+	return n / (CAPACITY_PER_S * COUNTED_S);
 }
 
 static double share(const struct result *r, enum rank k)
 {
-	return r->good[k] /
-	       (CAPACITY_PER_S * (double)(RUN_US - WARM_US) / US_PER_S);
+	return r->good[k] / (CAPACITY_PER_S * COUNTED_S);
 }
 
 static void release(struct result *r)
@@ -535,7 +535,7 @@
 
 	for (int64_t s = WARM_US / US_PER_S; s < from; s++)
 		mean += r->good_by_second[s];
-	mean /= (double)(from - WARM_US / US_PER_S);
+	mean /= (double)from - (double)WARM_US / (double)US_PER_S;
 	for (int64_t s = to; s < RUN_US / US_PER_S; s++)
 		if (r->good_by_second[s] >= 0.95 * mean)
 			return (int32_t)(s - to);
--- a/ticket/submit.c
+++ b/ticket/submit.c
@@ -6,6 +6,7 @@
 #include "ticket/ticket.h"
 
 #define REPRESENT_AFTER_US (200 * US_PER_MS)
+#define LISTING_US (2 * US_PER_S)
 
 /* ---- submissions to any issuer ---- */
 
@@ -128,13 +129,26 @@
 	const struct member *issuer = member_view_issuer(
 		v, s->ticket.ip, s->ticket.port, s->ticket.incarnation);
 
-	if (issuer)
+	if (issuer) {
 		present_there(d, s, issuer);
-	else
+	} else if (d->duty.now_us < s->unlisted_until_us) {
+		s->again_us = d->duty.now_us + REPRESENT_AFTER_US;
+		ticket_arm(d, s->again_us);
+	} else {
 		submission_end(d, s, answer_new(unlisted_kind(d)));
+	}
 	member_view_release(v);
 }
 
+/* An issuer that has just started may be known to the caller before it is known
+ * here; news take less than a second to reach all. */
+static int64_t listing_deadline(int64_t now_us, int64_t deadline_us)
+{
+	int64_t wait_us = (deadline_us - now_us) / 2;
+
+	return now_us + (wait_us < LISTING_US ? wait_us : LISTING_US);
+}
+
 static void submit_run(struct msg *m, struct duty *to)
 {
 	struct present_msg *p = az_container_of(m, struct present_msg, msg);
@@ -152,6 +166,7 @@
 	s->request = p->request;
 	s->deadline_us = p->deadline_us;
 	s->reply = p->reply;
+	s->unlisted_until_us = listing_deadline(d->duty.now_us, s->deadline_us);
 	s->next = d->submissions;
 	if (s->next)
 		s->next->prev = s;
--- a/ticket/ticket.h
+++ b/ticket/ticket.h
@@ -147,6 +147,7 @@
 	struct request *request; /**< NULL: status */
 	int64_t deadline_us;
 	int64_t again_us; /**< 0 while a presentation is out */
+	int64_t unlisted_until_us; /**< then an unknown issuer is gone */
 	struct reply_to *reply;
 };
 
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -195,10 +195,12 @@
 /* Guards against a part of an answer that is passed on as a whole one. */
 static void test_cut_answers_are_not_whole(void)
 {
+	static const char chunked[] =
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"4\r\nhalf\r\n";
 	static const char *const answers[] = {
 		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-		"4\r\nhalf\r\n",
+		chunked,
 		"HTTP/1.1 200 OK\r\n\r\nno length at all",
 		"HTTP/1.1 200 OK\r\nContent-Le",
 		"no HTTP at all",
