--- a/Makefile
+++ b/Makefile
@@ -9,16 +9,17 @@
 LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -pthread $(SAN)
 
 SLICES = lib front route ticket cell health upstream peer member conf admin fake
-NOT_LIBRARY = %_test.c %_measure.c %_main.c
+NOT_LIBRARY = %_test.c %_measure.c %_slopes.c %_main.c
 SRC = $(filter-out $(NOT_LIBRARY),$(wildcard $(addsuffix /*.c,$(SLICES))))
 OBJ = $(SRC:%.c=$(BUILD)/%.o)
 TESTS = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_test.c))
 MEASURES = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_measure.c))
+SLOPES = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_slopes.c))
 PROGRAMS = $(patsubst %_main.c,$(BUILD)/%_main,$(wildcard fake/*_main.c \
 	fault/*_main.c)) $(patsubst cmd/%,$(BUILD)/bin/%,$(wildcard cmd/*))
 FILES = $(wildcard */*.c */*.h cmd/*/*.c cmd/*/*.h)
 
-all: $(PROGRAMS) $(TESTS) $(MEASURES)
+all: $(PROGRAMS) $(TESTS) $(MEASURES) $(SLOPES)
 
 help:
 	@echo "make           build everything"
@@ -34,7 +35,7 @@
 	@echo "make format lint   formatter and linter, in check mode"
 
 -include $(OBJ:.o=.d) $(patsubst %.c,$(BUILD)/%.d,$(wildcard */*_test.c \
-	*/*_measure.c */*_main.c cmd/*/*.c))
+	*/*_measure.c */*_slopes.c */*_main.c cmd/*/*.c))
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -50,6 +51,9 @@
 $(BUILD)/%_measure: $(BUILD)/%_measure.o $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
 
+$(BUILD)/%_slopes: $(BUILD)/%_slopes.o $(BUILD)/libaz.a
+	$(CC) -o $@ $^ $(LIBS)
+
 $(BUILD)/%_main: $(BUILD)/%_main.o $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
 
--- a/cmd/azhload/azhload.c
+++ b/cmd/azhload/azhload.c
@@ -65,6 +65,7 @@
 	OPT_GRACE_MS,
 	OPT_GIVE_UP_MS,
 	OPT_BARE,
+	OPT_TICKET_TARGET,
 	OPT_GAPS,
 	OPT_SEED,
 	OPT_REPORT_IDS,
@@ -109,6 +110,8 @@
 	  "starts no attempt this long after the send time (30000)", 3 },
 	{ "bare", OPT_BARE, NULL, 0,
 	  "the services need no tickets: a lost request is unknown", 3 },
+	{ "ticket-target", OPT_TICKET_TARGET, "IP:PORT", 0,
+	  "take the tickets here and present them at the targets", 3 },
 	{ "gaps", OPT_GAPS, "exponential|fixed", 0,
 	  "between requests (exponential)", 3 },
 	{ "seed", OPT_SEED, "N", 0, "of the gaps (1)", 3 },
@@ -310,6 +313,11 @@
 	case OPT_BARE:
 		l->bare = true;
 		break;
+	case OPT_TICKET_TARGET:
+		if (target_parse(arg, &l->ticket_target) != AZ_OK)
+			argp_error(state, "%s", az_last_message());
+		l->has_ticket_target = true;
+		break;
 	case OPT_GAPS:
 		if (strcmp(arg, "fixed") && strcmp(arg, "exponential"))
 			argp_error(state, "--gaps is exponential or fixed");
@@ -358,6 +366,11 @@
 	return percentile(r->latency_us, r->latency_count, per_10000) / 1000.0;
 }
 
+static double attempt_ms_at(const struct rank_result *r, uint32_t per_10000)
+{
+	return percentile(r->attempt_us, r->latency_count, per_10000) / 1000.0;
+}
+
 static void print_table(const struct load *l)
 {
 	printf("%-7s %7s %8s %8s %9s %9s %9s %7s %7s %7s %6s %6s %7s %9s %5s\n",
@@ -391,11 +404,13 @@
 		printf("%s\"%s\":{\"sent\":%u,\"in_time\":%u,\"attempts\":%u,"
 		       "\"lost_connections\":%u,\"crossed\":%u,"
 		       "\"truncated\":%u,\"reran\":%u,\"p50_ms\":%.3f,"
-		       "\"p99_ms\":%.3f,\"p99_9_ms\":%.3f",
+		       "\"p99_ms\":%.3f,\"p99_9_ms\":%.3f,"
+		       "\"attempt_p50_ms\":%.3f,\"attempt_p99_ms\":%.3f",
 		       comma, rank_name((enum rank)i), r->sent, r->in_time,
 		       r->attempts, r->lost_connections, r->crossed,
 		       r->truncated, r->reran, ms_at(r, 5000), ms_at(r, 9900),
-		       ms_at(r, 9990));
+		       ms_at(r, 9990), attempt_ms_at(r, 5000),
+		       attempt_ms_at(r, 9900));
 		for (uint32_t f = FINAL_ANSWERED; f < FINAL_COUNT; f++)
 			printf(",\"%s\":%u", final_names[f], r->finals[f]);
 		printf("}");
@@ -487,9 +502,12 @@
 	for (uint32_t i = 0; i < RANK_COUNT; i++) {
 		const struct rank_result *r = load_result(l, (enum rank)i);
 
-		if (r->latency_count)
-			qsort(r->latency_us, r->latency_count,
-			      sizeof(*r->latency_us), compare_u32);
+		if (!r->latency_count)
+			continue;
+		qsort(r->latency_us, r->latency_count, sizeof(*r->latency_us),
+		      compare_u32);
+		qsort(r->attempt_us, r->latency_count, sizeof(*r->attempt_us),
+		      compare_u32);
 	}
 }
 
--- a/cmd/azhload/client.c
+++ b/cmd/azhload/client.c
@@ -39,6 +39,7 @@
 	bool proved_not_run; /* by the last answer */
 	bool connect_failed; /* to be handled at the next scan */
 	int64_t due_us; /* intended send time */
+	int64_t attempt_us; /* start of the last attempt */
 	int64_t until_us; /* end of the pause, or of the wait for an answer */
 	struct conn *conn;
 };
@@ -78,8 +79,9 @@
 	struct timer_service *timers;
 	apr_pool_t *pool;
 	struct load_settings settings;
-	apr_sockaddr_t *targets[TARGETS_MAX];
-	struct pool pools[TARGETS_MAX][RANK_COUNT];
+	/* The last one may give tickets only. */
+	apr_sockaddr_t *targets[TARGETS_MAX + 1];
+	struct pool pools[TARGETS_MAX + 1][RANK_COUNT];
 	uint32_t pool_limit;
 	struct piece *pieces;
 	uint32_t turn;
@@ -92,6 +94,7 @@
 	sem_t end;
 	struct rank_result results[RANK_COUNT];
 	uint32_t latency_room[RANK_COUNT];
+	uint32_t attempt_room[RANK_COUNT];
 	struct record *records;
 	uint32_t record_count;
 	uint32_t record_room;
@@ -144,6 +147,10 @@
 			r->in_time++;
 		r->latency_us = grow(r->latency_us, r->latency_count,
 				     &l->latency_room[k], sizeof(uint32_t));
+		r->attempt_us = grow(r->attempt_us, r->latency_count,
+				     &l->attempt_room[k], sizeof(uint32_t));
+		r->attempt_us[r->latency_count] =
+			(uint32_t)(l->duty.now_us - p->attempt_us);
 		r->latency_us[r->latency_count++] = (uint32_t)latency_us;
 	}
 	if (l->settings.keep_records)
@@ -254,6 +261,7 @@
 	p->conn = c;
 	p->state = PIECE_FLYING;
 	p->attempts++;
+	p->attempt_us = l->duty.now_us;
 	p->until_us = l->duty.now_us + p->stream->deadline_ms * US_PER_MS +
 		      l->settings.grace_us;
 	c->started = c->complete = false;
@@ -368,6 +376,8 @@
 		p->repeats_left--;
 		p->proved_not_run = true;
 		strcpy(p->ticket, ticket);
+		if (p->target == l->settings.target_count)
+			p->target = l->turn++ % l->settings.target_count;
 		piece_send(l, p);
 		break;
 	case STEP_RETRY:
@@ -615,7 +625,10 @@
 	p->due_us = s->next_us;
 	p->retries_left = l->settings.retries;
 	p->repeats_left = l->settings.repeats;
-	p->target = l->turn++ % l->settings.target_count;
+	if (l->settings.has_ticket_target && !method_is_idempotent(s->method))
+		p->target = l->settings.target_count;
+	else
+		p->target = l->turn++ % l->settings.target_count;
 	snprintf(p->run_id, sizeof(p->run_id), "%016llx-%u",
 		 (unsigned long long)l->run_prefix, l->run_sequence++);
 	p->next = l->pieces;
@@ -710,21 +723,32 @@
 
 static const struct duty_ops load_ops = { "load", load_on_timer, NULL };
 
-static enum az_status load_init(struct load *l)
+static enum az_status resolve(struct load *l, const struct sockaddr_in *sa,
+			      apr_sockaddr_t **out)
 {
 	char ip[32];
 
-	if (!l->settings.target_count)
+	inet_ntop(AF_INET, &sa->sin_addr, ip, sizeof(ip));
+	if (apr_sockaddr_info_get(out, ip, APR_INET, ntohs(sa->sin_port), 0,
+				  l->pool) != APR_SUCCESS)
+		return az_fail(AZ_INVALID, "bad target %s", ip);
+	return AZ_OK;
+}
+
+static enum az_status load_init(struct load *l)
+{
+	const struct load_settings *s = &l->settings;
+	enum az_status st = AZ_OK;
+
+	if (!s->target_count)
 		return az_fail(AZ_INVALID, "no targets");
-	for (uint32_t i = 0; i < l->settings.target_count; i++) {
-		const struct sockaddr_in *sa = &l->settings.targets[i];
-
-		inet_ntop(AF_INET, &sa->sin_addr, ip, sizeof(ip));
-		if (apr_sockaddr_info_get(&l->targets[i], ip, APR_INET,
-					  ntohs(sa->sin_port), 0,
-					  l->pool) != APR_SUCCESS)
-			return az_fail(AZ_INVALID, "bad target %s", ip);
-	}
+	for (uint32_t i = 0; i < s->target_count && st == AZ_OK; i++)
+		st = resolve(l, &s->targets[i], &l->targets[i]);
+	if (st == AZ_OK && s->has_ticket_target)
+		st = resolve(l, &s->ticket_target,
+			     &l->targets[s->target_count]);
+	if (st != AZ_OK)
+		return st;
 	l->pool_limit = l->settings.connections / l->settings.target_count;
 	if (!l->pool_limit)
 		l->pool_limit = 1;
--- a/cmd/azhload/load.h
+++ b/cmd/azhload/load.h
@@ -294,6 +294,8 @@
 struct load_settings {
 	uint32_t target_count;
 	struct sockaddr_in targets[TARGETS_MAX];
+	bool has_ticket_target;
+	struct sockaddr_in ticket_target; /**< gives the tickets */
 	uint32_t stream_count;
 	struct stream streams[STREAMS_MAX];
 	uint32_t connections; /**< for each rank, over all targets */
@@ -320,7 +322,8 @@
 	uint32_t truncated;
 	uint32_t reran; /**< the worker says that it ran more than once */
 	uint32_t *latency_us; /**< of answered ones, from the send time */
-	uint32_t latency_count;
+	uint32_t *attempt_us; /**< of the answered attempt alone */
+	uint32_t latency_count; /**< of both lists */
 };
 
 /** One finished piece, for --report-ids. */
--- /dev/null
+++ b/fault/measure.sh
@@ -0,0 +1,84 @@
+# Shared by bench.sh and slopes.sh: a fleet on loopback whose ports begin at
+# PORT, and what /proc and the administration API tell about it. The fleet is
+# ended by id when the script exits.
+
+BIN=${BIN:-build}
+PORT=${PORT:-26000}
+KEY=1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+DIR=$(mktemp -d)
+PIDS=
+
+finish () {
+	test -z "$PIDS" || kill $PIDS 2>/dev/null
+	wait
+	rm -rf "$DIR"
+}
+trap finish EXIT
+trap 'exit 1' INT TERM
+
+fail () {
+	echo "$0: $*" >&2
+	tail -n 5 "$DIR"/*.log >&2
+	exit 1
+}
+
+# Daemon N, alone in data centre bench-N; front, peer, member and admin port
+# are PORT + 10 N and the next three.
+start_daemon () { # N
+	p=$((PORT + 10 * $1))
+	cat >"$DIR/d$1.ini" <<-EOT
+	[daemon]
+	name = d$1
+	data_centre = bench-$1
+	region = bench
+	front = 127.0.0.1:$p
+	peer = 127.0.0.1:$((p + 1))
+	member = 127.0.0.1:$((p + 2))
+	admin = 127.0.0.1:$((p + 3))
+	admin_token = bench
+	base = $DIR/base.ini
+	seeds = 127.0.0.1:$((PORT + 12)), 127.0.0.1:$((PORT + 22))
+	log_level = warn
+	drain_ms = 0
+	stop_timeout_ms = 1000
+	[fleet]
+	keys = $KEY
+	EOT
+	"$BIN"/bin/azhd --settings "$DIR/d$1.ini" 2>"$DIR/d$1.log" &
+	PIDS="$PIDS $!"
+	eval "PID_$1=$!"
+}
+
+wait_daemon () { # N
+	tries=0
+	until curl -s -o /dev/null \
+		http://127.0.0.1:$((PORT + 10 * $1))/.azurehold/health
+	do
+		tries=$((tries + 1))
+		test $tries -lt 400 || fail "daemon $1 does not answer"
+		sleep 0.05
+	done
+}
+
+counter () { # N NAME
+	curl -s -H 'Authorization: Bearer bench' \
+		http://127.0.0.1:$((PORT + 10 * $1 + 3))/counters |
+		awk -v n="$2" '$1 == n { v = $2 } END { print v + 0 }'
+}
+
+# In units of 10 ms.
+cpu_ticks () { # PID
+	awk '{ sub(/.*\) /, ""); print $12 + $13 }' /proc/"$1"/stat
+}
+
+memory_kb () { # PID
+	awk '/^VmRSS/ { print $2 }' /proc/"$1"/status
+}
+
+calc () { # EXPRESSION
+	awk "BEGIN { printf \"%.3f\", $1 }"
+}
+
+load_average () { # NAME
+	echo "load_average.$1 $(cut -d' ' -f1 /proc/loadavg) processes"
+}
--- /dev/null
+++ b/fault/slopes.sh
@@ -0,0 +1,207 @@
+#!/bin/sh
+# Memory, processor time and traffic at several sizes, with a least-squares fit
+# of each. "name value unit" lines; the last part of a name is the size.
+# FLEET is the largest modelled fleet (3700 takes minutes and about 6 GB).
+cd "$(dirname "$0")/.." || exit 1
+. fault/measure.sh
+
+FLEET=${FLEET:-320}
+SEED=${SEED:-1}
+DATA=$DIR/points
+
+point () { # NAME SIZE VALUE UNIT
+	echo "slope.$1.$2 $3 $4"
+}
+
+seconds () {
+	date +%s.%N
+}
+
+# ---- a base file of PERCENT of the planned size ----
+
+write_planned () { # PERCENT
+	awk -v f="$1" 'BEGIN {
+		services = int(840 * f / 100)
+		routes = int(25000 * f / 100)
+		workers = int(32000 * f / 100)
+		organisations = int(98000 * f / 100)
+		for (i = 0; i < 10; i++)
+			printf "[data_centre bench-%d]\nregion = r%d\n", i, i % 3
+		for (i = 0; i < services; i++)
+			printf "[service s%04d]\nfloor_percent = 70\n", i
+		for (i = 0; i < workers; i++)
+			printf "[worker s%04d/w%05d]\naddress = " \
+				"10.%d.%d.%d:8080\ndata_centre = bench-%d\n",
+				i % services, i, int(i / 65536),
+				int(i / 256) % 256, i % 256,
+				int(i / services) % 10
+		for (i = 0; i < routes; i++)
+			printf "[route r%05d]\npath = /v1/s%04d/t%05d\n" \
+				"methods = GET,HEAD\nservice = s%04d\n" \
+				"rank = normal\nidempotent = yes\n",
+				i, i % services, i, i % services
+		for (i = 0; i < organisations; i++)
+			printf "[organisation o%06d]\ntoken = t%06d\n" \
+				"requests_per_s = 100\nburst = 20\n", i, i
+	}'
+}
+
+# The whole daemon with a base file: start, memory and idle processor time.
+measure_configuration () {
+	for percent in 10 50 100
+	do
+		write_planned $percent >"$DIR/base.ini"
+		PIDS=
+		start=$(seconds)
+		start_daemon 1
+		wait_daemon 1
+		point azhd_start_s $percent "$(calc "$(seconds) - $start")" s
+		point azhd_start_cpu $percent \
+			"$(calc "$(cpu_ticks "$PID_1") * 10")" ms
+		sleep 2
+		point azhd_memory $percent \
+			"$(calc "$(memory_kb "$PID_1") / 1024")" MB
+		point azhd_memory_peak $percent "$(calc "$(awk '/^VmHWM/ {
+			print $2 }' /proc/"$PID_1"/status) / 1024")" MB
+		ticks=$(cpu_ticks "$PID_1")
+		sleep 10
+		point azhd_idle_cpu $percent \
+			"$(calc "($(cpu_ticks "$PID_1") - $ticks) / 10")" %
+		kill -INT "$PID_1"
+		wait "$PID_1"
+		PIDS=
+	done
+}
+
+# ---- cells, workers, connections of one daemon ----
+
+# SERVICES services with 10 workers each, all of one process.
+write_cells () { # SERVICES
+	printf '%s\n' "[data_centre bench-1]" "region = bench" \
+		"[organisation bench]" "token = bench"
+	s=1
+	while test $s -le "$1"
+	do
+		cat <<-EOT
+		[service s$s]
+		health_path = /health
+		rank_normal_queue_limit = 4096
+		[route r$s]
+		path = /s$s
+		methods = GET
+		service = s$s
+		rank = normal
+		idempotent = yes
+		EOT
+		w=1
+		while test $w -le 10
+		do
+			cat <<-EOT
+			[worker s$s/w$w]
+			address = 127.0.$s.$w:$((PORT + 101))
+			data_centre = bench-1
+			slots = 255
+			EOT
+			w=$((w + 1))
+		done
+		s=$((s + 1))
+	done
+}
+
+worker_count () { # FIELD
+	curl -s http://127.0.0.1:$((PORT + 102))/counts |
+		sed 's/.*"'"$1"'":\([0-9]*\).*/\1/'
+}
+
+start_worker () {
+	"$BIN"/fake/worker_main --name w --slots 8192 --backlog 8192 \
+		--listen 0.0.0.0:$((PORT + 101)) \
+		--control 127.0.0.1:$((PORT + 102)) --service-ms "$1" \
+		--service-dist fixed --connect-ms 0 --probe-ms 1 \
+		2>"$DIR/w.log" &
+	PIDS="$PIDS $!"
+	PID_w=$!
+}
+
+measure_cells () {
+	for services in 4 16 32 60
+	do
+		write_cells $services >"$DIR/base.ini"
+		PIDS=
+		start_worker 1
+		start_daemon 1
+		wait_daemon 1
+		sleep 1
+		before=$(memory_kb "$PID_1")
+		streams=
+		s=1
+		while test $s -le $services
+		do
+			streams="$streams --stream normal:GET:/s$s:20:5"
+			s=$((s + 1))
+		done
+		"$BIN"/bin/azhload -t 127.0.0.1:$((PORT + 10)) $streams \
+			--organisation bench --token bench --fail-on refused \
+			--fail-on failed --fail-on lost --fail-on unsent \
+			>"$DIR/out" 2>"$DIR/load.log" || fail "requests failed"
+		after=$(memory_kb "$PID_1")
+		n=$((services * 10))
+		point home_workers_memory $n $(((after - before) * 1024)) B
+		probes=$(worker_count probes)
+		ticks=$(cpu_ticks "$PID_1")
+		sleep 10
+		point home_idle_cpu $n \
+			"$(calc "($(cpu_ticks "$PID_1") - $ticks) / 10")" %
+		point home_probes $n \
+			"$(calc "($(worker_count probes) - $probes) / 10")" 1/s
+		point home_connections $n "$(worker_count connections)" \
+			connections
+		kill -INT "$PID_1" "$PID_w"
+		wait "$PID_1" "$PID_w"
+		PIDS=
+	done
+}
+
+# Callers that hold a connection while their request is at the worker.
+measure_callers () {
+	write_cells 1 >"$DIR/base.ini"
+	PIDS=
+	start_worker 2000
+	start_daemon 1
+	wait_daemon 1
+	sleep 1
+	base=$(memory_kb "$PID_1")
+	for n in 250 500 1000 2000
+	do
+		"$BIN"/bin/azhload -t 127.0.0.1:$((PORT + 10)) \
+			--organisation bench --token bench --fail-on refused \
+			--fail-on failed --fail-on lost --fail-on unsent \
+			--connections 4096 --gaps fixed --deadline-ms 10000 \
+			--stream normal:GET:/s1:$((n * 2)):0.5 \
+			>"$DIR/out" 2>"$DIR/load.log" &
+		load=$!
+		sleep 1.6
+		point caller_request_memory $n \
+			$((($(memory_kb "$PID_1") - base) * 1024)) B
+		wait $load || fail "requests failed"
+	done
+	kill -INT "$PID_1" "$PID_w"
+	wait "$PID_1" "$PID_w"
+	PIDS=
+}
+
+{
+	load_average start
+	for p in "$BIN"/*/*_slopes
+	do
+		"$p" || exit 1
+	done
+	measure_configuration
+	measure_cells
+	measure_callers
+	"$BIN"/conf/conf_measure "$SEED" || exit 1
+	"$BIN"/member/member_measure "$SEED" "$FLEET" 41 || exit 1
+	load_average end
+} >"$DATA"
+cat "$DATA"
+awk -f fault/fit.awk "$DATA"
--- /dev/null
+++ b/member/member_slopes.c
@@ -0,0 +1,120 @@
+/*
+ * Memory and processor time of a view, and processor time of a datagram, at
+ * several sizes. usage: member_slopes
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "member/member.h"
+#include "peer/peer.h"
+
+#define REPEAT 2000
+#define VIEWS 200
+#define DCS 10
+
+static double cpu_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
+}
+
+static double held_bytes(void)
+{
+	struct mallinfo2 m = mallinfo2();
+
+	return (double)(m.uordblks + m.hblkhd);
+}
+
+static void print(const char *name, uint32_t n, double value, const char *unit)
+{
+	printf("slope.%s.%u %.3f %s\n", name, n, value, unit);
+}
+
+static struct member sample_member(uint32_t i)
+{
+	struct member m = { .id = ((uint64_t)i << 32) + 1,
+			    .incarnation = i + 7,
+			    .ip = 0x0a000000 + i,
+			    .peer_port = 1,
+			    .member_port = 2,
+			    .dc = i % DCS + 1,
+			    .region = i % 3 + 1 };
+
+	snprintf(m.name, sizeof(m.name), "daemon-%05u", i);
+	return m;
+}
+
+static void measure_view(uint32_t n)
+{
+	struct member *list = malloc(n * sizeof(*list));
+	double before;
+	double us;
+
+	for (uint32_t i = 0; i < n; i++)
+		list[i] = sample_member(i);
+	before = held_bytes();
+	{
+		struct member_view *v =
+			member_view_new(1, list, n, NULL, 0, NULL, 0);
+
+		print("view_bytes", n, held_bytes() - before, "B");
+		us = cpu_us();
+		for (uint32_t i = 0; i < REPEAT; i++)
+			member_home(v, i, i % DCS + 1, 1);
+		print("home_choice_cpu", n, (cpu_us() - us) / REPEAT, "us");
+		member_view_release(v);
+	}
+	us = cpu_us();
+	for (uint32_t i = 0; i < VIEWS; i++)
+		member_view_release(
+			member_view_new(1, list, n, NULL, 0, NULL, 0));
+	print("view_cpu", n, (cpu_us() - us) / VIEWS, "us");
+	free(list);
+}
+
+static void measure_datagram(uint32_t updates)
+{
+	static struct swim_msg m;
+	static struct swim_msg back;
+	static const char text[] = "1:000102030405060708090a0b0c0d0e0f"
+				   "101112131415161718191a1b1c1d1e1f";
+	uint8_t data[SWIM_DATAGRAM_MAX_BYTES];
+	struct fleet_keys keys;
+	uint32_t bytes = 0;
+	double us;
+
+	if (fleet_keys_parse(text, &keys) != AZ_OK)
+		exit(1);
+	m.kind = SWIM_ACK;
+	m.from = 1;
+	m.update_count = updates;
+	for (uint32_t i = 0; i < updates; i++) {
+		m.updates[i].kind = UPDATE_FULL;
+		m.updates[i].member = sample_member(i);
+	}
+	us = cpu_us();
+	for (uint32_t i = 0; i < 10 * REPEAT; i++) {
+		bytes = wire_encode(&m, &keys, data);
+		if (!bytes || wire_decode(data, bytes, &keys, &back) != AZ_OK)
+			exit(1);
+	}
+	us = cpu_us() - us;
+	print("datagram_bytes", updates, bytes, "B");
+	print("datagram_encode_decode_cpu", updates, us / (10 * REPEAT), "us");
+}
+
+int main(void)
+{
+	static const uint32_t sizes[] = { 370, 1000, 2000, 3700 };
+
+	for (uint32_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++)
+		measure_view(sizes[i]);
+	for (uint32_t i = 0; i <= 12; i += 4)
+		measure_datagram(i);
+	return 0;
+}
