--- a/cell/cell_measure.c
+++ b/cell/cell_measure.c
@@ -16,7 +16,7 @@
 #define WORKERS 12
 #define SLOTS 6
 #define SERVICE_US (20 * US_PER_MS)
-#define CAPACITY_PER_S (WORKERS * SLOTS * US_PER_S / SERVICE_US)
+#define CAPACITY_PER_S ((double)(WORKERS * SLOTS * US_PER_S) / SERVICE_US)
 #define CELLS 6
 #define CELL_SLOTS (WORKERS * SLOTS / CELLS)
 #define DAEMONS 44
@@ -531,11 +531,12 @@
 {
 	int64_t from = l->brown_from_us / US_PER_S;
 	int64_t to = l->brown_to_us / US_PER_S;
+	int64_t warm = WARM_US / US_PER_S;
 	double mean = 0;
 
-	for (int64_t s = WARM_US / US_PER_S; s < from; s++)
+	for (int64_t s = warm; s < from; s++)
 		mean += r->good_by_second[s];
-	mean /= (double)(from - WARM_US / US_PER_S);
+	mean /= (double)(from - warm);
 	for (int64_t s = to; s < RUN_US / US_PER_S; s++)
 		if (r->good_by_second[s] >= 0.95 * mean)
 			return (int32_t)(s - to);
