peer: a closed connection leaves the table of targets

Cause: conn_close() looked the connection up under its target, but the table is keyed by a packed copy of it (conn.key), so a closed connection stayed in the table and the next call to that target used freed memory. Ruled out: the stand-ins and a rebuilt binary; it repeats with a pause of 70 s on a fixed copy.

Change: conn_close() uses forget_target(). peer_destroy() so that the test can give back what it took. The new test fails with the sanitizers before the change (use after free) and passes after it.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -172,9 +172,8 @@
 	duty_poll(&p->duty, &c->poll, 0);
 	if (c->poll.sock)
 		apr_socket_close(c->poll.sock);
-	if (c->outbound &&
-	    apr_hash_get(p->by_target, &c->target, sizeof(c->target)) == c)
-		apr_hash_set(p->by_target, &c->target, sizeof(c->target), NULL);
+	if (c->outbound)
+		forget_target(c);
 	apr_hash_set(p->by_id, &c->id, sizeof(c->id), NULL);
 	if (c->prev)
 		c->prev->next = c->next;
@@ -969,3 +968,8 @@
 {
 	duty_stop(&p->duty);
 }
+
+void peer_destroy(struct peer *p)
+{
+	duty_destroy(&p->duty);
+}
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -173,6 +173,8 @@
 			 struct timer_service *timers, apr_pool_t *pool);
 enum az_status peer_start(struct peer *p);
 void peer_stop(struct peer *p);
+/** Frees what a stopped one holds, once no other thread uses it. */
+void peer_destroy(struct peer *p);
 void peer_set_keys(struct peer *p, const struct fleet_keys *k);
 
 /*
--- a/peer/peer_test.c
+++ b/peer/peer_test.c
@@ -1,5 +1,8 @@
+#include <semaphore.h>
 #include <stdlib.h>
 #include <string.h>
+#include <arpa/inet.h>
+#include <unistd.h>
 #include <CUnit/Basic.h>
 #include <apr_general.h>
 
@@ -223,6 +226,111 @@
 	buf_free(&body);
 }
 
+/* ---- the duty ---- */
+
+struct asker {
+	struct reply_to reply;
+	sem_t answered;
+	enum error_kind kind;
+};
+
+static void on_answer(struct reply_to *to, struct answer *a)
+{
+	struct asker *k = az_container_of(to, struct asker, reply);
+
+	k->kind = a->kind;
+	answer_free(a);
+	sem_post(&k->answered);
+}
+
+static const struct reply_ops asker_ops = { on_answer };
+
+static void on_conf(struct peer_handler *h, enum peer_procedure proc,
+		    struct buf *body, struct reply_to *reply)
+{
+	reply->ops->answer(reply, answer_new(ERR_NONE));
+}
+
+static const struct peer_handler_ops handler_ops = { .conf = on_conf };
+
+static uint16_t free_port(void)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(fd, (struct sockaddr *)&sa, len) ||
+	    getsockname(fd, (struct sockaddr *)&sa, &len))
+		abort();
+	close(fd);
+	return ntohs(sa.sin_port);
+}
+
+static struct peer *start_peer(uint16_t port, uint64_t incarnation,
+			       struct timer_service *timers, apr_pool_t *pool)
+{
+	static struct peer_handler handler = { &handler_ops };
+	struct peer_settings s = { .ip = INADDR_LOOPBACK,
+				   .port = port,
+				   .member_id = incarnation,
+				   .incarnation = incarnation,
+				   .in_flight_max = 16,
+				   .keys = keys,
+				   .handler = &handler };
+	struct peer *p = peer_create(&s, timers, pool);
+
+	if (!p || peer_start(p) != AZ_OK)
+		abort();
+	return p;
+}
+
+static enum error_kind ask(struct peer *p, uint16_t port, struct asker *k)
+{
+	struct peer_target to = { INADDR_LOOPBACK, port, 2 };
+	struct buf body = { 0 };
+
+	peer_conf(p, &to, PEER_CONF_LIST, &body, clock_now_us() + 60 * US_PER_S,
+		  &k->reply);
+	while (sem_wait(&k->answered))
+		;
+	return k->kind;
+}
+
+/* Guards against a call on a connection that was closed and freed: it stayed
+ * in the table of targets, and a daemon crashed at the first call after an idle
+ * minute. */
+static void test_call_after_close(void)
+{
+	struct asker k = { .reply = { &asker_ops } };
+	uint16_t port = free_port();
+	struct timer_service *timers;
+	struct peer *from;
+	struct peer *to;
+	apr_pool_t *pool;
+
+	sem_init(&k.answered, 0, 0);
+	apr_pool_create(&pool, NULL);
+	timers = timer_service_create(pool);
+	timer_service_start(timers);
+	from = start_peer(free_port(), 1, timers, pool);
+	to = start_peer(port, 2, timers, pool);
+	CU_ASSERT_EQUAL(ask(from, port, &k), ERR_NONE);
+	peer_stop(to);
+	peer_destroy(to);
+	/* Fails on the old connection or on a new one. */
+	CU_ASSERT_NOT_EQUAL(ask(from, port, &k), ERR_NONE);
+	CU_ASSERT_NOT_EQUAL(ask(from, port, &k), ERR_NONE);
+	to = start_peer(port, 2, timers, pool);
+	CU_ASSERT_EQUAL(ask(from, port, &k), ERR_NONE);
+	peer_stop(to);
+	peer_stop(from);
+	peer_destroy(to);
+	peer_destroy(from);
+	timer_service_stop(timers);
+	sem_destroy(&k.answered);
+}
+
 int main(void)
 {
 	CU_pSuite s;
@@ -240,6 +348,7 @@
 	CU_add_test(s, "key change", test_key_change_overlaps);
 	CU_add_test(s, "bad keys", test_bad_keys_are_refused);
 	CU_add_test(s, "handover", test_handover_crosses_whole);
+	CU_add_test(s, "call after close", test_call_after_close);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
 }
