--- a/fault/bench.sh
+++ b/fault/bench.sh
@@ -182,6 +182,11 @@
 		echo "$name.added_p50.$round $(calc "$p50 - $direct50") ms"
 		echo "$name.added_p99.$round $(calc "$p99 - $direct99") ms"
 	done
+	# About as many as one, two and three daemons have on the way.
+	for h in 8 12 20
+	do
+		"$BIN"/fault/hops_main $h | sed "s/^/bench.low./; s/ /.$round /"
+	done
 	load_average low.$round
 	round=$((round + 1))
 done
--- a/fault/slopes.sh
+++ b/fault/slopes.sh
@@ -1,11 +1,11 @@
 #!/bin/sh
 # Memory, processor time and traffic at several sizes, with a least-squares fit
 # of each. "name value unit" lines; the last part of a name is the size.
-# FLEET is the largest modelled fleet (3700 takes minutes and about 6 GB).
+# FULL=1 adds the failures of a modelled fleet of 3,700 daemons, which takes a
+# quarter of an hour and 6 GB.
 cd "$(dirname "$0")/.." || exit 1
 . fault/measure.sh
 
-FLEET=${FLEET:-320}
 SEED=${SEED:-1}
 DATA=$DIR/points
 
@@ -73,6 +73,73 @@
 	done
 }
 
+wait_conf () { # N OBJECTS
+	tries=0
+	until test "$(counter $1 conf_objects_taken)" -ge "$2" &&
+		test "$(counter $1 conf_builds)" -ge 1
+	do
+		tries=$((tries + 1))
+		test $tries -lt 600 || fail "daemon $1 has no configuration"
+		sleep 0.1
+	done
+}
+
+store_count () { # FIELD
+	curl -s http://127.0.0.1:$((PORT + 201))/control/counts |
+		sed 's/.*"'"$1"'":\([0-9]*\).*/\1/'
+}
+
+# A daemon that starts from the store, then one that starts from its peer while
+# the store is down.
+measure_store_start () {
+	STORE=127.0.0.1:$((PORT + 200))
+	for percent in 10 50 100
+	do
+		write_planned $percent >"$DIR/planned.ini"
+		"$BIN"/fake/store_main --listen $STORE \
+			--control 127.0.0.1:$((PORT + 201)) \
+			2>"$DIR/store.log" &
+		PID_s=$!
+		PIDS=$PID_s
+		sleep 0.5
+		start=$(seconds)
+		"$BIN"/bin/azhctl --store http://$STORE apply "$DIR/planned.ini" \
+			>"$DIR/apply.log" 2>&1 || fail "apply: $(tail -n 3 \
+			"$DIR/apply.log")"
+		point azhctl_apply_s $percent "$(calc "$(seconds) - $start")" s
+		point store_writes $percent "$(store_count put)" calls
+		objects=$((840 * percent / 100 + 65)) # services, shards, fleet
+		gets=$(store_count get)
+		start=$(seconds)
+		start_daemon 1
+		wait_conf 1 $objects
+		point store_start_s $percent "$(calc "$(seconds) - $start")" s
+		point store_start_reads $percent $(($(store_count get) - gets)) \
+			calls
+		sleep 3
+		point store_start_memory $percent \
+			"$(calc "$(memory_kb "$PID_1") / 1024")" MB
+		point store_start_memory_peak $percent "$(calc "$(awk '/^VmHWM/ {
+			print $2 }' /proc/"$PID_1"/status) / 1024")" MB
+		curl -s -X POST -o "$DIR/out" \
+			"http://127.0.0.1:$((PORT + 201))/control/fault?mode=down"
+		bytes=$(counter 1 peer_bytes_out)
+		start=$(seconds)
+		start_daemon 2
+		wait_conf 2 $objects
+		point peer_start_s $percent "$(calc "$(seconds) - $start")" s
+		sleep 3
+		point peer_start_bytes $percent \
+			$(($(counter 1 peer_bytes_out) - bytes)) B
+		point peer_start_memory $percent \
+			"$(calc "$(memory_kb "$PID_2") / 1024")" MB
+		kill -INT "$PID_1" "$PID_2" $PID_s
+		wait "$PID_1" "$PID_2" $PID_s
+		PIDS=
+	done
+	STORE=
+}
+
 # ---- cells, workers, connections of one daemon ----
 
 # SERVICES services with 10 workers each, all of one process.
@@ -197,10 +264,11 @@
 		"$p" || exit 1
 	done
 	measure_configuration
+	measure_store_start
 	measure_cells
 	measure_callers
 	"$BIN"/conf/conf_measure "$SEED" || exit 1
-	"$BIN"/member/member_measure "$SEED" "$FLEET" 41 || exit 1
+	test -z "$FULL" || "$BIN"/member/member_measure "$SEED" 3700 3700
 	load_average end
 } >"$DATA"
 cat "$DATA"
--- a/member/member_slopes.c
+++ b/member/member_slopes.c
@@ -8,7 +8,7 @@
 #include <string.h>
 #include <time.h>
 
-#include "member/member.h"
+#include "member/member_model.h"
 #include "peer/peer.h"
 
 #define REPEAT 2000
@@ -108,13 +108,42 @@
 	print("datagram_encode_decode_cpu", updates, us / (10 * REPEAT), "us");
 }
 
+/* Traffic, memory and processor time of a daemon in a modelled fleet. */
+static void measure_fleet(uint32_t n)
+{
+	struct model *m = model_new(n, DCS, 3, 1);
+	const int64_t for_us = 20 * US_PER_S;
+	uint64_t bytes = 0;
+	double us;
+
+	model_start_all(m);
+	model_run(m, 5 * US_PER_S);
+	for (uint32_t i = 0; i < n; i++)
+		m->daemons[i].bytes = 0;
+	us = cpu_us();
+	model_run(m, for_us);
+	us = cpu_us() - us;
+	for (uint32_t i = 0; i < n; i++)
+		bytes += m->daemons[i].bytes;
+	print("member_traffic", n,
+	      (double)bytes / n / ((double)for_us / US_PER_S), "B/s");
+	/* The model's own time is in it. */
+	print("member_cpu", n, us / n / (double)for_us * 100, "%");
+	print("member_bytes", n, (double)swim_memory_bytes(m->daemons[0].swim),
+	      "B");
+	model_free(m);
+}
+
 int main(void)
 {
 	static const uint32_t sizes[] = { 370, 1000, 2000, 3700 };
+	static const uint32_t fleets[] = { 100, 300, 600, 1200 };
 
 	for (uint32_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++)
 		measure_view(sizes[i]);
 	for (uint32_t i = 0; i <= 12; i += 4)
 		measure_datagram(i);
+	for (uint32_t i = 0; i < sizeof(fleets) / sizeof(fleets[0]); i++)
+		measure_fleet(fleets[i]);
 	return 0;
 }
