--- a/fault/hops_main.c
+++ b/fault/hops_main.c
@@ -45,6 +45,8 @@
 {
 	static int64_t us[MESSAGES];
 	struct msg m = { &hop_ops };
+	uint32_t mid = MESSAGES / 2;
+	uint32_t high = MESSAGES * 99 / 100;
 
 	apr_initialize();
 	hops = argc > 1 ? (uint32_t)strtoul(argv[1], NULL, 10) : 0;
@@ -67,8 +69,7 @@
 	}
 	qsort(us, MESSAGES, sizeof(us[0]), compare);
 	printf("hops.%u.p50 %.3f ms\nhops.%u.p99 %.3f ms\n", hops,
-	       (double)us[MESSAGES / 2] / 1e3, hops,
-	       (double)us[MESSAGES * 99 / 100] / 1e3);
+	       (double)us[mid] / 1e3, hops, (double)us[high] / 1e3);
 	for (uint32_t i = 0; i < hops; i++)
 		duty_stop(&duties[i]);
 	return EXIT_SUCCESS;
--- a/fault/measure.sh
+++ b/fault/measure.sh
@@ -81,6 +81,13 @@
 	awk "BEGIN { printf \"%.3f\", $1 }"
 }
 
+# Load average, and the share of processor time that the host took away from
+# this machine since the last call: both lengthen every wake-up.
 load_average () { # NAME
 	echo "load_average.$1 $(cut -d' ' -f1 /proc/loadavg) processes"
+	set -- "$1" $(awk '/^cpu / { for (i = 2; i <= 9; i++) s += $i
+		print s, $9 }' /proc/stat)
+	test -z "$ALL_TICKS" || echo "steal.$1 $(calc "100 * ($3 - \
+		$STEAL_TICKS) / ($2 - $ALL_TICKS + 1)") %"
+	ALL_TICKS=$2 STEAL_TICKS=$3
 }
--- a/fault/slopes.sh
+++ b/fault/slopes.sh
@@ -129,6 +129,10 @@
 		wait_conf 2 $objects
 		point peer_start_s $percent "$(calc "$(seconds) - $start")" s
 		sleep 3
+		point peer_start_builds $percent "$(counter 2 conf_builds)" \
+			builds
+		point peer_start_cpu $percent \
+			"$(calc "$(cpu_ticks "$PID_2") * 10")" ms
 		point peer_start_bytes $percent \
 			$(($(counter 1 peer_bytes_out) - bytes)) B
 		point peer_start_memory $percent \
