--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -9,6 +9,8 @@
 #include "cmd/azhd/azhd.h"
 
 #define REACH_CONNECT_MS 500
+/* Eight comparisons of departed members within the data centre, one beyond. */
+#define SETTLE_PERIODS 32
 
 const char *argp_program_version = "azhd 0.1";
 
@@ -196,8 +198,8 @@
 		.ip = s->peer.ip,
 		.peer_port = s->peer.port,
 		.member_port = s->member.port,
-		.dc = (uint32_t)hash_string(s->data_centre),
-		.region = (uint32_t)hash_string(s->region),
+		.dc = conf_place_id(s->data_centre),
+		.region = conf_place_id(s->region),
 		.state = MEMBER_ALIVE,
 	};
 
@@ -239,8 +241,13 @@
 	};
 	struct route_settings rs = { me.id,   d->incarnation, me.dc, me.region,
 				     d->conf, d->membership,  NULL,  NULL };
-	struct ticket_settings ts = { s->peer.ip, s->peer.port, d->incarnation,
-				      NULL,	  NULL,		d->membership };
+	struct ticket_settings ts = {
+		.ip = s->peer.ip,
+		.port = s->peer.port,
+		.incarnation = d->incarnation,
+		.membership = d->membership,
+		.settle_us = s->member_period_ms * SETTLE_PERIODS * US_PER_MS,
+	};
 	struct front_settings fs = {
 		.ip = s->front.ip,
 		.port = s->front.port,
@@ -275,7 +282,7 @@
 		.store_url = apr_psprintf(d->pool, "http://%s", s->store),
 		.site = s->site,
 		.member_id = hash_string(s->name),
-		.dc = (uint32_t)hash_string(s->data_centre),
+		.dc = conf_place_id(s->data_centre),
 		.vms_interval_ms = s->vms_interval_ms,
 		.current = d->conf,
 		.links = conf_links_create(d->membership, d->peer, d->pool),
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -8,6 +8,8 @@
 
 #include <apr_hash.h>
 
+#include <stdio.h>
+
 #include "lib/az.h"
 
 /* ---- slots and runs of a worker (slots.c): plain state ---- */
@@ -268,6 +270,7 @@
 	int64_t health_lag_us;
 	uint32_t answer_bytes; /**< padding in each answer */
 	uint64_t seed;
+	FILE *run_log; /**< gets a line for each run; NULL: none */
 };
 
 /** One duty that serves the service port and the control port. */
--- a/member/probe.c
+++ b/member/probe.c
@@ -210,7 +210,7 @@
 	for (uint32_t i = 0; i < SWIM_PROBES_MAX; i++)
 		accusing += s->probes[i].active && s->probes[i].accusing &&
 			    s->probes[i].remote;
-	next = accusing <= REMOTE_ACCUSED_MAX ?
+	next = accusing <= REMOTE_ACCUSED_MAX && s->budget_bytes > 0 ?
 		       in_dc(s, n->member.dc, n->member.id) :
 		       NULL;
 	if (next && next->member.state == MEMBER_ALIVE)
@@ -256,8 +256,10 @@
 		return;
 	if (!has_helpers(s) || (p->nack_count && !swim_is_deaf(s)))
 		declare_dead(s, p, n, true);
-	else if (age_us > ISOLATED_US)
+	else if (age_us > ISOLATED_US && swim_is_deaf(s))
 		declare_dead(s, p, n, false);
+	else if (age_us > ISOLATED_US)
+		p->active = false;
 }
 
 static void probe_turn(struct swim *s, struct swim_probe *p,
