--- a/peer/peer_test.c
+++ b/peer/peer_test.c
@@ -382,7 +382,7 @@
 	reply->ops->answer(reply, answer_new(ERR_NONE));
 }
 
-static const struct peer_asked_ops asked_ops = { .conf = on_conf };
+static const struct peer_handler_ops asked_ops = { .conf = on_conf };
 
 static uint16_t free_port(void)
 {
