--- a/cmd/azhctl/azhctl.c
+++ b/cmd/azhctl/azhctl.c
@@ -22,6 +22,7 @@
 	EXIT_BAD_INPUT, /**< nothing was written */
 	EXIT_CONFLICT, /**< another write came first */
 	EXIT_TIMED_OUT,
+	EXIT_UNKNOWN, /**< a write may or may not have taken effect */
 };
 
 #define ARGS_MAX 256
@@ -283,26 +284,38 @@
 	return r;
 }
 
+/* Says what to do about a write whose effect cannot be told. */
+static enum exit_code fail_unknown(const struct store_write *w)
+{
+	fprintf(stderr,
+		"azhctl: %s\n"
+		"azhctl: once the store answers, look with `azhctl show %s`: if "
+		"its first line names the write, it took effect; if not, it "
+		"may have been replaced since. Check that the contents are what "
+		"you want, else run the same command again\n",
+		az_last_message(), w->key);
+	return EXIT_UNKNOWN;
+}
+
 static enum exit_code write_steps(struct store *s,
 				  const struct conf_step *steps, uint32_t count,
 				  uint64_t write_id)
 {
-	uint64_t version;
+	struct store_write w;
 
 	for (uint32_t i = 0; i < count; i++) {
-		enum az_status r =
-			conf_write_step(s, &steps[i], write_id, &version);
+		enum az_status r = conf_write_step(s, &steps[i], write_id, &w);
 
 		if (r != AZ_OK) {
 			fprintf(stderr,
 				"azhctl: write %016" PRIx64 " stopped at %s "
 				"after %u of %u objects\n",
 				write_id, steps[i].key, i, count);
-			return fail(r);
+			return w.unknown ? fail_unknown(&w) : fail(r);
 		}
 		printf("%s %s version %" PRIu64 "\n",
 		       steps[i].deleted ? "deleted" : "wrote", steps[i].key,
-		       version);
+		       w.version);
 	}
 	return EXIT_DONE;
 }
@@ -310,7 +323,7 @@
 static enum exit_code print_digest(struct store *s)
 {
 	struct store_list l;
-	enum az_status r = store_list(s, CONF_PREFIX, &l);
+	enum az_status r = conf_store_read(s, &l);
 
 	if (r != AZ_OK)
 		return fail(r);
@@ -417,8 +430,7 @@
 static enum exit_code show(const struct options *o, struct store *s)
 {
 	struct store_list l;
-	uint64_t write_id;
-	bool deleted;
+	struct conf_header h;
 	enum az_status r = conf_store_read(s, &l);
 	bool found = !o->arg_count;
 
@@ -427,12 +439,13 @@
 	for (uint32_t i = 0; i < l.count; i++) {
 		const struct store_object *x = &l.objects[i];
 
-		conf_header_parse((char *)x->value.data, &write_id, &deleted);
+		conf_header_parse((char *)x->value.data, &h);
 		if (!o->arg_count)
 			printf("%s version %" PRIu64 " write %016" PRIx64
 			       " bytes %u%s\n",
-			       x->key, x->version, write_id, x->value.len_bytes,
-			       deleted ? " deleted" : "");
+			       x->key, x->version, h.writes[0],
+			       x->value.len_bytes,
+			       x->deleted ? " deleted" : "");
 		else if (!strcmp(x->key, o->args[0]))
 			found = printf("%s", (char *)x->value.data) >= 0;
 	}
@@ -514,46 +527,46 @@
 /* Merges the decision into the object. A change to another worker is no
  * conflict and is merged with; one to the same worker is. */
 static enum az_status write_decision(struct store *s, const char *worker,
-				     enum worker_admin admin,
-				     const struct store_list *known)
+				     enum worker_admin admin, uint64_t seen,
+				     const struct store_list *known,
+				     struct store_write *w)
 {
 	enum worker_admin first = WORKER_IN_SERVICE;
 	struct conf_step step = { 0 };
 	enum az_status r = AZ_CONFLICT;
-	uint64_t write_id;
-	bool deleted;
+	uint64_t least = 0;
 
 	operator_key(step.key, worker);
 	for (uint32_t i = 0; i < known->count; i++)
 		if (!strcmp(known->objects[i].key, step.key))
-			step.above = known->objects[i].version;
+			least = known->objects[i].version;
 	for (uint32_t i = 0; i < DECIDE_TRIES && r == AZ_CONFLICT; i++) {
 		struct buf text = { 0 };
 		struct store_object now;
 		enum worker_admin held;
-		uint64_t version;
 
 		r = read_decisions(s, step.key, &now);
 		if (r != AZ_OK)
 			return r;
+		memset(&step.base, 0, sizeof(step.base));
+		if (now.revision)
+			conf_header_parse((char *)now.value.data, &step.base);
+		step.if_revision = now.revision;
+		step.seen = now.version > seen ? now.version : seen;
 		held = conf_decision((char *)now.value.data, worker);
 		if (!i)
 			first = held;
 		if (held != first && held != admin) {
-			conf_header_parse((char *)now.value.data, &write_id,
-					  &deleted);
 			r = az_fail(AZ_CONFLICT,
 				    "the decision about %s was changed by "
 				    "write %016" PRIx64,
-				    worker, write_id);
+				    worker, step.base.writes[0]);
 			i = DECIDE_TRIES;
-		} else if (held != admin ||
-			   (step.above && now.version <= step.above)) {
+		} else if (held != admin || now.version < least) {
 			conf_decide((char *)now.value.data, worker, admin,
 				    &text);
-			step.if_version = now.version;
 			step.text = (char *)text.data;
-			r = conf_write_step(s, &step, random_u64(), &version);
+			r = conf_write_step(s, &step, random_u64(), w);
 		}
 		buf_free(&text);
 		store_object_free(&now);
@@ -568,7 +581,9 @@
 		!strcmp(o->command, "eject") ? WORKER_EJECTED :
 					       WORKER_IN_SERVICE;
 	struct store_list known = { 0 };
+	struct store_write w = { 0 };
 	struct store_list held;
+	uint64_t seen;
 	enum az_status r;
 
 	if (o->arg_count != 1 || !strchr(o->args[0], '/'))
@@ -577,12 +592,18 @@
 	if (r != AZ_OK)
 		return fail(r);
 	r = check_decision(o, &held, admin);
+	seen = conf_highest_version(&held);
 	store_list_free(&held);
 	if (r == AZ_OK && o->daemons && !each_daemon(o, add_versions, &known))
 		r = AZ_IO;
-	if (r == AZ_OK)
-		r = write_decision(s, o->args[0], admin, &known);
+	if (r == AZ_OK) {
+		if (conf_highest_version(&known) > seen)
+			seen = conf_highest_version(&known);
+		r = write_decision(s, o->args[0], admin, seen, &known, &w);
+	}
 	store_list_free(&known);
+	if (w.unknown)
+		return fail_unknown(&w);
 	return r == AZ_OK ? print_digest(s) : fail(r);
 }
 
@@ -627,7 +648,7 @@
 	if (o->arg_count) {
 		snprintf(want, sizeof(want), "%s", o->args[0]);
 	} else {
-		r = store_list(s, CONF_PREFIX, &l);
+		r = conf_store_read(s, &l);
 		if (r != AZ_OK)
 			return fail(r);
 		snprintf(want, sizeof(want), "%016" PRIx64,
@@ -662,13 +683,15 @@
 	"\n"
 	"Exit status: 0 done; 1 store or daemon unreachable, run the command "
 	"again; 2 bad input, nothing was written; 3 another write came first; "
-	"4 wait timed out; 64 usage.";
+	"4 wait timed out; 5 a reply was lost and it is unknown whether the "
+	"write took effect, look with show; 64 usage.";
 
 static const struct argp_option argp_options[] = {
 	{ "store", 's', "URL", 0, "the platform's object API", 0 },
 	{ "daemons", 'd', "ADDRESSES", 0,
-	  "administration addresses, IP:PORT separated by commas; writes then "
-	  "go above the versions that these daemons hold",
+	  "administration addresses, IP:PORT separated by commas; with a write, "
+	  "what these daemons hold in a newer version than the store, after it "
+	  "was restored, is written again",
 	  0 },
 	{ "token-file", 't', "FILE", 0, "token of the administration API", 0 },
 	{ "site", 'i', "SITE", 0, "site whose overlay applies, for decisions",
--- a/conf/apply.c
+++ b/conf/apply.c
@@ -4,9 +4,6 @@
 
 #include "conf/conf.h"
 
-/* Writes that may bring a restored store's version above the daemons'. */
-#define RAISE_MAX_WRITES 10000
-
 /* Order of writing: see docs/decisions/configuration.md. */
 enum phase {
 	PHASE_FLEET,
@@ -20,7 +17,6 @@
 {
 	enum az_status r = store_list(s, CONF_PREFIX, out);
 	struct store_object now;
-	uint64_t write_id;
 	uint32_t n = 0;
 
 	if (r != AZ_OK)
@@ -36,8 +32,6 @@
 			store_list_free(out);
 			return r;
 		}
-		conf_header_parse((char *)now.value.data, &write_id,
-				  &now.deleted);
 		out->objects[n++] = now;
 	}
 	out->count = n;
@@ -55,6 +49,16 @@
 	return sum;
 }
 
+uint64_t conf_highest_version(const struct store_list *l)
+{
+	uint64_t highest = 0;
+
+	for (uint32_t i = 0; i < l->count; i++)
+		if (l->objects[i].version > highest)
+			highest = l->objects[i].version;
+	return highest;
+}
+
 /* ---- plan ---- */
 
 static const struct store_object *held_object(const struct store_list *l,
@@ -69,13 +73,12 @@
 /* Text of an object behind its header line; "" if deleted. */
 static const char *contents(const struct store_object *o)
 {
-	uint64_t write_id;
-	bool deleted;
+	struct conf_header h;
 	const char *text = (const char *)o->value.data;
 
 	if (o->deleted)
 		return "";
-	if (!conf_header_parse(text, &write_id, &deleted))
+	if (!conf_header_parse(text, &h))
 		return text;
 	return strchr(text, '\n') + 1;
 }
@@ -130,46 +133,73 @@
 	return false;
 }
 
+/* A step that replaces `o` (NULL: absent). */
+static struct conf_step *add_step(struct conf_step *s, const char *key,
+				  const struct store_object *o, uint64_t seen)
+{
+	snprintf(s->key, sizeof(s->key), "%s", key);
+	s->seen = seen;
+	s->text = "";
+	if (!o)
+		return s;
+	s->if_revision = o->revision;
+	conf_header_parse((const char *)o->value.data, &s->base);
+	return s;
+}
+
+/* True if daemons hold a newer version than the store, which was restored. */
+static bool is_behind(const struct store_object *o,
+		      const struct store_list *known, const char *key)
+{
+	const struct store_object *k = known ? held_object(known, key) : NULL;
+
+	return k && k->version > (o ? o->version : 0);
+}
+
 uint32_t conf_plan(const struct store_list *held,
 		   const struct store_list *known, const char *prefix,
 		   const struct conf_split *want, uint32_t want_count,
 		   struct conf_step **out)
 {
-	struct conf_step *s = calloc(want_count + held->count + 1, sizeof(*s));
+	uint32_t known_count = known ? known->count : 0;
+	struct conf_step *s =
+		calloc(want_count + held->count + known_count + 1, sizeof(*s));
+	uint64_t seen = conf_highest_version(held);
 	uint32_t n = 0;
 
 	if (!s)
 		abort();
+	if (known && conf_highest_version(known) > seen)
+		seen = conf_highest_version(known);
 	for (uint32_t i = 0; i < want_count; i++) {
 		const struct store_object *o = held_object(held, want[i].key);
 		const char *text = (const char *)want[i].text.data;
-		const struct store_object *k =
-			known ? held_object(known, want[i].key) : NULL;
-		uint64_t version = o ? o->version : 0;
+		struct conf_step *step;
 
-		s[n].above = k && k->version > version ? k->version : 0;
+		/* One written by hand gets a version. */
 		if (o && !o->deleted && !strcmp(contents(o), text) &&
-		    !s[n].above)
+		    o->version != CONF_VERSION_UNMARKED &&
+		    !is_behind(o, known, o->key))
 			continue;
-		snprintf(s[n].key, sizeof(s[n].key), "%s", want[i].key);
-		s[n].if_version = version;
-		s[n].text = text;
-		s[n].phase = phase_of(s[n].key, o ? contents(o) : "", text);
-		n++;
+		step = add_step(&s[n++], want[i].key, o, seen);
+		step->text = text;
+		step->phase = phase_of(step->key, o ? contents(o) : "", text);
 	}
-	for (uint32_t i = 0; i < held->count; i++) {
-		const struct store_object *o = &held->objects[i];
-
-		if (o->deleted ||
-		    strncmp(o->key, prefix, strlen(prefix)) != 0 ||
-		    is_wanted(want, want_count, o->key))
+	for (uint32_t i = 0; i < held->count + known_count; i++) {
+		const char *key = i < held->count ?
+					  held->objects[i].key :
+					  known->objects[i - held->count].key;
+		const struct store_object *o = held_object(held, key);
+		struct conf_step *step;
+
+		if (strncmp(key, prefix, strlen(prefix)) != 0 ||
+		    is_wanted(want, want_count, key) ||
+		    (i >= held->count && o) ||
+		    (o && o->deleted && !is_behind(o, known, key)))
 			continue;
-		snprintf(s[n].key, sizeof(s[n].key), "%s", o->key);
-		s[n].if_version = o->version;
-		s[n].deleted = true;
-		s[n].text = "";
-		s[n].phase = PHASE_DELETED;
-		n++;
+		step = add_step(&s[n++], key, o, seen);
+		step->deleted = true;
+		step->phase = PHASE_DELETED;
 	}
 	qsort(s, n, sizeof(*s), by_phase);
 	*out = s;
@@ -177,26 +207,18 @@
 }
 
 enum az_status conf_write_step(struct store *s, const struct conf_step *step,
-			       uint64_t write_id, uint64_t *version)
+			       uint64_t write_id, struct store_write *out)
 {
-	uint64_t if_version = step->if_version;
-	enum az_status r;
-	uint64_t other;
-	uint32_t writes = 0;
-
-	do {
-		r = store_update(s, step->key, if_version, step->text, write_id,
-				 step->deleted, version, &other);
-		if_version = *version;
-	} while (r == AZ_OK && *version <= step->above &&
-		 ++writes < RAISE_MAX_WRITES);
-	if (r == AZ_OK && *version <= step->above)
-		r = az_fail(AZ_IO,
-			    "object %s: version %llu is still below the "
-			    "daemons' %llu",
-			    step->key, (unsigned long long)*version,
-			    (unsigned long long)step->above);
-	return r;
+	*out = (struct store_write){
+		.key = step->key,
+		.if_revision = step->if_revision,
+		.base = step->base,
+		.write_id = write_id,
+		.version = conf_next_version(step->seen, conf_wall_ms()),
+		.deleted = step->deleted,
+		.text = step->text,
+	};
+	return store_update(s, out);
 }
 
 /* ---- check ---- */
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -67,7 +67,7 @@
 	const struct conf_worker *workers;
 	uint32_t cell_count;
 	const struct conf_cell *cells;
-	uint64_t version; /**< of the store object it came from */
+	uint64_t version; /**< of the object it came from */
 };
 
 struct conf_route {
@@ -265,6 +265,8 @@
 #define CONF_OBJECT_MAX_BYTES (1U << 20)
 /** Key of what the platform's list says; known to daemons, not in the store. */
 #define CONF_LEAVING_KEY "azurehold/platform/leaving"
+/** First line of its text, with the platform's revision. */
+#define CONF_LEAVING_HEADER "; revision "
 
 enum conf_object_kind {
 	OBJECT_OTHER, /**< not configuration */
@@ -284,10 +286,55 @@
 
 struct conf_key conf_key_parse(const char *key);
 
-/** First line of an object: "; azurehold write=ID" or with " deleted". */
-void conf_header(struct buf *out, uint64_t write_id, bool deleted);
-/** False if the text has no header line. */
-bool conf_header_parse(const char *text, uint64_t *write_id, bool *deleted);
+/** Write ids that an object keeps. */
+#define CONF_WRITES 8
+/** Version of a text without a header line, as written by hand; any version
+ * that azhctl writes is higher. */
+#define CONF_VERSION_UNMARKED 1
+/** Beyond any clock in milliseconds; a higher one is malformed. */
+#define CONF_VERSION_MAX (1ULL << 53)
+#define CONF_HEADER_MAX_BYTES 224
+
+/** First line of an object: "; azurehold version=V writes=ID,ID,..." or with
+ * " deleted". All zero stands for an absent object. */
+struct conf_header {
+	uint64_t version; /**< what daemons compare; not the store's revision */
+	bool deleted;
+	uint32_t write_count;
+	/** Latest first; 0 stands for a text without header line. */
+	uint64_t writes[CONF_WRITES];
+};
+
+void conf_header_write(struct buf *out, const struct conf_header *h);
+/** A text without a well-formed header line is not deleted, has
+ * CONF_VERSION_UNMARKED and one write, 0; false then. */
+bool conf_header_parse(const char *text, struct conf_header *out);
+/** Header of the write that follows `base`. */
+struct conf_header conf_header_next(const struct conf_header *base,
+				    uint64_t write_id, uint64_t version,
+				    bool deleted);
+/** Version of a new write: above `seen` and not below the clock, so that a
+ * version that a restored store has lost is not used again. */
+uint64_t conf_next_version(uint64_t seen, uint64_t wall_ms);
+/** Wall clock in milliseconds since 1970. */
+uint64_t conf_wall_ms(void);
+
+/** What reading an object back says of a write without a clear reply. */
+enum conf_verdict {
+	WRITE_ACCEPTED,
+	WRITE_REFUSED, /**< it did not and will not take effect */
+	WRITE_UNCHANGED, /**< the first copy may yet take effect */
+	WRITE_UNKNOWN,
+};
+
+/** `base` and `if_revision` are what the write was made from, `now` (zero if
+ * absent) and `revision` what the store has now. WRITE_REFUSED needs a list of
+ * writes that reaches back to the base; without it, a later write may have
+ * pushed this one's id out. */
+enum conf_verdict conf_read_back(const struct conf_header *base,
+				 uint64_t if_revision,
+				 const struct conf_header *now,
+				 uint64_t revision, uint64_t write_id);
 
 /** An object as a file is split into. */
 struct conf_split {
@@ -320,6 +367,7 @@
 	struct conf_text *good_text;
 	uint64_t wanted_version; /**< asked for */
 	int64_t wanted_until_us;
+	uint64_t store_version; /**< last read from the store; 0: none */
 	struct conf_unit *unit; /**< NULL if not of this site */
 };
 
@@ -343,6 +391,11 @@
  * as asked for until `until_us`. */
 bool conf_table_want(struct conf_table *t, const char *key, uint64_t version,
 		     int64_t now_us, int64_t until_us);
+/** Notes the version that the store has of an object. */
+void conf_table_in_store(struct conf_table *t, const char *key,
+			 uint64_t version);
+/** Objects that the store was last seen to have in an older version. */
+uint32_t conf_table_older_in_store(const struct conf_table *t);
 /** One object's part of a digest; a digest is the sum of them. */
 uint64_t conf_version_digest(const char *key, uint64_t version);
 /** Over keys and versions held; equal digests mean equal versions. */
@@ -452,7 +505,8 @@
 
 struct store_object {
 	char key[CONF_KEY_MAX_BYTES];
-	uint64_t version;
+	uint64_t revision; /**< the store's Object-Version, for conditions */
+	uint64_t version; /**< of its header line; 0 in lists */
 	bool deleted;
 	struct buf value; /**< zero-terminated; empty in lists */
 };
@@ -482,11 +536,12 @@
 void store_interrupt(struct store *s);
 enum az_status store_get(struct store *s, const char *key,
 			 struct store_object *out);
-/** `if_version` 0: only if absent. AZ_CONFLICT: not written. AZ_IO or
+/** `if_revision` 0: only if absent. AZ_CONFLICT: the condition failed, maybe
+ * by an earlier copy of the same write. AZ_DENIED: not written. AZ_IO or
  * AZ_TIMEOUT: it may have been written. */
-enum az_status store_put(struct store *s, const char *key, uint64_t if_version,
+enum az_status store_put(struct store *s, const char *key, uint64_t if_revision,
 			 const void *value, uint32_t len_bytes,
-			 uint64_t *version);
+			 uint64_t *revision);
 enum az_status store_list(struct store *s, const char *prefix,
 			  struct store_list *out);
 /** Changes after a revision; an empty list once `wait_ms` have passed. */
@@ -499,20 +554,32 @@
 void store_list_free(struct store_list *l);
 void store_vms_free(struct store_vms *v);
 
-/** Conditional update that resolves a lost reply by reading back the write id
- * in the header line. AZ_CONFLICT: another write, `other_id`, is there. */
-enum az_status store_update(struct store *s, const char *key,
-			    uint64_t if_version, const char *text,
-			    uint64_t write_id, bool deleted, uint64_t *version,
-			    uint64_t *other_id);
+/** A conditional update and what became of it. */
+struct store_write {
+	const char *key;
+	uint64_t if_revision; /**< 0: only if absent */
+	struct conf_header base; /**< of the object at that revision */
+	uint64_t write_id;
+	uint64_t version;
+	bool deleted;
+	const char *text; /**< without header line */
+	uint64_t
+		other_id; /**< out, on AZ_CONFLICT: the write that came first */
+	bool unknown; /**< out: whether it took effect cannot be told */
+};
+
+/** Writes; resolves a lost reply and a conflict by reading back. AZ_CONFLICT:
+ * not written. On other failures it was not written unless `w->unknown`. */
+enum az_status store_update(struct store *s, struct store_write *w);
 
 /* ---- changes to the store (apply.c) ---- */
 
 /** One conditional write. */
 struct conf_step {
 	char key[CONF_KEY_MAX_BYTES];
-	uint64_t if_version; /**< 0: only if absent */
-	uint64_t above; /**< daemons ignore this version and lower ones */
+	uint64_t if_revision; /**< 0: only if absent */
+	struct conf_header base; /**< of the object at that revision */
+	uint64_t seen; /**< highest version known; the new one is above it */
 	bool deleted;
 	uint32_t phase; /**< written in rising order */
 	const char *text; /**< without header line; "" if deleted */
@@ -524,15 +591,18 @@
 uint64_t conf_store_digest(const struct store_list *l);
 /** Steps from what the store holds under `prefix` to `want`, in the order of
  * writing; the caller frees the array. Texts are borrowed from `want`.
- * `known` (NULL: none) lists the versions that daemons hold: an object of an
- * older version in the store, which was restored, is written again. */
+ * `known` (NULL: none) lists the versions that daemons hold: an object that is
+ * older in the store, which was restored, is written again also if its text is
+ * the wanted one, and one that the store has lost is marked deleted. */
 uint32_t conf_plan(const struct store_list *held,
 		   const struct store_list *known, const char *prefix,
 		   const struct conf_split *want, uint32_t want_count,
 		   struct conf_step **out);
-/** Writes a step, again and again until its version is above `step->above`. */
+/** Highest version of a list. */
+uint64_t conf_highest_version(const struct store_list *l);
+/** Writes a step; `out` tells its version and what became of it. */
 enum az_status conf_write_step(struct store *s, const struct conf_step *step,
-			       uint64_t write_id, uint64_t *version);
+			       uint64_t write_id, struct store_write *out);
 /** Checks what each site would have in force after the steps. */
 enum az_status conf_check_sites(const struct store_list *held,
 				const struct conf_step *steps, uint32_t count,
@@ -551,12 +621,14 @@
 
 /** Run in the watching thread. */
 struct conf_watch_sink_ops {
-	/** Leaves in the list what is to be fetched. */
-	void (*choose)(struct conf_watch_sink *k, struct store_list *l);
-	/** Takes the contents of `l`; objects with values, or deleted. */
+	/** Sets the version of each object in the list to the one held. */
+	void (*held)(struct conf_watch_sink *k, struct store_list *l);
+	/** Takes the contents of `l`, objects with values. */
 	void (*values)(struct conf_watch_sink *k, struct store_list *l);
-	/** Takes the contents of `v`. */
-	void (*vms)(struct conf_watch_sink *k, struct store_vms *v);
+	/** Takes the contents of `v`. False: its revision is below the one held
+	 * and not `restored`, and it was ignored. */
+	bool (*vms)(struct conf_watch_sink *k, struct store_vms *v,
+		    bool restored);
 	/** The store answered (true) or failed. */
 	void (*state)(struct conf_watch_sink *k, bool ok);
 };
--- a/conf/conf_duty.c
+++ b/conf/conf_duty.c
@@ -488,39 +488,74 @@
 	return s.ran;
 }
 
-static void choose_work(struct conf_duty *d, void *arg)
+static void held_work(struct conf_duty *d, void *arg)
 {
 	struct store_list *l = arg;
-	uint32_t lower = 0;
-	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < l->count; i++) {
 		const struct conf_object *held =
 			conf_table_find(d->table, l->objects[i].key);
 
-		lower += held && l->objects[i].version < held->version;
-		if (conf_table_want(d->table, l->objects[i].key,
-				    l->objects[i].version, d->duty.now_us,
-				    d->duty.now_us + ASK_TIMEOUT_US))
-			l->objects[n++] = l->objects[i];
+		l->objects[i].version = held ? held->version : 0;
 	}
-	l->count = n;
-	counter_set(d->behind, lower);
-	if (lower)
-		log_write(LOG_WARN, "conf",
-			  "store lists older versions than are held, which "
-			  "are kept objects=%u",
-			  lower);
 }
 
-static void sink_choose(struct conf_watch_sink *k, struct store_list *l)
+static void sink_held(struct conf_watch_sink *k, struct store_list *l)
 {
 	struct conf_duty *d = az_container_of(k, struct conf_duty, sink);
 
-	if (!run_in_duty(d, choose_work, l))
+	if (!run_in_duty(d, held_work, l))
 		l->count = 0;
 }
 
+/* Puts newer objects and tells others of them. */
+static void take_objects(struct conf_duty *d, const struct store_list *l)
+{
+	struct buf taken = { 0 };
+
+	for (uint32_t i = 0; i < l->count; i++) {
+		struct store_object *o = &l->objects[i];
+		const char *text = o->deleted ? NULL : (char *)o->value.data;
+
+		if (o->version && conf_table_put(d->table, o->key, o->version,
+						 text, o->value.len_bytes))
+			note_taken(d, &taken, o->key, o->version, o->deleted);
+	}
+	if (taken.len_bytes) {
+		mark_dirty(d);
+		if (d->asking.loaded && l->count <= RELAY_MAX_OBJECTS)
+			offer(d, true, &taken);
+	}
+	buf_free(&taken);
+}
+
+/* Notes what the store has in an older version, and what has none. */
+static void note_store(struct conf_duty *d, const struct store_list *l)
+{
+	uint32_t older = conf_table_older_in_store(d->table);
+	uint32_t now;
+
+	for (uint32_t i = 0; i < l->count; i++) {
+		const struct store_object *o = &l->objects[i];
+
+		if (o->version)
+			conf_table_in_store(d->table, o->key, o->version);
+		if (o->version == CONF_VERSION_UNMARKED)
+			log_write(LOG_WARN, "conf",
+				  "object has no valid header line and counts "
+				  "as the oldest version; write it with "
+				  "azhctl key=%s",
+				  o->key);
+	}
+	now = conf_table_older_in_store(d->table);
+	counter_set(d->behind, now);
+	if (now > older)
+		log_write(LOG_WARN, "conf",
+			  "store has older versions than are held, which are "
+			  "kept objects=%u",
+			  now);
+}
+
 struct values {
 	struct msg msg;
 	struct store_list list;
@@ -538,29 +573,17 @@
 {
 	struct values *v = az_container_of(m, struct values, msg);
 	struct conf_duty *d = of(to);
-	struct buf taken = { 0 };
-
-	for (uint32_t i = 0; i < v->list.count; i++) {
-		struct store_object *o = &v->list.objects[i];
-		const char *text = o->deleted ? NULL : (char *)o->value.data;
 
-		if (o->version && conf_table_put(d->table, o->key, o->version,
-						 text, o->value.len_bytes))
-			note_taken(d, &taken, o->key, o->version, o->deleted);
-	}
-	if (taken.len_bytes) {
-		mark_dirty(d);
-		if (d->asking.loaded && v->list.count <= RELAY_MAX_OBJECTS)
-			offer(d, true, &taken);
-	}
-	buf_free(&taken);
+	take_objects(d, &v->list);
+	note_store(d, &v->list);
 	values_drop(m);
 }
 
-static void send_values(struct conf_duty *d, struct store_list *l)
+static void sink_values(struct conf_watch_sink *k, struct store_list *l)
 {
 	static const struct msg_ops ops = { "conf-values", values_run,
 					    values_drop };
+	struct conf_duty *d = az_container_of(k, struct conf_duty, sink);
 	struct values *v = calloc(1, sizeof(*v));
 
 	if (!v)
@@ -571,39 +594,69 @@
 	duty_send(&d->duty, &v->msg);
 }
 
-static void sink_values(struct conf_watch_sink *k, struct store_list *l)
-{
-	send_values(az_container_of(k, struct conf_duty, sink), l);
+/** The platform's list as an object. */
+struct leaving {
+	struct store_object object;
+	uint64_t revision;
+	bool restored;
+	bool taken;
+};
+
+/* The version is azurehold's own here too, so that a platform that was restored
+ * is followed. */
+static void leaving_work(struct conf_duty *d, void *arg)
+{
+	struct leaving *x = arg;
+	const struct conf_object *held =
+		conf_table_find(d->table, CONF_LEAVING_KEY);
+	const char *text = held && held->text ? held->text->data : NULL;
+	struct store_list l = { .count = 1, .objects = &x->object };
+	uint64_t revision = 0;
+
+	if (text)
+		revision =
+			strtoull(text + strlen(CONF_LEAVING_HEADER), NULL, 10);
+	x->taken = x->revision >= revision || x->restored;
+	if (!x->taken || (text && !strcmp(text, (char *)x->object.value.data)))
+		return;
+	x->object.version =
+		conf_next_version(held ? held->version : 0, conf_wall_ms());
+	take_objects(d, &l);
 }
 
-static void sink_vms(struct conf_watch_sink *k, struct store_vms *v)
+static bool sink_vms(struct conf_watch_sink *k, struct store_vms *v,
+		     bool restored)
 {
 	struct conf_duty *d = az_container_of(k, struct conf_duty, sink);
-	struct store_list l = { .count = 1 };
+	struct leaving x = { .revision = v->revision, .restored = restored };
 	uint64_t *live = calloc(v->count + 1, sizeof(*live));
 	uint32_t n = 0;
 
-	l.objects = calloc(1, sizeof(*l.objects));
-	if (!live || !l.objects)
+	if (!live)
 		abort();
-	strcpy(l.objects->key, CONF_LEAVING_KEY);
-	l.objects->version = v->revision;
+	strcpy(x.object.key, CONF_LEAVING_KEY);
+	buf_printf(&x.object.value, CONF_LEAVING_HEADER "%" PRIu64 "\n",
+		   v->revision);
 	for (uint32_t i = 0; i < v->count; i++) {
 		struct in_addr in = { .s_addr = htonl(v->list[i].ip) };
 		char ip[INET_ADDRSTRLEN];
 
 		if (v->list[i].leaving)
-			buf_printf(&l.objects->value, "%s\n",
+			buf_printf(&x.object.value, "%s\n",
 				   inet_ntop(AF_INET, &in, ip, sizeof(ip)));
 		else
 			live[n++] = hash_string(v->list[i].name);
 	}
-	buf_append(&l.objects->value, "", 1);
-	l.objects->value.len_bytes--;
-	d->settings.links->ops->platform_list(d->settings.links, live, n);
+	buf_append(&x.object.value, "", 1);
+	x.object.value.len_bytes--;
+	run_in_duty(d, leaving_work, &x);
+	if (x.taken)
+		d->settings.links->ops->platform_list(d->settings.links, live,
+						      n);
 	free(live);
+	store_object_free(&x.object);
 	store_vms_free(v);
-	send_values(d, &l);
+	return x.taken;
 }
 
 static void sink_state(struct conf_watch_sink *k, bool ok)
@@ -656,9 +709,8 @@
 				   apr_pool_t *pool)
 {
 	static const struct duty_ops ops = { "conf", on_timer, NULL };
-	static const struct conf_watch_sink_ops sink = { sink_choose,
-							 sink_values, sink_vms,
-							 sink_state };
+	static const struct conf_watch_sink_ops sink = { sink_held, sink_values,
+							 sink_vms, sink_state };
 	struct conf_duty *d = apr_pcalloc(pool, sizeof(*d));
 
 	d->settings = *s;
--- a/conf/conf_measure.c
+++ b/conf/conf_measure.c
@@ -55,10 +55,13 @@
 static void put_service(struct conf_table *t, const struct size *z, uint32_t i,
 			uint64_t version)
 {
+	struct conf_header h = { .version = version };
 	char key[CONF_KEY_MAX_BYTES];
 	struct buf b = { 0 };
 
-	conf_header(&b, version, false);
+	/* Full, as after some changes. */
+	h.write_count = CONF_WRITES;
+	conf_header_write(&b, &h);
 	buf_printf(&b, "[service service-%04u]\nfloor_percent = 70\n", i);
 	for (uint32_t w = i; w < z->workers; w += z->services)
 		buf_printf(&b,
--- a/conf/conf_test.c
+++ b/conf/conf_test.c
@@ -6,6 +6,7 @@
 #include <microhttpd.h>
 #include <pthread.h>
 #include <sched.h>
+#include <unistd.h>
 
 #include "conf/conf.h"
 #include "member/member.h"
@@ -571,14 +572,16 @@
 static void hold(struct store_list *l, const char *key, uint64_t version,
 		 const char *text)
 {
+	struct conf_header h = { version, false, 1, { 1 } };
 	struct store_object *o;
 
 	l->objects = realloc(l->objects, (l->count + 1) * sizeof(*l->objects));
 	o = &l->objects[l->count++];
 	memset(o, 0, sizeof(*o));
 	strcpy(o->key, key);
+	o->revision = version;
 	o->version = version;
-	conf_header(&o->value, 1, false);
+	conf_header_write(&o->value, &h);
 	buf_append(&o->value, text, (uint32_t)strlen(text) + 1);
 	o->value.len_bytes--;
 }
@@ -613,17 +616,25 @@
 	hold(&held, "azurehold/site/x/service/old", 9, "[service old]\n");
 	CU_ASSERT_EQUAL(conf_plan(&held, NULL, "azurehold/base/", l, n, &s), 4);
 	CU_ASSERT_STRING_EQUAL(s[0].key, "azurehold/base/fleet");
-	CU_ASSERT_EQUAL(s[0].if_version, 0);
+	CU_ASSERT_EQUAL(s[0].if_revision, 0);
 	CU_ASSERT_STRING_EQUAL(s[1].key, "azurehold/base/service/bank");
-	CU_ASSERT_EQUAL(s[1].if_version, 6);
+	CU_ASSERT_EQUAL(s[1].if_revision, 6);
 	CU_ASSERT_STRING_EQUAL(s[3].key, "azurehold/base/service/old");
 	CU_ASSERT(s[3].deleted);
 	CU_ASSERT_EQUAL(conf_check_sites(&held, s, 4, &errors), AZ_OK);
 	free(s);
-	hold(&known, "azurehold/base/service/shop", 9, "");
+	/* The store was restored: daemons hold newer versions and one object
+	 * that it has lost. */
+	hold(&known, "azurehold/base/service/shop", 19, "");
+	hold(&known, "azurehold/base/service/lost", 17, "");
+	hold(&known, "azurehold/site/x/service/lost", 17, "");
 	CU_ASSERT_EQUAL(conf_plan(&held, &known, "azurehold/base/", l, n, &s),
-			5);
-	CU_ASSERT_EQUAL(s[2].above, 9);
+			6);
+	CU_ASSERT_STRING_EQUAL(s[2].key, "azurehold/base/service/shop");
+	CU_ASSERT_EQUAL(s[2].seen, 19);
+	CU_ASSERT_STRING_EQUAL(s[4].key, "azurehold/base/service/lost");
+	CU_ASSERT(s[4].deleted);
+	CU_ASSERT_EQUAL(s[4].if_revision, 0);
 	free(s);
 	store_list_free(&known);
 	hold(&held, "azurehold/site/y/service/shop", 2,
@@ -634,6 +645,105 @@
 	ini_doc_destroy(d);
 }
 
+/* Guards against a header line that is read differently from how it was
+ * written, and a malformed one that sets a version or hides an object. */
+static void test_header_lines(void)
+{
+	static const char *const bad[] = {
+		"",
+		"[service s]\n",
+		"; azurehold write=0000000000000001\n",
+		"; azurehold version= writes=0000000000000001\n",
+		"; azurehold version=-1 writes=0000000000000001\n",
+		"; azurehold version=0 writes=0000000000000001\n",
+		"; azurehold version=99999999999999999 writes=0000000000000001\n",
+		"; azurehold version=5 writes=\n",
+		"; azurehold version=5 writes=1\n",
+		"; azurehold version=5 writes=0000000000000001,\n",
+		"; azurehold version=5 writes=0000000000000001 removed\n",
+		"; azurehold version=5 writes=0000000000000001",
+	};
+	struct conf_header h = { 0 };
+	struct conf_header back;
+	struct buf b = { 0 };
+
+	for (uint32_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		CU_ASSERT(!conf_header_parse(bad[i], &back));
+		CU_ASSERT_EQUAL(back.version, CONF_VERSION_UNMARKED);
+		CU_ASSERT(!back.deleted);
+		CU_ASSERT_EQUAL(back.writes[0], 0);
+	}
+	for (uint64_t id = 1; id < 12; id++) {
+		h = conf_header_next(&h, id, 100 + id, id % 2);
+		buf_free(&b);
+		conf_header_write(&b, &h);
+		CU_ASSERT(b.len_bytes <= CONF_HEADER_MAX_BYTES);
+		buf_append(&b, "", 1);
+		CU_ASSERT(conf_header_parse((char *)b.data, &back));
+		CU_ASSERT_EQUAL(back.version, h.version);
+		CU_ASSERT_EQUAL(back.deleted, h.deleted);
+		CU_ASSERT_EQUAL(back.write_count, h.write_count);
+		CU_ASSERT(!memcmp(h.writes, back.writes, sizeof(h.writes)));
+		CU_ASSERT_EQUAL(back.writes[0], id);
+		CU_ASSERT_EQUAL(back.write_count,
+				id < CONF_WRITES ? id : CONF_WRITES);
+	}
+	buf_free(&b);
+}
+
+/* Guards against a version that a restored store gives a second time, and one
+ * that falls because an operator's clock is late. */
+static void test_next_versions(void)
+{
+	CU_ASSERT_EQUAL(conf_next_version(7, 1000), 1000);
+	CU_ASSERT_EQUAL(conf_next_version(1000, 1000), 1001);
+	CU_ASSERT_EQUAL(conf_next_version(5000, 1000), 5001);
+	CU_ASSERT(conf_wall_ms() > 1700000000000ULL);
+	CU_ASSERT(conf_wall_ms() < CONF_VERSION_MAX);
+}
+
+/* Guards against a write that took effect, or still may, being reported as
+ * refused, and a refused one as accepted. */
+static void test_reading_back(void)
+{
+	struct conf_header none = { 0 };
+	struct conf_header base = { 5, false, 1, { 1 } };
+	struct conf_header hand = { 1, false, 1, { 0 } };
+	struct conf_header own = conf_header_next(&base, 2, 6, false);
+	struct conf_header later = conf_header_next(&own, 3, 7, false);
+	struct conf_header other = conf_header_next(&base, 4, 6, false);
+	struct conf_header first = conf_header_next(&none, 4, 6, false);
+	struct conf_header over_hand = conf_header_next(&hand, 4, 6, false);
+	struct conf_header far = own;
+	struct conf_header far_first = first;
+
+	for (uint64_t id = 10; id < 18; id++) {
+		far = conf_header_next(&far, id, id, false);
+		far_first = conf_header_next(&far_first, id, id, false);
+	}
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &own, 4, 2), WRITE_ACCEPTED);
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &later, 5, 2), WRITE_ACCEPTED);
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &other, 4, 2), WRITE_REFUSED);
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &base, 3, 2), WRITE_UNCHANGED);
+	CU_ASSERT_EQUAL(conf_read_back(&none, 0, &none, 0, 2), WRITE_UNCHANGED);
+	CU_ASSERT_EQUAL(conf_read_back(&none, 0, &first, 4, 2), WRITE_REFUSED);
+	/* Later writes have pushed the id out. */
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &far, 12, 2), WRITE_UNKNOWN);
+	CU_ASSERT_EQUAL(conf_read_back(&none, 0, &far_first, 12, 2),
+			WRITE_UNKNOWN);
+	/* The store was restored, or the object is gone. */
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &base, 2, 2), WRITE_UNKNOWN);
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &other, 3, 2), WRITE_UNKNOWN);
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &none, 0, 2), WRITE_UNKNOWN);
+	/* A text written by hand hides what was before it. */
+	CU_ASSERT_EQUAL(conf_read_back(&base, 3, &over_hand, 5, 2),
+			WRITE_UNKNOWN);
+	CU_ASSERT_EQUAL(conf_read_back(&none, 0, &over_hand, 5, 2),
+			WRITE_UNKNOWN);
+	CU_ASSERT_EQUAL(conf_read_back(&hand, 3, &over_hand, 4, 2),
+			WRITE_UNKNOWN);
+}
+
 /* Guards against readers that see a moved route in no service: any order of
  * two writes must leave either the old set, the new set, or one that does not
  * check. */
@@ -708,6 +818,10 @@
 	uint64_t revision;
 	bool down;
 	bool lose_reply; /**< of the next write */
+	uint32_t ignore_writes; /**< lose so many requests */
+	uint32_t writes_after; /**< by others, after one whose reply is lost */
+	uint64_t vms_revision;
+	bool vm_leaving;
 	struct MHD_Daemon *daemon;
 	char url[64];
 } fake = { .lock = PTHREAD_MUTEX_INITIALIZER,
@@ -742,6 +856,37 @@
 	pthread_mutex_unlock(&fake.lock);
 }
 
+/* As azhctl writes. */
+static void fake_write(const char *key, uint64_t write_id, uint64_t version,
+		       const char *text)
+{
+	const struct store_object *o = fake_find(key);
+	struct conf_header h = { 0 };
+	struct buf b = { 0 };
+
+	if (o) {
+		struct buf old = { 0 };
+
+		buf_append(&old, o->value.data, o->value.len_bytes);
+		buf_append(&old, "", 1);
+		conf_header_parse((char *)old.data, &h);
+		buf_free(&old);
+	}
+	h = conf_header_next(&h, write_id, version, false);
+	conf_header_write(&b, &h);
+	buf_append(&b, text, (uint32_t)strlen(text));
+	fake_set(key, (char *)b.data, b.len_bytes);
+	buf_free(&b);
+}
+
+static void fake_store_version(const char *key, uint64_t version,
+			       const char *text)
+{
+	pthread_mutex_lock(&fake.lock);
+	fake_write(key, version, version, text);
+	pthread_mutex_unlock(&fake.lock);
+}
+
 static void fake_list(struct buf *out, const char *name, uint64_t after)
 {
 	const char *comma = "";
@@ -791,6 +936,8 @@
 		return 412;
 	fake_set(key, (char *)body->data, body->len_bytes);
 	*version = fake.revision;
+	for (uint32_t i = 0; fake.lose_reply && i < fake.writes_after; i++)
+		fake_write(key, 0x1000 + fake.revision, 100 + i, "other\n");
 	return 200;
 }
 
@@ -805,8 +952,16 @@
 	} else if (!strcmp(path, "/v1/watch")) {
 		fake_watch(c, out);
 	} else if (!strcmp(path, "/v1/vms")) {
-		buf_printf(out, "{\"revision\":1,\"vms\":[{\"name\":\"a\","
-				"\"ip\":\"10.0.0.2\",\"state\":\"leaving\"}]}");
+		const char *known = MHD_lookup_connection_value(
+			c, MHD_HEADER_KIND, "If-None-Match");
+
+		if (known && strtoull(known + 1, NULL, 10) == fake.vms_revision)
+			return 304;
+		buf_printf(out,
+			   "{\"revision\":%u,\"vms\":[{\"name\":\"a\","
+			   "\"ip\":\"10.0.0.2\",\"state\":\"%s\"}]}",
+			   (uint32_t)fake.vms_revision,
+			   fake.vm_leaving ? "leaving" : "live");
 	} else if (!strcmp(method, "PUT")) {
 		return fake_put(c, path + 12, body, version);
 	} else {
@@ -844,6 +999,11 @@
 		return MHD_YES;
 	}
 	pthread_mutex_lock(&fake.lock);
+	if (fake.ignore_writes && !strcmp(method, "PUT")) {
+		fake.ignore_writes--;
+		pthread_mutex_unlock(&fake.lock);
+		return MHD_NO;
+	}
 	status = fake.down ? 503 :
 			     fake_answer(c, path, method, body, &out, &version);
 	if (!fake.lose_reply || strcmp(method, "PUT") != 0) {
@@ -879,6 +1039,8 @@
 	struct sockaddr_in at = { .sin_family = AF_INET,
 				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 
+	fake.vms_revision = 9;
+	fake.vm_leaving = true;
 	fake.daemon = MHD_start_daemon(
 		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
 		0, NULL, NULL, fake_handle, NULL, MHD_OPTION_SOCK_ADDR, &at,
@@ -899,50 +1061,116 @@
 	fake.count = 0;
 	fake.revision = 0;
 	fake.down = false;
+	fake.ignore_writes = 0;
+	fake.writes_after = 0;
+}
+
+static struct store_write new_write(uint64_t if_revision, uint64_t base_id,
+				    uint64_t id)
+{
+	struct store_write w = { .key = "k",
+				 .if_revision = if_revision,
+				 .write_id = id,
+				 .version = id,
+				 .text = "text\n" };
+
+	w.base.write_count = base_id > 0;
+	w.base.writes[0] = base_id;
+	return w;
 }
 
 /* Guards against a lost reply that is taken for a lost race or written twice,
  * and a loser of a race who is not told by whom. */
 static void test_conditional_updates(void)
 {
+	struct store_object o;
+	struct store_write w;
 	struct store *s;
-	struct store_vms vms;
-	uint64_t version;
-	uint64_t other;
+	uint64_t revision;
 
 	fake_start();
 	s = store_create(fake.url);
 	fake.lose_reply = true;
-	CU_ASSERT_EQUAL(store_update(s, "k", 0, "text\n", 0x11, false, &version,
-				     &other),
-			AZ_OK);
-	CU_ASSERT_EQUAL(version, 1);
+	w = new_write(0, 0, 0x11);
+	CU_ASSERT_EQUAL(store_update(s, &w), AZ_OK);
 	CU_ASSERT_EQUAL(fake.revision, 1);
-	CU_ASSERT_EQUAL(store_update(s, "k", 0, "mine\n", 0x22, false, &version,
-				     &other),
-			AZ_CONFLICT);
-	CU_ASSERT_EQUAL(other, 0x11);
-	CU_ASSERT_EQUAL(store_update(s, "k", 1, "mine\n", 0x22, false, &version,
-				     &other),
-			AZ_OK);
-	CU_ASSERT_EQUAL(store_update(s, "k", 1, "late\n", 0x33, false, &version,
-				     &other),
-			AZ_CONFLICT);
-	CU_ASSERT_EQUAL(other, 0x22);
+	CU_ASSERT_EQUAL(store_get(s, "k", &o), AZ_OK);
+	CU_ASSERT_EQUAL(o.revision, 1);
+	CU_ASSERT_EQUAL(o.version, 0x11);
+	store_object_free(&o);
+	w = new_write(0, 0, 0x22);
+	CU_ASSERT_EQUAL(store_update(s, &w), AZ_CONFLICT);
+	CU_ASSERT_EQUAL(w.other_id, 0x11);
+	CU_ASSERT(!w.unknown);
+	w = new_write(1, 0x11, 0x22);
+	CU_ASSERT_EQUAL(store_update(s, &w), AZ_OK);
+	w = new_write(1, 0x11, 0x33);
+	CU_ASSERT_EQUAL(store_update(s, &w), AZ_CONFLICT);
+	CU_ASSERT_EQUAL(w.other_id, 0x22);
+	/* Requests that are lost are sent again. */
+	fake.ignore_writes = 2;
+	w = new_write(2, 0x22, 0x33);
+	CU_ASSERT_EQUAL(store_update(s, &w), AZ_OK);
+	CU_ASSERT_EQUAL(fake.revision, 3);
+	store_interrupt(s);
+	CU_ASSERT_EQUAL(store_put(s, "k", 2, "x", 1, &revision), AZ_AGAIN);
+	store_destroy(s);
+	fake_stop();
+}
+
+/* Guards against an accepted write that is reported as refused because others
+ * have written since, and a guess where nothing can be told. */
+static void test_lost_reply_and_later_writes(void)
+{
+	struct store_write w;
+	struct store *s;
+
+	fake_start();
+	s = store_create(fake.url);
+	fake.lose_reply = true;
+	fake.writes_after = 1;
+	w = new_write(0, 0, 0x11);
+	CU_ASSERT_EQUAL(store_update(s, &w), AZ_OK);
+	CU_ASSERT_EQUAL(fake.revision, 2);
+	fake.lose_reply = true;
+	fake.writes_after = CONF_WRITES;
+	w = new_write(2, 0x1001, 0x22);
+	CU_ASSERT_NOT_EQUAL(store_update(s, &w), AZ_OK);
+	CU_ASSERT(w.unknown);
+	/* No request arrives, and none is known to be lost for good. */
+	fake.ignore_writes = 1000;
+	w = new_write(fake.revision, 0x1000 + fake.revision - 1, 0x33);
+	CU_ASSERT_NOT_EQUAL(store_update(s, &w), AZ_OK);
+	CU_ASSERT(w.unknown);
+	store_destroy(s);
+	/* Nothing listens: nothing was sent. */
+	s = store_create("http://127.0.0.1:1");
+	w = new_write(0, 0, 0x44);
+	CU_ASSERT_EQUAL(store_update(s, &w), AZ_IO);
+	CU_ASSERT(!w.unknown);
+	store_destroy(s);
+	fake_stop();
+}
+
+/* Guards against a VM list that is read whole each time, and one that stays
+ * stale after the platform's revision fell. */
+static void test_vm_list_revisions(void)
+{
+	struct store_vms vms;
+	struct store *s;
+
+	fake_start();
+	s = store_create(fake.url);
 	CU_ASSERT_EQUAL(store_vms(s, 0, &vms), AZ_OK);
 	CU_ASSERT(vms.count == 1 && vms.list[0].leaving);
+	CU_ASSERT_EQUAL(vms.revision, 9);
 	store_vms_free(&vms);
-	CU_ASSERT_EQUAL(store_vms(s, 1, &vms), AZ_AGAIN);
+	CU_ASSERT_EQUAL(store_vms(s, 9, &vms), AZ_AGAIN);
+	store_vms_free(&vms);
+	fake.vms_revision = 4;
+	CU_ASSERT_EQUAL(store_vms(s, 9, &vms), AZ_OK);
+	CU_ASSERT_EQUAL(vms.revision, 4);
 	store_vms_free(&vms);
-	/* Daemons hold version 5 of a store that was restored at version 2. */
-	CU_ASSERT_EQUAL(conf_write_step(s,
-					&(struct conf_step){ "k", 2, 5, false,
-							     0, "new\n" },
-					0x44, &version),
-			AZ_OK);
-	CU_ASSERT_EQUAL(version, 6);
-	store_interrupt(s);
-	CU_ASSERT_EQUAL(store_put(s, "k", 2, "x", 1, &version), AZ_AGAIN);
 	store_destroy(s);
 	fake_stop();
 }
@@ -1027,16 +1255,31 @@
 	CU_ASSERT_EQUAL(conf_duty_start(d), AZ_OK);
 }
 
-/* Waits until a node has a worker of the shop in that state. */
+/* True if a node has a worker of the shop in that state. */
+static bool is_state(uint32_t i, uint32_t worker, enum worker_admin admin)
+{
+	struct conf *c = conf_current_get(nodes[i].current);
+	const struct conf_service *s = conf_find_service(c, "shop");
+	bool is = s && s->workers[worker].admin == admin;
+
+	conf_release(c);
+	return is;
+}
+
 static void await(uint32_t i, uint32_t worker, enum worker_admin admin)
+{
+	while (!is_state(i, worker, admin))
+		sched_yield();
+}
+
+static void await_service(uint32_t i, const char *name)
 {
 	bool done = false;
 
 	while (!done) {
 		struct conf *c = conf_current_get(nodes[i].current);
-		const struct conf_service *s = conf_find_service(c, "shop");
 
-		done = s && s->workers[worker].admin == admin;
+		done = conf_find_service(c, name);
 		conf_release(c);
 		sched_yield();
 	}
@@ -1057,13 +1300,14 @@
 	timer_service_start(timers);
 	make_view(2, 1);
 	fake_start();
+	/* Without a header line, as written by hand. */
 	fake_store("azurehold/base/fleet", fleet_text);
-	fake_store("azurehold/base/service/shop", shop_text);
+	fake_store_version("azurehold/base/service/shop", 5, shop_text);
 	node_start(0, fake.url, timers, pool);
 	node_start(1, NULL, timers, pool);
 	await(1, 1, WORKER_DRAINING);
-	fake_store("azurehold/operator/shop",
-		   "[worker shop/w1]\nadmin = ejected\n");
+	fake_store_version("azurehold/operator/shop", 3,
+			   "[worker shop/w1]\nadmin = ejected\n");
 	await(0, 0, WORKER_EJECTED);
 	await(1, 0, WORKER_EJECTED);
 	pthread_mutex_lock(&fake.lock);
@@ -1087,6 +1331,91 @@
 	apr_pool_destroy(pool);
 }
 
+/* Sets the store back to a copy and writes it once more, so that its revision
+ * is again the one that watchers have seen. */
+static void fake_restore(const char *key, const char *copy, uint64_t copy_id,
+			 uint64_t revision, uint64_t version, const char *text)
+{
+	struct store_object *o;
+
+	pthread_mutex_lock(&fake.lock);
+	o = fake_find(key);
+	buf_free(&o->value);
+	fake.revision = revision;
+	fake_write(key, copy_id, copy_id, copy);
+	if (text)
+		fake_write(key, 77, version, text);
+	pthread_mutex_unlock(&fake.lock);
+}
+
+/* Guards against a restored store that reverts daemons, or whose next write is
+ * never taken because its revision was used before; and against leaving VMs
+ * that stay after the platform's list fell back. */
+static void test_restored_store_is_followed(void)
+{
+	const char *key = "azurehold/operator/shop";
+	struct timer_service *timers;
+	struct conf_duty_status status;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	timers = timer_service_create(pool);
+	timer_service_start(timers);
+	make_view(2, 1);
+	fake_start();
+	fake_store_version("azurehold/base/fleet", 5, fleet_text);
+	fake_store_version("azurehold/base/service/shop", 5, shop_text);
+	fake_store_version(key, 6, "[worker shop/w1]\nadmin = draining\n");
+	fake_store_version(key, 7, "[worker shop/w1]\nadmin = ejected\n");
+	node_start(0, fake.url, timers, pool);
+	node_start(1, NULL, timers, pool);
+	await(1, 0, WORKER_EJECTED);
+	await(1, 1, WORKER_DRAINING);
+	/* The copy had revision 3; the next write has 4 again. */
+	fake_restore(key, "[worker shop/w1]\nadmin = draining\n", 6, 2, 0,
+		     NULL);
+	pthread_mutex_lock(&fake.lock);
+	fake.down = true;
+	pthread_cond_broadcast(&fake.changed);
+	pthread_mutex_unlock(&fake.lock);
+	do
+		conf_duty_status(nodes[0].duty, &status);
+	while (conf_duty_status_free(&status), status.store_ok);
+	CU_ASSERT_EQUAL(fake.revision, 3);
+	fake_store_version(key, 9, "[worker shop/w2]\nadmin = ejected\n");
+	pthread_mutex_lock(&fake.lock);
+	fake.down = false;
+	pthread_mutex_unlock(&fake.lock);
+	await(0, 0, WORKER_IN_SERVICE);
+	await(1, 0, WORKER_IN_SERVICE);
+	await(1, 1, WORKER_EJECTED);
+	/* What is older than what is held is not taken. */
+	fake_restore(key, "[worker shop/w1]\nadmin = ejected\n", 8, 3, 0, NULL);
+	fake_store_version("azurehold/base/service/bank", 5,
+			   "[service bank]\n");
+	await_service(1, "bank");
+	await(1, 0, WORKER_IN_SERVICE);
+	/* The platform's list falls back. */
+	pthread_mutex_lock(&fake.lock);
+	fake.vms_revision = 3;
+	fake.vm_leaving = false;
+	pthread_mutex_unlock(&fake.lock);
+	fake_store_version(key, 10, "[worker shop/w1]\nadmin = ejected\n");
+	await(1, 0, WORKER_EJECTED);
+	while (!is_state(1, 1, WORKER_IN_SERVICE)) {
+		/* Ends the watch, so that the list is read. */
+		fake_store("azurehold/note", "x");
+		usleep(10000);
+	}
+	timer_service_stop(timers);
+	conf_duty_stop(nodes[1].duty);
+	conf_duty_stop(nodes[0].duty);
+	conf_duty_destroy(nodes[0].duty);
+	conf_duty_destroy(nodes[1].duty);
+	fake_stop();
+	apr_pool_destroy(pool);
+}
+
 int main(void)
 {
 	CU_pSuite s;
@@ -1110,10 +1439,16 @@
 	CU_add_test(s, "asking", test_asking_and_backoff);
 	CU_add_test(s, "wire", test_wire_texts);
 	CU_add_test(s, "split and plan", test_split_and_plan);
+	CU_add_test(s, "header lines", test_header_lines);
+	CU_add_test(s, "next versions", test_next_versions);
+	CU_add_test(s, "reading back", test_reading_back);
 	CU_add_test(s, "moved route", test_moved_route_is_never_absent);
 	CU_add_test(s, "decisions", test_decisions_are_merged);
 	CU_add_test(s, "conditional updates", test_conditional_updates);
+	CU_add_test(s, "lost replies", test_lost_reply_and_later_writes);
+	CU_add_test(s, "vm list", test_vm_list_revisions);
 	CU_add_test(s, "duties", test_change_reaches_peer_and_restart);
+	CU_add_test(s, "restored store", test_restored_store_is_followed);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
 }
--- a/conf/object.c
+++ b/conf/object.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <apr_hash.h>
 #include <apr_strings.h>
 
@@ -46,24 +47,105 @@
 	return k;
 }
 
-void conf_header(struct buf *out, uint64_t write_id, bool deleted)
+static const char mark[] = "; azurehold version=";
+
+void conf_header_write(struct buf *out, const struct conf_header *h)
 {
-	buf_printf(out, "; azurehold write=%016" PRIx64 "%s\n", write_id,
-		   deleted ? " deleted" : "");
+	buf_printf(out, "%s%" PRIu64 " writes=", mark, h->version);
+	for (uint32_t i = 0; i < h->write_count; i++)
+		buf_printf(out, "%s%016" PRIx64, i ? "," : "", h->writes[i]);
+	buf_printf(out, "%s\n", h->deleted ? " deleted" : "");
 }
 
-bool conf_header_parse(const char *text, uint64_t *write_id, bool *deleted)
+static bool parse_header(const char *p, struct conf_header *out)
 {
-	static const char mark[] = "; azurehold write=";
 	char *end;
 
-	*write_id = 0;
-	*deleted = false;
-	if (strncmp(text, mark, sizeof(mark) - 1) != 0)
+	if (strncmp(p, mark, sizeof(mark) - 1) != 0)
+		return false;
+	p += sizeof(mark) - 1;
+	out->version = strtoull(p, &end, 10);
+	if (*p < '0' || *p > '9' || !out->version ||
+	    out->version > CONF_VERSION_MAX || strncmp(end, " writes=", 8) != 0)
 		return false;
-	*write_id = strtoull(text + sizeof(mark) - 1, &end, 16);
-	*deleted = !strncmp(end, " deleted\n", 9);
-	return *deleted || *end == '\n';
+	p = end + 7;
+	do {
+		if (out->write_count == CONF_WRITES ||
+		    strspn(p + 1, "0123456789abcdef") != 16)
+			return false;
+		out->writes[out->write_count++] = strtoull(p + 1, &end, 16);
+		p = end;
+	} while (*p == ',');
+	out->deleted = !strncmp(p, " deleted\n", 9);
+	return out->deleted || *p == '\n';
+}
+
+bool conf_header_parse(const char *text, struct conf_header *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (parse_header(text, out))
+		return true;
+	memset(out, 0, sizeof(*out));
+	out->version = CONF_VERSION_UNMARKED;
+	out->write_count = 1;
+	return false;
+}
+
+struct conf_header conf_header_next(const struct conf_header *base,
+				    uint64_t write_id, uint64_t version,
+				    bool deleted)
+{
+	struct conf_header h = { .version = version, .deleted = deleted };
+
+	h.writes[h.write_count++] = write_id;
+	for (uint32_t i = 0;
+	     i < base->write_count && h.write_count < CONF_WRITES; i++)
+		h.writes[h.write_count++] = base->writes[i];
+	return h;
+}
+
+uint64_t conf_next_version(uint64_t seen, uint64_t wall_ms)
+{
+	return seen + 1 > wall_ms ? seen + 1 : wall_ms;
+}
+
+uint64_t conf_wall_ms(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_REALTIME, &t);
+	return (uint64_t)t.tv_sec * 1000 + (uint64_t)t.tv_nsec / 1000000;
+}
+
+static bool has_write(const struct conf_header *h, uint64_t id)
+{
+	for (uint32_t i = 0; i < h->write_count; i++)
+		if (h->writes[i] == id)
+			return true;
+	return false;
+}
+
+enum conf_verdict conf_read_back(const struct conf_header *base,
+				 uint64_t if_revision,
+				 const struct conf_header *now,
+				 uint64_t revision, uint64_t write_id)
+{
+	if (has_write(now, write_id))
+		return WRITE_ACCEPTED;
+	/* A restored store may count the same revision for another write. */
+	if (revision == if_revision)
+		return now->writes[0] == base->writes[0] ? WRITE_UNCHANGED :
+							   WRITE_UNKNOWN;
+	if (revision < if_revision)
+		return WRITE_UNKNOWN;
+	/* A text without header line hides what was before it. */
+	if (!if_revision)
+		return now->write_count < CONF_WRITES && !has_write(now, 0) ?
+			       WRITE_REFUSED :
+			       WRITE_UNKNOWN;
+	return base->writes[0] && has_write(now, base->writes[0]) ?
+		       WRITE_REFUSED :
+		       WRITE_UNKNOWN;
 }
 
 /* ---- split ---- */
@@ -178,7 +260,8 @@
 		snprintf(o->key, sizeof(o->key), "%s", (const char *)key);
 		o->text = *(struct buf *)text;
 		buf_append(&o->text, "", 1);
-		if (o->text.len_bytes + 64 > CONF_OBJECT_MAX_BYTES)
+		if (o->text.len_bytes + CONF_HEADER_MAX_BYTES >
+		    CONF_OBJECT_MAX_BYTES)
 			s = az_fail(AZ_INVALID,
 				    "object %s is %u bytes; the store holds "
 				    "at most %u",
--- a/conf/store.c
+++ b/conf/store.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <curl/curl.h>
 #include <jansson.h>
 
@@ -15,6 +16,9 @@
 #define WATCH_EXTRA_MS 1500L
 /* Answers above this are refused: a list of all VMs is a few megabytes. */
 #define ANSWER_LIMIT_BYTES (16U << 20)
+/* Waits of 100 to 1600 ms between them: a short outage is passed over. */
+#define UPDATE_TRIES 6
+#define UPDATE_WAIT_US 100000
 
 struct store {
 	char *url;
@@ -22,7 +26,8 @@
 	CURLM *multi;
 	int32_t interrupted; /**< atomic */
 	struct buf answer;
-	uint64_t version; /**< Object-Version of the answer; 0: none */
+	uint64_t revision; /**< Object-Version of the answer; 0: none */
+	bool unsent; /**< the last call did not reach the store */
 	struct counter *calls;
 	struct counter *failures;
 };
@@ -100,7 +105,7 @@
 
 	if (size * n > sizeof(name) &&
 	    !strncasecmp(data, name, sizeof(name) - 1))
-		s->version = strtoull(data + sizeof(name) - 1, NULL, 10);
+		s->revision = strtoull(data + sizeof(name) - 1, NULL, 10);
 	return size * n;
 }
 
@@ -112,6 +117,7 @@
 	CURLMsg *m;
 	int left;
 
+	s->unsent = false;
 	curl_multi_add_handle(s->multi, s->easy);
 	while (running) {
 		if (__atomic_load_n(&s->interrupted, __ATOMIC_ACQUIRE) ||
@@ -129,6 +135,8 @@
 	if (result == CURLE_OPERATION_TIMEDOUT)
 		return az_fail(AZ_TIMEOUT, "store: %s",
 			       curl_easy_strerror(result));
+	s->unsent = result == CURLE_COULDNT_CONNECT ||
+		    result == CURLE_COULDNT_RESOLVE_HOST;
 	if (result != CURLE_OK)
 		return az_fail(AZ_IO, "store: %s", curl_easy_strerror(result));
 	curl_easy_getinfo(s->easy, CURLINFO_RESPONSE_CODE, status);
@@ -146,7 +154,7 @@
 
 	snprintf(url, sizeof(url), "%s%s", s->url, path);
 	buf_free(&s->answer);
-	s->version = 0;
+	s->revision = 0;
 	curl_easy_reset(s->easy);
 	curl_easy_setopt(s->easy, CURLOPT_URL, url);
 	curl_easy_setopt(s->easy, CURLOPT_NOSIGNAL, 1L);
@@ -189,6 +197,7 @@
 			 struct store_object *out)
 {
 	char path[64 + CONF_KEY_MAX_BYTES];
+	struct conf_header h;
 	enum az_status r;
 	long status = 0;
 
@@ -198,30 +207,33 @@
 	r = call(s, path, NULL, NULL, 0, CALL_TIMEOUT_MS, &status);
 	if (r != AZ_OK)
 		return r;
-	out->version = s->version;
+	out->revision = s->revision;
 	if (status == 404)
 		return az_fail(AZ_NOT_FOUND, "store: no object %s", key);
-	if (status != 200 || !s->version)
+	if (status != 200 || !s->revision)
 		return unexpected(s, path, status);
 	if (memchr(s->answer.data, '\0', s->answer.len_bytes))
 		return az_fail(AZ_INVALID, "object %s has a zero byte", key);
 	out->value = s->answer;
 	memset(&s->answer, 0, sizeof(s->answer));
+	conf_header_parse((char *)out->value.data, &h);
+	out->version = h.version;
+	out->deleted = h.deleted;
 	return AZ_OK;
 }
 
-enum az_status store_put(struct store *s, const char *key, uint64_t if_version,
+enum az_status store_put(struct store *s, const char *key, uint64_t if_revision,
 			 const void *value, uint32_t len_bytes,
-			 uint64_t *version)
+			 uint64_t *revision)
 {
 	char path[64 + CONF_KEY_MAX_BYTES];
 	char condition[64];
 	enum az_status r;
 	long status = 0;
 
-	if (if_version)
+	if (if_revision)
 		snprintf(condition, sizeof(condition), "If-Match: %" PRIu64,
-			 if_version);
+			 if_revision);
 	else
 		snprintf(condition, sizeof(condition), "If-None-Match: *");
 	snprintf(path, sizeof(path), "/v1/objects/%s", key);
@@ -231,9 +243,13 @@
 		return r;
 	if (status == 412)
 		return az_fail(AZ_CONFLICT, "object %s was changed", key);
-	if (status / 100 != 2 || !s->version)
+	if (status / 100 == 4 && status != 408 && status != 429) {
+		unexpected(s, path, status);
+		return AZ_DENIED;
+	}
+	if (status / 100 != 2 || !s->revision)
 		return unexpected(s, path, status);
-	*version = s->version;
+	*revision = s->revision;
 	return AZ_OK;
 }
 
@@ -280,8 +296,7 @@
 		    !json_is_integer(v))
 			continue;
 		strcpy(to->key, key);
-		to->version = (uint64_t)json_integer_value(v);
-		to->deleted = json_is_true(json_object_get(o, "deleted"));
+		to->revision = (uint64_t)json_integer_value(v);
 		out->count++;
 	}
 	json_decref(root);
@@ -375,41 +390,81 @@
 
 /* ---- conditional update ---- */
 
-enum az_status store_update(struct store *s, const char *key,
-			    uint64_t if_version, const char *text,
-			    uint64_t write_id, bool deleted, uint64_t *version,
-			    uint64_t *other_id)
+static enum az_status told_conflict(struct store_write *w, uint64_t other_id)
+{
+	w->other_id = other_id;
+	return az_fail(AZ_CONFLICT,
+		       "object %s was changed by write %016" PRIx64, w->key,
+		       other_id);
+}
+
+static enum az_status told_unknown(struct store_write *w)
+{
+	w->unknown = true;
+	return az_fail(AZ_TIMEOUT,
+		       "it is unknown whether write %016" PRIx64
+		       " of object %s took effect",
+		       w->write_id, w->key);
+}
+
+/* Looks what has become of a write. AZ_AGAIN: it is to be sent again. */
+static enum az_status read_back(struct store *s, struct store_write *w)
+{
+	struct conf_header now = { 0 };
+	struct store_object o;
+	enum az_status r = store_get(s, w->key, &o);
+
+	if (r == AZ_OK)
+		conf_header_parse((char *)o.value.data, &now);
+	else if (r == AZ_INVALID)
+		return told_unknown(w);
+	else if (r != AZ_NOT_FOUND)
+		return AZ_AGAIN;
+	store_object_free(&o);
+	switch (conf_read_back(&w->base, w->if_revision, &now, o.revision,
+			       w->write_id)) {
+	case WRITE_ACCEPTED:
+		return AZ_OK;
+	case WRITE_REFUSED:
+		return told_conflict(w, now.writes[0]);
+	case WRITE_UNCHANGED:
+		return AZ_AGAIN;
+	case WRITE_UNKNOWN:
+	default:
+		return told_unknown(w);
+	}
+}
+
+enum az_status store_update(struct store *s, struct store_write *w)
 {
-	struct store_object now;
+	struct conf_header h =
+		conf_header_next(&w->base, w->write_id, w->version, w->deleted);
 	struct buf value = { 0 };
-	bool was_deleted;
-	enum az_status r = AZ_IO;
-	enum az_status back;
-
-	*other_id = 0;
-	conf_header(&value, write_id, deleted);
-	if (!deleted)
-		buf_append(&value, text, (uint32_t)strlen(text));
-	/* The condition makes a repeated write harmless. A conflict may be with
-	 * this write's own first copy, whose reply was lost. */
-	for (uint32_t i = 0; i < 5 && r != AZ_OK && r != AZ_CONFLICT; i++)
-		r = store_put(s, key, if_version, value.data, value.len_bytes,
-			      version);
+	enum az_status r = AZ_AGAIN;
+	enum az_status put = AZ_IO;
+	bool sent = false;
+	uint64_t revision;
+
+	w->other_id = 0;
+	w->unknown = false;
+	conf_header_write(&value, &h);
+	if (!w->deleted)
+		buf_append(&value, w->text, (uint32_t)strlen(w->text));
+	for (uint32_t i = 0; i < UPDATE_TRIES && r == AZ_AGAIN; i++) {
+		if (i)
+			usleep(UPDATE_WAIT_US << (i - 1));
+		put = store_put(s, w->key, w->if_revision, value.data,
+				value.len_bytes, &revision);
+		if (put == AZ_OK || (put == AZ_DENIED && !sent)) {
+			r = put;
+			break;
+		}
+		sent |= !s->unsent;
+		/* Also after a conflict, which may be with the first copy. */
+		r = read_back(s, w);
+	}
 	buf_free(&value);
-	if (r != AZ_CONFLICT)
+	if (r != AZ_AGAIN)
 		return r;
-	back = store_get(s, key, &now);
-	if (back == AZ_OK) {
-		conf_header_parse((char *)now.value.data, other_id,
-				  &was_deleted);
-		*version = now.version;
-		store_object_free(&now);
-		if (*other_id == write_id)
-			return AZ_OK;
-	} else if (back != AZ_NOT_FOUND) {
-		return back;
-	}
-	return az_fail(AZ_CONFLICT,
-		       "object %s was changed by write %016" PRIx64, key,
-		       *other_id);
+	return sent ? told_unknown(w) : put;
 }
--- a/conf/table.c
+++ b/conf/table.c
@@ -277,6 +277,24 @@
 	return true;
 }
 
+void conf_table_in_store(struct conf_table *t, const char *key,
+			 uint64_t version)
+{
+	if (conf_key_parse(key).kind != OBJECT_OTHER &&
+	    strlen(key) < CONF_KEY_MAX_BYTES)
+		object_named(t, key)->store_version = version;
+}
+
+uint32_t conf_table_older_in_store(const struct conf_table *t)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < t->count; i++)
+		n += t->objects[i]->store_version &&
+		     t->objects[i]->store_version < t->objects[i]->version;
+	return n;
+}
+
 uint64_t conf_table_digest(const struct conf_table *t)
 {
 	return t->digest;
--- a/conf/watch.c
+++ b/conf/watch.c
@@ -1,5 +1,8 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <apr_hash.h>
+#include <apr_strings.h>
 #include <apr_thread_cond.h>
 #include <apr_thread_mutex.h>
 
@@ -9,6 +12,24 @@
 #define BATCH_OBJECTS 64
 /* A list now and then finds what a watch of a restored store has lost. */
 #define LIST_INTERVAL_US (60 * US_PER_S)
+/* A revision does not tell whether an object that is held is the one in the
+ * store: a restored store counts the same revisions again. After each failure
+ * such objects are read again, a few at a time so that the watch goes on and
+ * all watchers of a large fleet together stay far below the store's rates. */
+#define RECHECK_OBJECTS 32
+#define RECHECK_WAIT_MS 1000
+/* Of the objects whose revision has not changed, one part in so many is read
+ * again with each list, in case a restore was not seen as a failure. */
+#define RECHECK_PARTS 64
+/* A copy of the platform's list that only lags catches up within so many reads;
+ * one that does not was restored. */
+#define VMS_BEHIND_READS 5
+
+/** What is known of an object in the store. */
+struct seen {
+	uint64_t revision; /**< read last; 0: none */
+	bool recheck;
+};
 
 struct conf_watch {
 	struct store *store;
@@ -21,7 +42,13 @@
 	/* Used by the thread only. */
 	uint64_t revision; /**< 0: list first */
 	int64_t listed_us;
+	apr_pool_t *seen_pool;
+	apr_hash_t *seen; /**< by key */
+	uint32_t seen_part;
+	uint32_t rechecks; /**< objects to be read again */
+	bool uncertain; /**< since the last list, calls failed */
 	uint64_t vms_revision;
+	uint32_t vms_behind;
 	uint32_t vms_interval_ms;
 	int64_t vms_us;
 	uint32_t failures;
@@ -36,6 +63,11 @@
 	w->store = store_create(url);
 	w->sink = sink;
 	w->vms_interval_ms = vms_interval_ms;
+	w->uncertain = true;
+	if (apr_pool_create_unmanaged_ex(&w->seen_pool, NULL, NULL) !=
+	    APR_SUCCESS)
+		abort();
+	w->seen = apr_hash_make(w->seen_pool);
 	if (!w->store ||
 	    apr_thread_mutex_create(&w->lock, APR_THREAD_MUTEX_DEFAULT, pool) !=
 		    APR_SUCCESS ||
@@ -62,6 +94,7 @@
 	apr_thread_mutex_lock(w->lock);
 	while (!w->watching && !w->stopping) {
 		w->revision = 0;
+		w->uncertain = true;
 		apr_thread_cond_wait(w->changed, w->lock);
 	}
 	go = !w->stopping;
@@ -75,6 +108,8 @@
 		clock_now_us() + conf_backoff_us(++w->failures, random_u64());
 
 	w->revision = 0;
+	w->uncertain = true;
+	w->vms_revision = 0;
 	log_write(w->failures == 1 ? LOG_WARN : LOG_DEBUG, "conf",
 		  "store failed failures=%u reason=%s", w->failures,
 		  az_last_message());
@@ -86,24 +121,40 @@
 	apr_thread_mutex_unlock(w->lock);
 }
 
+static struct seen *seen_of(struct conf_watch *w, const char *key)
+{
+	struct seen *x = apr_hash_get(w->seen, key, APR_HASH_KEY_STRING);
+
+	if (x)
+		return x;
+	x = apr_pcalloc(w->seen_pool, sizeof(*x));
+	apr_hash_set(w->seen, apr_pstrdup(w->seen_pool, key),
+		     APR_HASH_KEY_STRING, x);
+	return x;
+}
+
+static void set_recheck(struct conf_watch *w, struct seen *x, bool recheck)
+{
+	w->rechecks += recheck;
+	w->rechecks -= x->recheck;
+	x->recheck = recheck;
+}
+
 static enum az_status fetch_one(struct conf_watch *w, struct store_object *o)
 {
+	struct seen *x = seen_of(w, o->key);
 	struct store_object now;
-	uint64_t write_id;
 	enum az_status r;
 
-	if (o->deleted)
-		return AZ_OK;
 	r = store_get(w->store, o->key, &now);
-	if (r == AZ_NOT_FOUND || r == AZ_INVALID) {
-		/* Gone since: a later list or watch tells its version. */
-		o->version = 0;
-		return AZ_OK;
-	}
-	if (r != AZ_OK)
+	if (r != AZ_OK && r != AZ_NOT_FOUND && r != AZ_INVALID)
 		return r;
-	*o = now;
-	conf_header_parse((char *)o->value.data, &write_id, &o->deleted);
+	set_recheck(w, x, false);
+	x->revision = r == AZ_OK ? now.revision : o->revision;
+	if (r == AZ_OK)
+		*o = now;
+	else
+		o->version = 0;
 	return AZ_OK;
 }
 
@@ -120,14 +171,12 @@
 	w->sink->ops->values(w->sink, &batch);
 }
 
-/* Fetches what the sink wants of a list. */
+/* Fetches the objects of a list. */
 static enum az_status fetch(struct conf_watch *w, struct store_list *l)
 {
 	enum az_status r = AZ_OK;
 	uint32_t from = 0;
 
-	if (l->count)
-		w->sink->ops->choose(w->sink, l);
 	for (uint32_t i = 0; i < l->count && r == AZ_OK; i++) {
 		r = fetch_one(w, &l->objects[i]);
 		if (r == AZ_OK && i + 1 - from < BATCH_OBJECTS &&
@@ -142,6 +191,65 @@
 	return r;
 }
 
+/* Leaves out what is not configuration. */
+static void drop_other(struct store_list *l)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < l->count; i++)
+		if (conf_key_parse(l->objects[i].key).kind != OBJECT_OTHER)
+			l->objects[n++] = l->objects[i];
+	l->count = n;
+}
+
+/* Leaves in a whole list what is surely new: what this watcher has read in
+ * another revision, and what the daemon does not hold. */
+static void choose(struct conf_watch *w, struct store_list *l)
+{
+	uint32_t n = 0;
+
+	w->sink->ops->held(w->sink, l);
+	for (uint32_t i = 0; i < l->count; i++) {
+		const struct store_object *o = &l->objects[i];
+		struct seen *x = seen_of(w, o->key);
+
+		if (!o->version || (x->revision && x->revision != o->revision))
+			l->objects[n++] = *o;
+		else if (w->uncertain ||
+			 hash_string(o->key) % RECHECK_PARTS == w->seen_part)
+			set_recheck(w, x, true);
+	}
+	l->count = n;
+	w->seen_part = (w->seen_part + 1) % RECHECK_PARTS;
+	w->uncertain = false;
+}
+
+/* Reads some of the objects again that may not be what the store holds. */
+static enum az_status recheck(struct conf_watch *w)
+{
+	struct store_list l = { 0 };
+	apr_hash_index_t *i;
+
+	if (!w->rechecks)
+		return AZ_OK;
+	l.objects = calloc(RECHECK_OBJECTS, sizeof(*l.objects));
+	if (!l.objects)
+		abort();
+	for (i = apr_hash_first(NULL, w->seen); i && l.count < RECHECK_OBJECTS;
+	     i = apr_hash_next(i)) {
+		const void *key;
+		void *value;
+		const struct seen *x;
+
+		apr_hash_this(i, &key, NULL, &value);
+		x = value;
+		if (x->recheck)
+			snprintf(l.objects[l.count++].key, CONF_KEY_MAX_BYTES,
+				 "%s", (const char *)key);
+	}
+	return fetch(w, &l);
+}
+
 static enum az_status list_or_watch(struct conf_watch *w)
 {
 	int64_t now_us = clock_now_us();
@@ -152,17 +260,29 @@
 	if (now_us >= w->listed_us + LIST_INTERVAL_US)
 		w->revision = 0;
 	if (w->revision) {
-		r = store_watch(w->store, CONF_PREFIX, w->revision,
-				CONF_WATCH_WAIT_MS, &l);
+		r = store_watch(
+			w->store, CONF_PREFIX, w->revision,
+			w->rechecks ? RECHECK_WAIT_MS : CONF_WATCH_WAIT_MS, &l);
 	} else {
 		r = store_list(w->store, CONF_PREFIX, &l);
 		w->listed_us = now_us;
 	}
 	if (r != AZ_OK)
 		return r;
-	/* A store that was restored from an older copy begins anew. */
-	w->revision = l.revision >= before ? l.revision : 0;
-	return fetch(w, &l);
+	if (l.revision < before) {
+		/* A store that was restored from an older copy begins anew. */
+		store_list_free(&l);
+		w->revision = 0;
+		w->listed_us = now_us - LIST_INTERVAL_US;
+		w->uncertain = true;
+		return AZ_OK;
+	}
+	drop_other(&l);
+	if (!w->revision)
+		choose(w, &l);
+	w->revision = l.revision;
+	r = fetch(w, &l);
+	return r == AZ_OK ? recheck(w) : r;
 }
 
 static enum az_status read_vms(struct conf_watch *w)
@@ -176,13 +296,20 @@
 		return AZ_OK;
 	w->vms_us = now_us;
 	r = store_vms(w->store, w->vms_revision, &v);
-	if (r == AZ_OK) {
-		w->vms_revision = v.revision;
-		w->sink->ops->vms(w->sink, &v);
-	} else {
+	if (r != AZ_OK) {
 		store_vms_free(&v);
+		return r == AZ_AGAIN ? AZ_OK : r;
 	}
-	return r == AZ_AGAIN ? AZ_OK : r;
+	w->vms_revision = v.revision;
+	if (w->sink->ops->vms(w->sink, &v,
+			      w->vms_behind + 1 >= VMS_BEHIND_READS)) {
+		w->vms_behind = 0;
+	} else {
+		/* Without a known revision the list is read whole again. */
+		w->vms_revision = 0;
+		w->vms_behind++;
+	}
+	return AZ_OK;
 }
 
 static void *APR_THREAD_FUNC watch_main(apr_thread_t *thread, void *arg)
@@ -242,4 +369,5 @@
 	w->thread = NULL;
 	store_destroy(w->store);
 	w->store = NULL;
+	apr_pool_destroy(w->seen_pool);
 }
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -190,6 +190,10 @@
 enum az_status condition_parse(const char *if_match, const char *if_none_match,
 			       struct condition *out);
 
+/** Revision in an If-None-Match value, as "7" with its quotes. False if there
+ * is none, or it is another kind of tag. */
+bool revision_parse(const char *if_none_match, uint64_t *out);
+
 /** Live object or NULL. */
 const struct object *objects_get(const struct objects *o, const char *key);
 
--- a/fake/fake_test.c
+++ b/fake/fake_test.c
@@ -100,6 +100,20 @@
 	objects_free(&o);
 }
 
+/* Guards against a VM list that is taken as known by a client that has another
+ * revision, or none. */
+static void test_revision_tags(void)
+{
+	static const char *const bad[] = { NULL,  "*",	   "7",	     "\"\"",
+					   "\"7", "\"x\"", "\"7\"x", "\"-1\"" };
+	uint64_t revision = 0;
+
+	CU_ASSERT(revision_parse("\"7\"", &revision));
+	CU_ASSERT_EQUAL(revision, 7);
+	for (uint32_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT(!revision_parse(bad[i], &revision));
+}
+
 /* Guards against an old copy that changes with the live objects. */
 static void test_old_copy(void)
 {
@@ -393,6 +407,7 @@
 	CU_add_test(s, "store limit", test_store_limit_and_delete);
 	CU_add_test(s, "watch", test_watch_decisions);
 	CU_add_test(s, "old copy", test_old_copy);
+	CU_add_test(s, "revision tags", test_revision_tags);
 	CU_add_test(s, "store faults", test_store_faults);
 	CU_add_test(s, "slots", test_slots);
 	CU_add_test(s, "runs", test_runs);
--- a/fake/objects.c
+++ b/fake/objects.c
@@ -29,6 +29,17 @@
 	return AZ_OK;
 }
 
+bool revision_parse(const char *if_none_match, uint64_t *out)
+{
+	char *end;
+
+	if (!if_none_match || if_none_match[0] != '"' ||
+	    if_none_match[1] < '0' || if_none_match[1] > '9')
+		return false;
+	*out = strtoull(if_none_match + 1, &end, 10);
+	return !strcmp(end, "\"");
+}
+
 /* Index of the first object whose key is not below `key`. */
 static uint32_t objects_lower_bound(const struct objects *o, const char *key)
 {
--- a/fake/store.c
+++ b/fake/store.c
@@ -40,6 +40,8 @@
 	char prefix[OBJECT_KEY_MAX_BYTES];
 	uint64_t after;
 	int64_t wait_ms;
+	bool knows_vms; /* If-None-Match on the VM list */
+	uint64_t known_vms;
 	char mode[32];
 	int64_t ms;
 	uint32_t count;
@@ -273,6 +275,10 @@
 	}
 	s->vm_count -= due;
 	memmove(s->vms, s->vms + due, s->vm_count * sizeof(*s->vms));
+	if (c->knows_vms && c->known_vms == s->vm_revision) {
+		call_end(c, 304);
+		return;
+	}
 	call_json(c, 200,
 		  json_pack("{s:I, s:O}", "revision",
 			    (json_int_t)s->vm_revision, "vms", s->vm_list));
@@ -437,12 +443,16 @@
 
 static void control_fault(struct fake_store *s, struct call *c)
 {
+	bool was_old = s->fault.ops->action == store_old_copy;
+
 	if (store_fault_set(&s->fault, c->mode, c->ms, c->count) != AZ_OK) {
 		call_error(c, 400, az_last_message());
 		return;
 	}
 	log_write(LOG_INFO, "store", "fault=%s", s->fault.ops->name);
-	if (s->fault.ops->action == store_down)
+	/* A restored store has been restarted, which ends its connections. */
+	if (s->fault.ops->action == store_down ||
+	    (s->fault.ops->action == store_old_copy) != was_old)
 		close_waiting(s);
 	else
 		wake_watches(s);
@@ -541,6 +551,8 @@
 	if (c->ms < 0 || c->ms > WATCH_MAX_MS)
 		c->ms = WATCH_MAX_MS;
 	c->count = (uint32_t)strtoul(argument(m, "count", "1"), NULL, 10);
+	c->knows_vms =
+		revision_parse(header(m, "If-None-Match"), &c->known_vms);
 	c->condition_status =
 		condition_parse(header(m, "If-Match"),
 				header(m, "If-None-Match"), &c->condition);
