--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	@echo "make check     run every test program"
 	@echo "make check-memory  the same with the sanitizers"
 	@echo "make faults    process-level failure tests"
+	@echo "make conf-check  azhctl against the stand-in store and three daemons"
 	@echo "make models    check the Promela models and their broken variants"
 	@echo "make measure   measurements in model time, 'name value unit' lines"
 	@echo "make slopes    memory, processor and traffic slopes for docs/CAPACITY.md"
@@ -80,6 +81,9 @@
 faults: all
 	sh fault/run.sh
 
+conf-check: all
+	sh conf/e2e.sh
+
 models:
 	sh spec/run.sh
 
@@ -104,6 +108,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help setup check check-memory demo faults models measure slopes bench format \
-	reformat lint clean
+.PHONY: all help setup check check-memory demo faults conf-check models measure \
+	slopes bench format reformat lint clean
 .SECONDARY:
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -229,6 +229,9 @@
 	STORE_SERVE,
 	STORE_DOWN, /**< closed without an answer; no effect */
 	STORE_LOSE_REPLY, /**< takes effect; closed without an answer */
+	STORE_HOLD_WRITE, /**< served once the fault is changed */
+	STORE_HOLD_REPLY, /**< as STORE_LOSE_REPLY, but closed once the fault is
+			     changed */
 	STORE_OLD_COPY, /**< served from the snapshot, also writes */
 };
 
@@ -242,17 +245,21 @@
 struct store_fault {
 	const struct store_fault_ops *ops;
 	int64_t delay_us; /**< slow: before each call is served */
-	uint32_t count; /**< lose-reply: replies still to lose */
+	uint32_t count; /**< lose-reply, hold-*: writes still to affect */
 };
 
 enum store_action store_down(struct store_fault *f, bool write);
 
 enum store_action store_lose_reply(struct store_fault *f, bool write);
 
+enum store_action store_hold_write(struct store_fault *f, bool write);
+
+enum store_action store_hold_reply(struct store_fault *f, bool write);
+
 enum store_action store_old_copy(struct store_fault *f, bool write);
 
 /** AZ_INVALID leaves `f` as it is. `ms` counts for slow, `count` for
- * lose-reply. */
+ * lose-reply and hold-*. */
 enum az_status store_fault_set(struct store_fault *f, const char *mode,
 			       int64_t ms, uint32_t count);
 
--- a/fake/fake_test.c
+++ b/fake/fake_test.c
@@ -149,6 +149,14 @@
 	CU_ASSERT_EQUAL(f.ops->action(&f, true), STORE_LOSE_REPLY);
 	CU_ASSERT_EQUAL(f.ops->action(&f, true), STORE_LOSE_REPLY);
 	CU_ASSERT_EQUAL(f.ops->action(&f, true), STORE_SERVE);
+	CU_ASSERT_EQUAL(store_fault_set(&f, "hold-reply", 0, 1), AZ_OK);
+	CU_ASSERT_EQUAL(f.ops->action(&f, false), STORE_SERVE);
+	CU_ASSERT_EQUAL(f.ops->action(&f, true), STORE_HOLD_REPLY);
+	CU_ASSERT_EQUAL(f.ops->action(&f, true), STORE_SERVE);
+	CU_ASSERT_EQUAL(store_fault_set(&f, "hold-write", 0, 1), AZ_OK);
+	CU_ASSERT_EQUAL(f.ops->action(&f, false), STORE_SERVE);
+	CU_ASSERT_EQUAL(f.ops->action(&f, true), STORE_HOLD_WRITE);
+	CU_ASSERT_EQUAL(f.ops->action(&f, true), STORE_SERVE);
 	CU_ASSERT_EQUAL(store_fault_set(&f, "slow", 5, 0), AZ_OK);
 	CU_ASSERT_EQUAL(f.delay_us, 5000);
 	CU_ASSERT_EQUAL(store_fault_set(&f, "lost", 0, 0), AZ_INVALID);
--- a/fake/objects.c
+++ b/fake/objects.c
@@ -228,15 +228,33 @@
 	return STORE_LOSE_REPLY;
 }
 
+enum store_action store_hold_write(struct store_fault *f, bool write)
+{
+	return store_lose_reply(f, write) == STORE_LOSE_REPLY ?
+		       STORE_HOLD_WRITE :
+		       STORE_SERVE;
+}
+
+enum store_action store_hold_reply(struct store_fault *f, bool write)
+{
+	return store_lose_reply(f, write) == STORE_LOSE_REPLY ?
+		       STORE_HOLD_REPLY :
+		       STORE_SERVE;
+}
+
 enum store_action store_old_copy(struct store_fault *f, bool write)
 {
 	return STORE_OLD_COPY;
 }
 
 static const struct store_fault_ops store_modes[] = {
-	{ "none", store_serve },	{ "down", store_down },
-	{ "slow", store_serve },	{ "lose-reply", store_lose_reply },
+	{ "none", store_serve },
+	{ "down", store_down },
+	{ "slow", store_serve },
+	{ "lose-reply", store_lose_reply },
 	{ "old-copy", store_old_copy },
+	{ "hold-reply", store_hold_reply },
+	{ "hold-write", store_hold_write },
 };
 
 enum az_status store_fault_set(struct store_fault *f, const char *mode,
@@ -253,6 +271,6 @@
 	}
 	return az_fail(AZ_INVALID,
 		       "unknown mode '%s'; one of: none down slow lose-reply "
-		       "old-copy",
+		       "old-copy hold-reply hold-write",
 		       mode);
 }
--- a/fake/store.c
+++ b/fake/store.c
@@ -22,6 +22,8 @@
 	CALL_NEW, /* not yet delayed by a fault */
 	CALL_READY,
 	CALL_WATCH,
+	CALL_HELD_WRITE, /* until the fault is changed */
+	CALL_HELD_REPLY, /* has taken effect; is never answered */
 };
 
 /* A call on its way to the duty and back. */
@@ -218,6 +220,36 @@
 	}
 }
 
+static void serve(struct fake_store *s, struct call *c);
+
+/* Serves held writes, and ends the calls whose reply is lost. */
+static void release_held(struct fake_store *s)
+{
+	struct call **p = &s->waiting;
+	struct call *held = NULL;
+
+	while (*p) {
+		struct call *c = *p;
+
+		if (c->way != CALL_HELD_REPLY && c->way != CALL_HELD_WRITE) {
+			p = &c->next;
+			continue;
+		}
+		*p = c->next;
+		c->next = held;
+		held = c;
+	}
+	while (held) {
+		struct call *c = held;
+
+		held = c->next;
+		if (c->way == CALL_HELD_WRITE)
+			serve(s, c);
+		else
+			call_end(c, 0);
+	}
+}
+
 static void close_waiting(struct fake_store *s)
 {
 	while (s->waiting) {
@@ -258,6 +290,8 @@
 	}
 	if (a == STORE_LOSE_REPLY)
 		call_end(c, 0);
+	else if (a == STORE_HOLD_REPLY)
+		wait_until(s, c, CALL_HELD_REPLY, INT64_MAX);
 	else
 		call_status(c, st);
 	if (st == AZ_OK)
@@ -315,6 +349,10 @@
 		call_end(c, 0);
 		return;
 	}
+	if (a == STORE_HOLD_WRITE) {
+		wait_until(s, c, CALL_HELD_WRITE, INT64_MAX);
+		return;
+	}
 	switch (k) {
 	case COUNT_GET:
 		serve_get(s, c, key);
@@ -450,6 +488,7 @@
 		return;
 	}
 	log_write(LOG_INFO, "store", "fault=%s", s->fault.ops->name);
+	release_held(s);
 	/* A restored store has been restarted, which ends its connections. */
 	if (s->fault.ops->action == store_down ||
 	    (s->fault.ops->action == store_old_copy) != was_old)
