--- a/fake/fake.h
+++ b/fake/fake.h
@@ -192,6 +192,10 @@
 enum az_status condition_parse(const char *if_match, const char *if_none_match,
 			       struct condition *out);
 
+/** Revision in an If-None-Match value, as "7" with its quotes. False if there
+ * is none, or it is another kind of tag. */
+bool revision_parse(const char *if_none_match, uint64_t *out);
+
 /** Live object or NULL. */
 const struct object *objects_get(const struct objects *o, const char *key);
 
@@ -227,6 +231,9 @@
 	STORE_SERVE,
 	STORE_DOWN, /**< closed without an answer; no effect */
 	STORE_LOSE_REPLY, /**< takes effect; closed without an answer */
+	STORE_HOLD_WRITE, /**< served once the fault is changed */
+	STORE_HOLD_REPLY, /**< as STORE_LOSE_REPLY, but closed once the fault is
+			     changed */
 	STORE_OLD_COPY, /**< served from the snapshot, also writes */
 };
 
@@ -240,17 +247,21 @@
 struct store_fault {
 	const struct store_fault_ops *ops;
 	int64_t delay_us; /**< slow: before each call is served */
-	uint32_t count; /**< lose-reply: replies still to lose */
+	uint32_t count; /**< lose-reply, hold-*: writes still to affect */
 };
 
 enum store_action store_down(struct store_fault *f, bool write);
 
 enum store_action store_lose_reply(struct store_fault *f, bool write);
 
+enum store_action store_hold_write(struct store_fault *f, bool write);
+
+enum store_action store_hold_reply(struct store_fault *f, bool write);
+
 enum store_action store_old_copy(struct store_fault *f, bool write);
 
 /** AZ_INVALID leaves `f` as it is. `ms` counts for slow, `count` for
- * lose-reply. */
+ * lose-reply and hold-*. */
 enum az_status store_fault_set(struct store_fault *f, const char *mode,
 			       int64_t ms, uint32_t count);
 
--- a/fake/store.c
+++ b/fake/store.c
@@ -22,6 +22,8 @@
 	CALL_NEW, /* not yet delayed by a fault */
 	CALL_READY,
 	CALL_WATCH,
+	CALL_HELD_WRITE, /* until the fault is changed */
+	CALL_HELD_REPLY, /* has taken effect; is never answered */
 };
 
 /* A call on its way to the duty and back. */
@@ -40,6 +42,8 @@
 	char prefix[OBJECT_KEY_MAX_BYTES];
 	uint64_t after;
 	int64_t wait_ms;
+	bool knows_vms; /* If-None-Match on the VM list */
+	uint64_t known_vms;
 	char mode[32];
 	int64_t ms;
 	uint32_t count;
@@ -216,6 +220,36 @@
 	}
 }
 
+static void serve(struct fake_store *s, struct call *c);
+
+/* Serves held writes, and ends the calls whose reply is lost. */
+static void release_held(struct fake_store *s)
+{
+	struct call **p = &s->waiting;
+	struct call *held = NULL;
+
+	while (*p) {
+		struct call *c = *p;
+
+		if (c->way != CALL_HELD_REPLY && c->way != CALL_HELD_WRITE) {
+			p = &c->next;
+			continue;
+		}
+		*p = c->next;
+		c->next = held;
+		held = c;
+	}
+	while (held) {
+		struct call *c = held;
+
+		held = c->next;
+		if (c->way == CALL_HELD_WRITE)
+			serve(s, c);
+		else
+			call_end(c, 0);
+	}
+}
+
 static void close_waiting(struct fake_store *s)
 {
 	while (s->waiting) {
@@ -256,6 +290,8 @@
 	}
 	if (a == STORE_LOSE_REPLY)
 		call_end(c, 0);
+	else if (a == STORE_HOLD_REPLY)
+		wait_until(s, c, CALL_HELD_REPLY, INT64_MAX);
 	else
 		call_status(c, st);
 	if (st == AZ_OK)
@@ -273,6 +309,10 @@
 	}
 	s->vm_count -= due;
 	memmove(s->vms, s->vms + due, s->vm_count * sizeof(*s->vms));
+	if (c->knows_vms && c->known_vms == s->vm_revision) {
+		call_end(c, 304);
+		return;
+	}
 	call_json(c, 200,
 		  json_pack("{s:I, s:O}", "revision",
 			    (json_int_t)s->vm_revision, "vms", s->vm_list));
@@ -309,6 +349,10 @@
 		call_end(c, 0);
 		return;
 	}
+	if (a == STORE_HOLD_WRITE) {
+		wait_until(s, c, CALL_HELD_WRITE, INT64_MAX);
+		return;
+	}
 	switch (k) {
 	case COUNT_GET:
 		serve_get(s, c, key);
@@ -437,12 +481,17 @@
 
 static void control_fault(struct fake_store *s, struct call *c)
 {
+	bool was_old = s->fault.ops->action == store_old_copy;
+
 	if (store_fault_set(&s->fault, c->mode, c->ms, c->count) != AZ_OK) {
 		call_error(c, 400, az_last_message());
 		return;
 	}
 	log_write(LOG_INFO, "store", "fault=%s", s->fault.ops->name);
-	if (s->fault.ops->action == store_down)
+	release_held(s);
+	/* A restored store has been restarted, which ends its connections. */
+	if (s->fault.ops->action == store_down ||
+	    (s->fault.ops->action == store_old_copy) != was_old)
 		close_waiting(s);
 	else
 		wake_watches(s);
@@ -541,6 +590,8 @@
 	if (c->ms < 0 || c->ms > WATCH_MAX_MS)
 		c->ms = WATCH_MAX_MS;
 	c->count = (uint32_t)strtoul(argument(m, "count", "1"), NULL, 10);
+	c->knows_vms =
+		revision_parse(header(m, "If-None-Match"), &c->known_vms);
 	c->condition_status =
 		condition_parse(header(m, "If-Match"),
 				header(m, "If-None-Match"), &c->condition);
