--- /dev/null
+++ b/peer/conn.c
@@ -0,0 +1,341 @@
+#include <stdlib.h>
+#include <string.h>
+#include <apr_hash.h>
+#include <apr_network_io.h>
+
+#include "peer/peer.h"
+
+#define READ_BYTES 65536
+#define CONNECT_TIMEOUT_US (500 * US_PER_MS)
+
+void peer_target_key(const struct peer_target *t, uint64_t key[2])
+{
+	key[0] = (uint64_t)t->ip << 16 | t->port;
+	key[1] = t->incarnation;
+}
+
+/* New calls to the target open another connection. */
+void peer_forget_target(struct peer_conn *c)
+{
+	apr_hash_t *h = c->peer->by_target;
+
+	if (apr_hash_get(h, c->key, sizeof(c->key)) == c)
+		apr_hash_set(h, c->key, sizeof(c->key), NULL);
+}
+
+void peer_arm(struct peer *p, int64_t at_us)
+{
+	if (p->armed_us && p->armed_us <= at_us)
+		return;
+	p->armed_us = at_us;
+	duty_arm(&p->duty, at_us);
+}
+
+/* ---- end of calls ---- */
+
+static void call_free(struct peer_call *c)
+{
+	buf_free(&c->body);
+	free(c);
+}
+
+/* Takes `a`. */
+void peer_call_answer(struct peer_call *c, struct answer *a)
+{
+	if (c->reply)
+		c->reply->ops->answer(c->reply, a);
+	else
+		answer_free(a);
+	call_free(c);
+}
+
+void peer_call_unlink(struct peer_call *c)
+{
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		c->conn->calls = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	apr_hash_set(c->conn->peer->by_xid, &c->xid, sizeof(c->xid), NULL);
+}
+
+/* No byte of it left this process: it certainly did not arrive. */
+static bool was_not_sent(const struct peer_call *c)
+{
+	return !c->encoded || c->start >= c->conn->out_base;
+}
+
+void peer_call_fail(struct peer_call *c)
+{
+	enum error_kind k =
+		was_not_sent(c) ? ERR_PEER_UNREACHABLE : ERR_PEER_LOST;
+
+	if (k == ERR_PEER_LOST)
+		counter_add(c->conn->peer->lost, 1);
+	peer_call_unlink(c);
+	peer_call_answer(c, answer_new(k));
+}
+
+/* ---- connections ---- */
+
+void peer_conn_close(struct peer_conn *c)
+{
+	struct peer *p = c->peer;
+
+	while (c->calls)
+		peer_call_fail(c->calls);
+	duty_poll(&p->duty, &c->poll, 0);
+	if (!c->outbound)
+		__atomic_sub_fetch(&p->inbound, 1, __ATOMIC_RELAXED);
+	if (c->poll.sock)
+		apr_socket_close(c->poll.sock);
+	if (c->outbound)
+		peer_forget_target(c);
+	apr_hash_set(p->by_id, &c->id, sizeof(c->id), NULL);
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		p->conns = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	buf_free(&c->in);
+	buf_free(&c->out);
+	apr_pool_destroy(c->pool);
+	free(c);
+}
+
+static struct peer_conn *conn_new(struct peer *p)
+{
+	struct peer_conn *c = az_alloc(sizeof(*c));
+
+	if (apr_pool_create_unmanaged_ex(&c->pool, NULL, NULL))
+		abort();
+	c->peer = p;
+	c->id = ++p->next_conn;
+	c->used_us = p->duty.now_us;
+	c->next = p->conns;
+	if (c->next)
+		c->next->prev = c;
+	p->conns = c;
+	apr_hash_set(p->by_id, &c->id, sizeof(c->id), c);
+	return c;
+}
+
+/* Writes what it can; false if the connection broke. */
+bool peer_conn_flush(struct peer_conn *c)
+{
+	uint32_t done = 0;
+	bool broken = false;
+
+	while (!broken && done < c->out.len_bytes) {
+		apr_size_t n = c->out.len_bytes - done;
+		apr_status_t rv = apr_socket_send(
+			c->poll.sock, (char *)c->out.data + done, &n);
+
+		if (rv == APR_SUCCESS)
+			done += (uint32_t)n;
+		else if (APR_STATUS_IS_EAGAIN(rv))
+			break;
+		else
+			broken = true;
+	}
+	counter_add(c->peer->bytes_out, done);
+	/* Also if it broke: a call of which bytes were written may arrive. */
+	c->out_base += done;
+	if (broken)
+		return false;
+	c->out.len_bytes -= done;
+	memmove(c->out.data, c->out.data + done, c->out.len_bytes);
+	duty_poll(&c->peer->duty, &c->poll,
+		  c->out.len_bytes ? APR_POLLIN | APR_POLLOUT : APR_POLLIN);
+	return true;
+}
+
+void peer_call_encode(struct peer_conn *c, struct peer_call *k)
+{
+	k->encoded = true;
+	k->start = c->out_base + c->out.len_bytes;
+	peer_put_call(&c->out, &c->session, &c->peer->settings.keys, k->xid,
+		      k->procedure, &k->body);
+	k->sequence = c->session.sent;
+	buf_free(&k->body);
+}
+
+/* Calls that came before HELLO was answered, oldest last in the list. */
+void peer_encode_waiting(struct peer_conn *c)
+{
+	struct peer_call *k = c->calls;
+
+	while (k && k->next)
+		k = k->next;
+	for (; k; k = k->prev)
+		if (!k->encoded)
+			peer_call_encode(c, k);
+}
+
+static void send_hello_call(struct peer_conn *c)
+{
+	struct peer *p = c->peer;
+	struct peer_hello h = { p->settings.member_id, p->settings.incarnation,
+				random_u64() };
+	struct buf body = { 0 };
+
+	peer_put_hello(&body, &h);
+	/* Signed without nonces, as the other end does not know them yet; it
+	 * opens nothing but a session with a fresh nonce of its own. */
+	peer_put_call(&c->out, &c->session, &p->settings.keys, 0, PEER_HELLO,
+		      &body);
+	c->session.client_nonce = h.nonce;
+	buf_free(&body);
+}
+
+/* ---- sockets ---- */
+
+static enum az_status take_records(struct peer_conn *c)
+{
+	uint32_t used = 0;
+	enum az_status st = AZ_OK;
+
+	for (;;) {
+		struct peer_record r;
+		uint32_t n = peer_record_bytes(c->in.data + used,
+					       c->in.len_bytes - used, &st);
+
+		if (!n)
+			break;
+		st = peer_get_record(c->in.data + used, n, !c->outbound,
+				     &c->session, &c->peer->settings.keys, &r);
+		if (st == AZ_OK)
+			st = peer_on_record(c, &r);
+		if (st != AZ_OK)
+			break;
+		used += n;
+	}
+	c->in.len_bytes -= used;
+	memmove(c->in.data, c->in.data + used, c->in.len_bytes);
+	return st;
+}
+
+static void conn_readable(struct peer_conn *c)
+{
+	char data[READ_BYTES];
+	apr_size_t n = sizeof(data);
+	apr_status_t rv = apr_socket_recv(c->poll.sock, data, &n);
+	enum az_status st;
+
+	if (APR_STATUS_IS_EAGAIN(rv))
+		return;
+	if (rv != APR_SUCCESS || !n) {
+		peer_conn_close(c);
+		return;
+	}
+	buf_append(&c->in, data, (uint32_t)n);
+	st = take_records(c);
+	if (st == AZ_OK) {
+		if (c->dedicated && c->state == PEER_CONN_READY && !c->calls)
+			peer_conn_close(c);
+		return;
+	}
+	if (st == AZ_DENIED) {
+		counter_add(c->peer->denied, 1);
+		log_write(LOG_WARN, "peer", "connection refused: %s",
+			  az_last_message());
+	}
+	peer_conn_close(c);
+}
+
+static void conn_connected(struct peer_conn *c)
+{
+	c->state = PEER_CONN_HELLO;
+	send_hello_call(c);
+	if (!peer_conn_flush(c))
+		peer_conn_close(c);
+}
+
+static void conn_ready(struct poll_handler *h, int16_t events)
+{
+	struct peer_conn *c = az_container_of(h, struct peer_conn, poll);
+
+	if (c->state == PEER_CONN_CONNECTING) {
+		if (events & (APR_POLLERR | APR_POLLHUP))
+			peer_conn_close(c);
+		else
+			conn_connected(c);
+		return;
+	}
+	if (events & APR_POLLOUT && !peer_conn_flush(c)) {
+		peer_conn_close(c);
+		return;
+	}
+	if (events & (APR_POLLIN | APR_POLLERR | APR_POLLHUP))
+		conn_readable(c);
+}
+
+static const struct poll_ops conn_poll_ops = { conn_ready };
+
+enum az_status peer_conn_connect(struct peer_conn *c)
+{
+	apr_sockaddr_t *sa;
+	char ip[16];
+	apr_status_t rv;
+
+	snprintf(ip, sizeof(ip), "%u.%u.%u.%u", c->target.ip >> 24,
+		 c->target.ip >> 16 & 255, c->target.ip >> 8 & 255,
+		 c->target.ip & 255);
+	if (apr_sockaddr_info_get(&sa, ip, APR_INET, c->target.port, 0,
+				  c->pool) ||
+	    apr_socket_create(&c->poll.sock, APR_INET, SOCK_STREAM,
+			      APR_PROTO_TCP, c->pool))
+		return az_fail(AZ_IO, "no socket for a peer");
+	apr_socket_opt_set(c->poll.sock, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(c->poll.sock, 0);
+	apr_socket_opt_set(c->poll.sock, APR_TCP_NODELAY, 1);
+	rv = apr_socket_connect(c->poll.sock, sa);
+	if (rv && !APR_STATUS_IS_EINPROGRESS(rv))
+		return az_fail(AZ_IO, "connect to a peer failed");
+	return duty_poll(&c->peer->duty, &c->poll, APR_POLLOUT);
+}
+
+struct peer_conn *peer_conn_open(struct peer *p, const struct peer_target *to,
+				 bool dedicated)
+{
+	struct peer_conn *c = conn_new(p);
+
+	c->outbound = true;
+	c->dedicated = dedicated;
+	c->target = *to;
+	peer_target_key(to, c->key);
+	c->state = PEER_CONN_CONNECTING;
+	c->poll.ops = &conn_poll_ops;
+	c->due_us = p->duty.now_us + CONNECT_TIMEOUT_US;
+	peer_arm(p, c->due_us);
+	if (!dedicated)
+		apr_hash_set(p->by_target, c->key, sizeof(c->key), c);
+	return c;
+}
+
+static void accept_ready(struct poll_handler *h, int16_t events)
+{
+	struct peer_listener *l =
+		az_container_of(h, struct peer_listener, poll);
+	struct peer_conn *c = conn_new(l->peer);
+
+	(void)events;
+	__atomic_add_fetch(&l->peer->inbound, 1, __ATOMIC_RELAXED);
+	if (apr_socket_accept(&c->poll.sock, h->sock, c->pool)) {
+		c->poll.sock = NULL;
+		peer_conn_close(c);
+		return;
+	}
+	apr_socket_opt_set(c->poll.sock, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(c->poll.sock, 0);
+	apr_socket_opt_set(c->poll.sock, APR_TCP_NODELAY, 1);
+	c->state = PEER_CONN_HELLO;
+	c->due_us = l->peer->duty.now_us + CONNECT_TIMEOUT_US;
+	peer_arm(l->peer, c->due_us);
+	c->poll.ops = &conn_poll_ops;
+	duty_poll(&l->peer->duty, &c->poll, APR_POLLIN);
+}
+
+const struct poll_ops peer_accept_ops = { accept_ready };
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -5,6 +5,8 @@
 #ifndef PEER_PEER_H
 #define PEER_PEER_H
 
+#include <apr_hash.h>
+
 #include "lib/az.h"
 #include "cell/cell.h"
 #include "ticket/ticket.h"
@@ -220,4 +222,106 @@
 	       enum peer_procedure proc, const struct buf *body,
 	       int64_t deadline_us, struct reply_to *reply);
 
+/* ---- between the files of this slice ---- */
+
+#define PEER_OUT_MAX_BYTES (32U << 20)
+
+enum peer_conn_state {
+	PEER_CONN_CONNECTING,
+	PEER_CONN_HELLO, /**< waits for the other end's HELLO */
+	PEER_CONN_READY,
+};
+
+struct peer_conn {
+	struct poll_handler poll;
+	struct peer *peer;
+	apr_pool_t *pool;
+	struct peer_conn *next;
+	struct peer_conn *prev;
+	uint64_t id;
+	bool outbound;
+	bool dedicated; /**< carries one call */
+	bool retired; /**< takes no new calls */
+	bool going_away; /**< inbound: what still arrives is not taken */
+	enum peer_conn_state state;
+	struct peer_target target; /**< of an outbound one */
+	uint64_t key[2]; /**< the target's, for by_target */
+	struct peer_session session;
+	struct buf in;
+	struct buf out;
+	uint64_t out_base; /**< stream position of out.data[0] */
+	struct peer_call *calls; /**< sent or waiting for HELLO */
+	int64_t used_us;
+	int64_t due_us; /**< of connect and HELLO */
+};
+
+/** A call to another daemon that is not answered yet. */
+struct peer_call {
+	struct peer_call *next;
+	struct peer_call *prev;
+	struct peer_conn *conn;
+	uint32_t xid;
+	bool encoded;
+	uint64_t start; /**< stream position of its first byte */
+	uint64_t sequence; /**< of its record on the connection */
+	struct msg msg;
+	struct peer *peer;
+	struct peer_target target;
+	enum peer_procedure procedure;
+	bool dedicated;
+	struct buf body;
+	int64_t deadline_us;
+	struct reply_to *reply; /**< NULL: nobody waits */
+};
+
+struct peer_listener {
+	struct poll_handler poll;
+	struct peer *peer;
+};
+
+struct peer {
+	struct duty duty;
+	struct peer_settings settings;
+	struct peer_listener listener;
+	apr_hash_t *by_target; /**< outbound, shared */
+	apr_hash_t *by_id;
+	apr_hash_t *by_xid;
+	struct peer_conn *conns;
+	uint64_t next_conn;
+	uint32_t next_xid;
+	uint32_t serving; /**< atomic */
+	uint32_t inbound; /**< atomic */
+	bool quiet; /**< peer_quiesce() was called */
+	int64_t armed_us;
+	struct counter *calls;
+	struct counter *lost;
+	struct counter *served;
+	struct counter *denied;
+	struct counter *bytes_out;
+};
+
+void peer_arm(struct peer *p, int64_t at_us);
+void peer_target_key(const struct peer_target *t, uint64_t key[2]);
+/** New calls to the target open another connection. */
+void peer_forget_target(struct peer_conn *c);
+/** Answers a call with `a`, which it takes, and frees it. */
+void peer_call_answer(struct peer_call *c, struct answer *a);
+void peer_call_unlink(struct peer_call *c);
+/** Ends a call whose connection failed, by whether its bytes were sent. */
+void peer_call_fail(struct peer_call *c);
+void peer_call_encode(struct peer_conn *c, struct peer_call *k);
+void peer_encode_waiting(struct peer_conn *c);
+struct peer_conn *peer_conn_open(struct peer *p, const struct peer_target *to,
+				 bool dedicated);
+enum az_status peer_conn_connect(struct peer_conn *c);
+/** Writes what it can; false if the connection broke. */
+bool peer_conn_flush(struct peer_conn *c);
+void peer_conn_close(struct peer_conn *c);
+extern const struct poll_ops peer_accept_ops;
+enum az_status peer_on_hello_call(struct peer_conn *c,
+				  const struct peer_record *r);
+enum az_status peer_on_call(struct peer_conn *c, const struct peer_record *r);
+/** Acts on one verified record; not AZ_OK: the connection is closed. */
+enum az_status peer_on_record(struct peer_conn *c, const struct peer_record *r);
+
 #endif
--- /dev/null
+++ b/peer/serve.c
@@ -0,0 +1,226 @@
+#include <stdlib.h>
+#include <apr_hash.h>
+
+#include "peer/peer.h"
+
+/* ---- answers to other daemons ---- */
+
+/** Brings an answer of another duty back to the connection it is for. */
+struct server_call {
+	struct reply_to reply;
+	struct msg msg;
+	struct peer *peer;
+	uint64_t conn;
+	uint32_t xid;
+	struct buf body;
+};
+
+static void server_call_free(struct server_call *s)
+{
+	__atomic_sub_fetch(&s->peer->serving, 1, __ATOMIC_RELAXED);
+	buf_free(&s->body);
+	free(s);
+}
+
+static void answer_run(struct msg *m, struct duty *to)
+{
+	struct server_call *s = az_container_of(m, struct server_call, msg);
+	struct peer *p = az_container_of(to, struct peer, duty);
+	struct peer_conn *c = apr_hash_get(p->by_id, &s->conn, sizeof(s->conn));
+
+	if (c) {
+		peer_put_reply(&c->out, &c->session, &p->settings.keys, s->xid,
+			       &s->body);
+		if (c->out.len_bytes > PEER_OUT_MAX_BYTES ||
+		    !peer_conn_flush(c))
+			peer_conn_close(c);
+	}
+	server_call_free(s);
+}
+
+static void answer_drop(struct msg *m)
+{
+	server_call_free(az_container_of(m, struct server_call, msg));
+}
+
+static const struct msg_ops answer_ops = { "peer-answer", answer_run,
+					   answer_drop };
+
+static void server_call_answer(struct reply_to *to, struct answer *a)
+{
+	struct server_call *s = az_container_of(to, struct server_call, reply);
+
+	peer_put_answer(&s->body, a);
+	answer_free(a);
+	s->msg.ops = &answer_ops;
+	duty_send(&s->peer->duty, &s->msg);
+}
+
+static const struct reply_ops server_call_ops = { server_call_answer };
+
+/* ---- calls of other daemons ---- */
+
+/* What a call gets that this daemon is too busy to pass on. It must not claim
+ * "not run" for a ticket, whose earlier presentation may have run. */
+static enum error_kind busy_kind(uint32_t procedure)
+{
+	switch (procedure) {
+	case PEER_PRESENT:
+		return ERR_ISSUER_UNREACHABLE;
+	case PEER_QUERY:
+		return ERR_PEER_LOST;
+	default:
+		return ERR_OVERLOADED;
+	}
+}
+
+static enum az_status serve_present(struct peer *p, const struct peer_record *r,
+				    struct reply_to *reply)
+{
+	struct ticket t;
+	struct request *q;
+	enum az_status st = peer_get_present(r, p->duty.now_us, &t, &q);
+
+	if (st == AZ_OK)
+		p->settings.handler->ops->present(p->settings.handler, &t, q,
+						  reply);
+	return st;
+}
+
+static enum az_status serve_forward(struct peer *p, const struct peer_record *r,
+				    struct reply_to *reply)
+{
+	struct forward *f;
+	enum az_status st = peer_get_forward(r, p->duty.now_us, &f);
+
+	if (st == AZ_OK)
+		p->settings.handler->ops->forward(p->settings.handler, f,
+						  reply);
+	return st;
+}
+
+static enum az_status serve_query(struct peer *p, const struct peer_record *r,
+				  struct reply_to *reply)
+{
+	struct peer_handler *h = p->settings.handler;
+	struct call_id id;
+	uint64_t home_incarnation;
+	enum az_status st = peer_get_query(r, &id, &home_incarnation);
+
+	if (st != AZ_OK)
+		return st;
+	if (r->procedure == PEER_QUERY) {
+		h->ops->query(h, &id, home_incarnation, reply);
+		return AZ_OK;
+	}
+	h->ops->cancel(h, &id);
+	reply->ops->answer(reply, answer_new(ERR_NONE));
+	return AZ_OK;
+}
+
+static enum az_status serve_handover(struct peer *p,
+				     const struct peer_record *r,
+				     struct reply_to *reply)
+{
+	struct ledger_image *i;
+	enum az_status st = peer_get_handover(r, &i);
+
+	if (st == AZ_OK)
+		p->settings.handler->ops->handover(p->settings.handler, i,
+						   reply);
+	return st;
+}
+
+static enum az_status serve_reach(struct peer *p, const struct peer_record *r,
+				  struct reply_to *reply)
+{
+	uint32_t ip;
+	uint16_t port;
+	enum az_status st = peer_get_reach(r, &ip, &port);
+
+	if (st == AZ_OK)
+		p->settings.handler->ops->reach(p->settings.handler, ip, port,
+						reply);
+	return st;
+}
+
+static enum az_status serve_conf(struct peer *p, const struct peer_record *r,
+				 struct reply_to *reply)
+{
+	struct buf body;
+	enum az_status st = peer_get_bytes(r, &body);
+
+	if (st == AZ_OK)
+		p->settings.handler->ops->conf(
+			p->settings.handler, (enum peer_procedure)r->procedure,
+			&body, reply);
+	buf_free(&body);
+	return st;
+}
+
+static enum az_status serve(struct peer *p, const struct peer_record *r,
+			    struct reply_to *reply)
+{
+	switch (r->procedure) {
+	case PEER_PRESENT:
+		return serve_present(p, r, reply);
+	case PEER_FORWARD:
+		return serve_forward(p, r, reply);
+	case PEER_QUERY:
+	case PEER_CANCEL:
+		return serve_query(p, r, reply);
+	case PEER_HANDOVER:
+		return serve_handover(p, r, reply);
+	case PEER_REACH:
+		return serve_reach(p, r, reply);
+	case PEER_CONF_LIST:
+	case PEER_CONF_GET:
+		return serve_conf(p, r, reply);
+	default:
+		return az_fail(AZ_INVALID, "unknown procedure %u",
+			       r->procedure);
+	}
+}
+
+enum az_status peer_on_call(struct peer_conn *c, const struct peer_record *r)
+{
+	struct peer *p = c->peer;
+	struct server_call *s = az_alloc(sizeof(*s));
+	uint32_t n = __atomic_add_fetch(&p->serving, 1, __ATOMIC_RELAXED);
+	enum az_status st = AZ_OK;
+
+	s->reply.ops = &server_call_ops;
+	s->peer = p;
+	s->conn = c->id;
+	s->xid = r->xid;
+	counter_add(p->served, 1);
+	if (n > p->settings.in_flight_max)
+		server_call_answer(&s->reply,
+				   answer_new(busy_kind(r->procedure)));
+	else
+		st = serve(p, r, &s->reply);
+	if (st != AZ_OK)
+		server_call_free(s);
+	return st;
+}
+
+enum az_status peer_on_hello_call(struct peer_conn *c,
+				  const struct peer_record *r)
+{
+	struct peer *p = c->peer;
+	struct peer_hello theirs;
+	struct peer_hello ours = { p->settings.member_id,
+				   p->settings.incarnation, random_u64() };
+	struct buf body = { 0 };
+	enum az_status st = peer_get_hello(r, &theirs);
+
+	if (st != AZ_OK)
+		return st;
+	peer_put_hello(&body, &ours);
+	c->session.client_nonce = theirs.nonce;
+	peer_put_reply(&c->out, &c->session, &p->settings.keys, r->xid, &body);
+	buf_free(&body);
+	c->session.server_nonce = ours.nonce;
+	c->state = PEER_CONN_READY;
+	return peer_conn_flush(c) ? AZ_OK : az_fail(AZ_IO, "connection broke");
+}
