--- a/conf/check.c
+++ b/conf/check.c
@@ -802,7 +802,7 @@
 				bad_key(b, k, "one of token and token_hash");
 			has_token = true;
 			if (!hashed)
-				o->token_hash = hash_string(k->value);
+				o->token_hash = hash_secret(k->value);
 			if (hashed ? !parse_hash(k->value, &o->token_hash) :
 				     !*k->value)
 				bad_key(b, k,
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -83,7 +83,7 @@
 struct conf_organisation {
 	char name[CONF_NAME_MAX_BYTES];
 	uint64_t id; /**< hash_string(name) */
-	uint64_t token_hash; /**< hash_string() of its bearer token; 0: none */
+	uint64_t token_hash; /**< hash_secret() of its bearer token; 0: none */
 	uint32_t requests_per_s; /**< over the whole fleet; 0: no limit */
 	uint32_t burst;
 };
--- a/conf/conf_test.c
+++ b/conf/conf_test.c
@@ -102,7 +102,7 @@
 	CU_ASSERT_EQUAL(s->workers[0].slots + s->workers[1].slots, 8);
 	CU_ASSERT_EQUAL(o->requests_per_s, 10);
 	CU_ASSERT_EQUAL(o->burst, 3);
-	CU_ASSERT_EQUAL(o->token_hash, hash_string("secret"));
+	CU_ASSERT_EQUAL(o->token_hash, hash_secret("secret"));
 	CU_ASSERT_EQUAL(conf_service_count(c), 3);
 	CU_ASSERT_EQUAL(
 		conf_find_service(c, "bank")->ranks[RANK_URGENT].share_percent,
@@ -586,6 +586,19 @@
 	o->value.len_bytes--;
 }
 
+static uint32_t count_token_hashes(const struct conf_split *l, uint32_t n,
+				   uint64_t hash)
+{
+	char line[64];
+	uint32_t found = 0;
+
+	snprintf(line, sizeof(line), "token_hash = %016llx\n",
+		 (unsigned long long)hash);
+	for (uint32_t i = 0; i < n; i++)
+		found += strstr((char *)l[i].text.data, line) != NULL;
+	return found;
+}
+
 /* Guards against an apply that rewrites unchanged objects, leaks tokens, puts
  * an overlay's route into the wrong object, or forgets what was removed. */
 static void test_split_and_plan(void)
@@ -609,6 +622,8 @@
 	CU_ASSERT_EQUAL(n, 4);
 	for (uint32_t i = 0; i < n; i++)
 		CU_ASSERT_PTR_NULL(strstr((char *)l[i].text.data, "secret"));
+	/* The store's hash must be the one that the front computes. */
+	CU_ASSERT_EQUAL(count_token_hashes(l, n, hash_secret("secret")), 1);
 	hold(&held, "azurehold/base/service/shop", 4,
 	     split_text(l, n, "azurehold/base/service/shop"));
 	hold(&held, "azurehold/base/service/bank", 6, "[service bank]\n");
--- a/conf/object.c
+++ b/conf/object.c
@@ -183,7 +183,7 @@
 {
 	if (!strcmp(s->kind, "organisation") && !strcmp(k->name, "token"))
 		buf_printf(out, "token_hash = %016" PRIx64 "\n",
-			   hash_string(k->value));
+			   hash_secret(k->value));
 	else
 		buf_printf(out, "%s = %s\n", k->name, k->value);
 }
--- a/front/classify.c
+++ b/front/classify.c
@@ -23,7 +23,7 @@
 		return true;
 	if (!authorization || strncmp(authorization, scheme, strlen(scheme)))
 		return false;
-	return hash_string(authorization + strlen(scheme)) == o->token_hash;
+	return hash_secret(authorization + strlen(scheme)) == o->token_hash;
 }
 
 static enum error_kind check_organisation(const struct conf *c,
--- a/front/front.c
+++ b/front/front.c
@@ -86,16 +86,23 @@
 	return false;
 }
 
+/** Headers to pass on; more than fit are an error, as none may be lost. */
+struct header_copy {
+	struct buf *out;
+	bool too_large;
+};
+
 static enum MHD_Result copy_header(void *arg, enum MHD_ValueKind kind,
 				   const char *name, const char *value)
 {
-	struct request *q = arg;
+	struct header_copy *h = arg;
 
 	(void)kind;
-	if (!is_own_header(name) &&
-	    q->headers.len_bytes < REQUEST_HEADERS_MAX_BYTES - 1024)
-		buf_printf(&q->headers, "%s: %s\r\n", name, value ? value : "");
-	return MHD_YES;
+	if (is_own_header(name))
+		return MHD_YES;
+	buf_printf(h->out, "%s: %s\r\n", name, value ? value : "");
+	h->too_large = h->out->len_bytes > REQUEST_HEADERS_MAX_BYTES;
+	return h->too_large ? MHD_NO : MHD_YES;
 }
 
 /* Adds lines "Name: value\r\n" to a response. */
@@ -247,11 +254,13 @@
 
 /* ---- requests ---- */
 
+/* NULL if the headers are too large. */
 static struct request *new_request(struct caller *c, const char *method,
 				   const struct classification *k)
 {
 	struct request *q =
 		request_new(method, c->uri, k->route->service->name);
+	struct header_copy headers = { NULL, false };
 
 	q->organisation = k->organisation;
 	q->rank = k->rank;
@@ -260,9 +269,13 @@
 	q->span = c->span;
 	q->body = c->body;
 	memset(&c->body, 0, sizeof(c->body));
+	headers.out = &q->headers;
 	MHD_get_connection_values(c->connection, MHD_HEADER_KIND, copy_header,
-				  q);
-	return q;
+				  &headers);
+	if (!headers.too_large)
+		return q;
+	request_free(q);
+	return NULL;
 }
 
 static bool within_limit(struct front *f, const struct classification *k,
@@ -294,12 +307,14 @@
 	return ERR_NONE;
 }
 
-static void pass_on(struct caller *c, const char *method,
-		    const struct classification *k)
+static enum MHD_Result pass_on(struct caller *c, const char *method,
+			       const struct classification *k)
 {
 	struct front_settings *s = &c->front->settings;
 	struct request *q = new_request(c, method, k);
 
+	if (!q)
+		return refuse(c, ERR_HEADERS_TOO_LARGE);
 	/* The connection sleeps before the answer can arrive. */
 	wait_for_answer(c);
 	if (k->way == FRONT_TICKET)
@@ -307,6 +322,7 @@
 			      &c->reply);
 	else
 		route_submit(s->route, q, k->deadline_us, &c->reply);
+	return MHD_YES;
 }
 
 static enum MHD_Result request_whole(struct caller *c, const char *method)
@@ -324,14 +340,14 @@
 	struct conf *conf = conf_current_get(c->front->settings.conf);
 	struct classification k = classify(conf, &in, now_us);
 	enum error_kind e = admit(c, &k, now_us);
-	enum MHD_Result done = MHD_YES;
+	enum MHD_Result done;
 
 	c->has_ticket = in.ticket != NULL;
 	c->single = k.route && !k.route->idempotent && k.organisation;
 	c->organisation = k.organisation;
 	c->rank = k.rank;
 	if (e == ERR_NONE && k.route)
-		pass_on(c, method, &k);
+		done = pass_on(c, method, &k);
 	else
 		done = refuse(c, e);
 	conf_release(conf);
--- a/lib/az.h
+++ b/lib/az.h
@@ -60,6 +60,7 @@
 	ERR_METHOD_NOT_ALLOWED,
 	ERR_UNKNOWN_ORGANISATION,
 	ERR_BODY_TOO_LARGE,
+	ERR_HEADERS_TOO_LARGE,
 	ERR_TICKET_REQUIRED,
 	ERR_TICKET_MALFORMED,
 	ERR_TICKET_INVALID,
@@ -119,6 +120,8 @@
 uint64_t random_u64(void);
 uint64_t hash_bytes(const void *data, size_t len_bytes, uint64_t seed);
 uint64_t hash_string(const char *s);
+/** First 64 bits of SHA-256: from it nobody finds a secret that fits. */
+uint64_t hash_secret(const char *s);
 
 /* ---- memory ---- */
 
--- a/lib/clock.c
+++ b/lib/clock.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <openssl/evp.h>
 #include <openssl/rand.h>
 #include <xxhash.h>
 
@@ -32,3 +33,15 @@
 {
 	return hash_bytes(s, strlen(s), 0);
 }
+
+uint64_t hash_secret(const char *s)
+{
+	uint8_t md[EVP_MAX_MD_SIZE];
+	uint64_t v = 0;
+
+	if (EVP_Digest(s, strlen(s), md, NULL, EVP_sha256(), NULL) != 1)
+		abort();
+	for (uint32_t i = 0; i < 8; i++)
+		v = v << 8 | md[i];
+	return v;
+}
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -66,6 +66,7 @@
 {
 	struct poller *p = d->poller;
 	const apr_pollfd_t *fds;
+	int16_t events[EVENTS_A_TURN];
 	apr_int32_t n = 0;
 	bool ring_ready = false;
 
@@ -73,7 +74,6 @@
 		return;
 	d->now_us = clock_now_us();
 	p->ready_count = 0;
-	int16_t events[EVENTS_A_TURN];
 	for (int32_t i = 0; i < n; i++) {
 		if (fds[i].desc_type == APR_POLL_FILE) {
 			ring_ready = true;
--- a/lib/error.c
+++ b/lib/error.c
@@ -12,6 +12,8 @@
 				       OUTCOME_NOT_RUN, false, LOG_INFO },
 	[ERR_BODY_TOO_LARGE] = { "body-too-large", 413, OUTCOME_NOT_RUN, false,
 				 LOG_INFO },
+	[ERR_HEADERS_TOO_LARGE] = { "headers-too-large", 431, OUTCOME_NOT_RUN,
+				    false, LOG_INFO },
 	[ERR_TICKET_REQUIRED] = { "ticket-required", 428, OUTCOME_NOT_RUN,
 				  false, LOG_DEBUG },
 	[ERR_TICKET_MALFORMED] = { "ticket-malformed", 400, OUTCOME_NOT_RUN,
