azhd: not ready before members and configuration are known

A daemon answered its health check with 200 at once, so that the balancer could send callers to it before it knew a home or a route.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -3,12 +3,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <apr_general.h>
 #include <apr_strings.h>
 
 #include "cmd/azhd/azhd.h"
 
 #define REACH_CONNECT_MS 500
+#define READY_CHECK_NS 50000000
 /* Eight comparisons of departed members within the data centre, one beyond. */
 #define SETTLE_PERIODS 32
 
@@ -410,21 +412,52 @@
 	return set;
 }
 
-static void serve(struct azhd *d, const char *path)
+/* Callers are sent here only once other daemons and the configuration are
+ * known; before that they would be refused for no reason. */
+static bool is_ready(struct azhd *d)
+{
+	struct conf *c = conf_current_get(d->conf);
+	bool ready = conf_service_count(c) && membership_joined(d->membership);
+
+	conf_release(c);
+	return ready;
+}
+
+/* Next signal, or 0 if the daemon has become ready meanwhile. */
+static int wait_signal(struct azhd *d, bool *ready)
 {
+	const struct timespec look_again = { 0, READY_CHECK_NS };
 	sigset_t set = handled_signals();
-	int sig;
+	int sig = 0;
+
+	if (*ready) {
+		sigwait(&set, &sig);
+		return sig;
+	}
+	sig = sigtimedwait(&set, NULL, &look_again);
+	if (sig > 0)
+		return sig;
+	*ready = is_ready(d);
+	if (*ready) {
+		front_set_ready(d->front);
+		log_write(LOG_INFO, "azhd", "ready");
+	}
+	return 0;
+}
+
+static void serve(struct azhd *d, const char *path)
+{
+	bool ready = false;
 
 	for (;;) {
-		if (sigwait(&set, &sig))
-			continue;
-		if (sig == SIGHUP) {
+		int sig = wait_signal(d, &ready);
+
+		if (sig == SIGHUP)
 			reload(d, path);
-			continue;
-		}
 		if (sig == SIGTERM)
 			azhd_drain(d);
-		return;
+		if (sig == SIGTERM || sig == SIGINT)
+			return;
 	}
 }
 
--- a/fake/fleet.sh
+++ b/fake/fleet.sh
@@ -52,10 +52,10 @@
 	start_worker c2 18202 "$@"
 }
 
-# Waits until the health check of daemon N answers.
+# Waits until the health check of daemon N answers with 200.
 wait_daemon () {
 	tries=0
-	until curl -s -o /dev/null http://127.0.0.1:1700"$1"/.azurehold/health
+	until curl -sf -o /dev/null http://127.0.0.1:1700"$1"/.azurehold/health
 	do
 		tries=$((tries + 1))
 		test $tries -lt 200 || return 1
--- a/front/front.c
+++ b/front/front.c
@@ -19,6 +19,7 @@
 	struct MHD_Daemon *daemon;
 	struct limiter *limiter;
 	uint32_t in_flight; /**< atomic */
+	int32_t ready; /**< atomic */
 	int32_t stopping; /**< atomic */
 	struct counter *requests;
 	struct counter *refused;
@@ -229,6 +230,8 @@
 {
 	if (is_stopping(c->front))
 		return send_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "stopping\n");
+	if (!__atomic_load_n(&c->front->ready, __ATOMIC_ACQUIRE))
+		return send_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "starting\n");
 	return send_text(c, MHD_HTTP_OK, "ok\n");
 }
 
@@ -483,6 +486,11 @@
 	return AZ_OK;
 }
 
+void front_set_ready(struct front *f)
+{
+	__atomic_store_n(&f->ready, 1, __ATOMIC_RELEASE);
+}
+
 void front_set_stopping(struct front *f)
 {
 	__atomic_store_n(&f->stopping, 1, __ATOMIC_RELEASE);
--- a/front/front.h
+++ b/front/front.h
@@ -91,6 +91,8 @@
 
 struct front *front_create(const struct front_settings *s, apr_pool_t *pool);
 enum az_status front_start(struct front *f);
+/** The balancer's health check answers 200 from now on, and not before. */
+void front_set_ready(struct front *f);
 /** The balancer's health check answers 503 from now on. */
 void front_set_stopping(struct front *f);
 /** Takes no new connections; answers close those that are open. */
