--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -151,7 +151,7 @@
 #endif
 #define RECORD(p) ledger[AT(to_daemon[p], ticket_of[p])]
 
-/* ticket/ticket.c and ticket/ledger.c at the daemon that was asked. */
+/* ticket/present.c and ticket/ledger.c at the daemon that was asked. */
 proctype present(byte p)
 {
 end:	do
--- a/spec/ticket.pml
+++ b/spec/ticket.pml
@@ -255,7 +255,7 @@
 	od
 }
 
-/* ticket/ticket.c and ticket/ledger.c: one presentation. */
+/* ticket/present.c and ticket/ledger.c: one presentation. */
 proctype issuer(byte p)
 {
 end:	do
