One piece of code where two stood

Found on reading the whole change again: floor.c repeated the binary search of member_view_severity(); peer and upstream each built an address and began a connection in the same way (now net_connect()); four slope programs had the same clock, heap and print functions; view.c and relay_main.c had their own az_alloc(). front_settings held a peer and an incarnation that nothing read.

Behaviour is the same but for one case: closing a connection for which no socket could be made passed NULL to apr_socket_close() in upstream; it is checked now, as peer did.

--- a/cell/cell_slopes.c
+++ b/cell/cell_slopes.c
@@ -14,26 +14,6 @@
 
 #define ANSWER_BODY_BYTES 200
 
-static double cpu_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
-}
-
-static double held_bytes(void)
-{
-	struct mallinfo2 m = mallinfo2();
-
-	return (double)(m.uordblks + m.hblkhd);
-}
-
-static void print(const char *name, uint32_t n, double value, const char *unit)
-{
-	printf("slope.%s.%u %.3f %s\n", name, n, value, unit);
-}
-
 static struct answer *sample_answer(void)
 {
 	static const char body[ANSWER_BODY_BYTES];
@@ -46,9 +26,9 @@
 
 static void measure_calls(uint32_t n)
 {
-	double bytes = held_bytes();
+	double bytes = slope_held_bytes();
 	struct call_table *t = call_table_create();
-	double us = cpu_us();
+	double us = slope_cpu_us();
 
 	for (uint32_t i = 0; i < n; i++) {
 		struct call_id id = { 1, 2, i + 1 };
@@ -58,10 +38,10 @@
 			break;
 		call_table_end(t, c, sample_answer(), 1);
 	}
-	us = cpu_us() - us;
-	print("call_table_bytes", call_table_size(t), held_bytes() - bytes,
-	      "B");
-	print("call_table_enter_end_cpu", call_table_size(t), us, "us");
+	us = slope_cpu_us() - us;
+	slope_print("call_table_bytes", call_table_size(t),
+		    slope_held_bytes() - bytes, "B");
+	slope_print("call_table_enter_end_cpu", call_table_size(t), us, "us");
 	call_table_destroy(t);
 }
 
@@ -85,14 +65,14 @@
 		items[i].deadline_us = INT64_MAX;
 		rank_queue_push(&q, &items[i], 1);
 	}
-	us = cpu_us();
+	us = slope_cpu_us();
 	for (uint32_t i = 0; i < n; i++) {
 		struct queue_item *j =
 			rank_queue_pop(&q, 1, fits, NULL, &expired);
 
 		rank_queue_push(&q, j, 1);
 	}
-	print("queue_pop_push_cpu", n, cpu_us() - us, "us");
+	slope_print("queue_pop_push_cpu", n, slope_cpu_us() - us, "us");
 	free(items);
 }
 
--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -253,7 +253,6 @@
 	struct front_settings fs = {
 		.ip = s->front.ip,
 		.port = s->front.port,
-		.incarnation = d->incarnation,
 		.in_flight_max = s->max_in_flight,
 		.conf = d->conf,
 		.membership = d->membership,
@@ -272,7 +271,6 @@
 	d->ticket = ticket_create(&ts, d->timers, d->pool);
 	fs.route = d->route;
 	fs.ticket = d->ticket;
-	fs.peer = d->peer;
 	d->front = front_create(&fs, d->pool);
 	return d->route && d->ticket && d->front ? AZ_OK : AZ_IO;
 }
--- a/fake/relay_main.c
+++ b/fake/relay_main.c
@@ -76,15 +76,6 @@
 	int64_t bytes[DIRECTION_COUNT]; /**< atomic, forwarded */
 };
 
-static void *alloc(size_t n)
-{
-	void *p = calloc(1, n);
-
-	if (!p)
-		abort();
-	return p;
-}
-
 /* ---- pairs ---- */
 
 static void side_free(struct side *s)
@@ -193,7 +184,7 @@
 		s->mute = true;
 	if (s->mute)
 		return;
-	c = alloc(sizeof(*c));
+	c = az_alloc(sizeof(*c));
 	c->due_us = r->duty.now_us + r->delay_us;
 	c->end = end;
 	if (n)
@@ -252,7 +243,7 @@
 static void on_accept(struct poll_handler *h, int16_t events)
 {
 	struct relay *r = az_container_of(h, struct relay, listener);
-	struct pair *p = alloc(sizeof(*p));
+	struct pair *p = az_alloc(sizeof(*p));
 
 	(void)events;
 	if (apr_pool_create_unmanaged_ex(&p->pool, NULL, NULL) != APR_SUCCESS)
@@ -423,7 +414,7 @@
 	}
 	if (strcmp(url, "/set") != 0 || strcmp(method, "POST") != 0)
 		return respond(c, MHD_HTTP_NOT_FOUND, "not found\n");
-	o = alloc(sizeof(*o));
+	o = az_alloc(sizeof(*o));
 	if (!parse_order(c, o)) {
 		free(o);
 		return respond(c, MHD_HTTP_BAD_REQUEST,
--- a/front/front.h
+++ b/front/front.h
@@ -75,18 +75,15 @@
 
 struct front;
 struct route;
-struct peer;
 
 struct front_settings {
 	uint32_t ip;
 	uint16_t port;
-	uint64_t incarnation;
 	uint32_t in_flight_max;
 	struct conf_current *conf;
 	struct membership *membership;
 	struct route *route;
 	struct ticket_duty *ticket;
-	struct peer *peer;
 };
 
 struct front *front_create(const struct front_settings *s, apr_pool_t *pool);
--- a/lib/az.h
+++ b/lib/az.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <apr_network_io.h>
 #include <apr_poll.h>
 #include <apr_pools.h>
 #include <apr_thread_proc.h>
@@ -361,4 +362,22 @@
 /** Appends "name value\n" for each counter, sorted by name. */
 void counter_print(struct buf *out);
 
+/* ---- sockets ---- */
+
+/** Address for APR; `ip` is IPv4 in host byte order. NULL if there is none. */
+apr_sockaddr_t *net_address(uint32_t ip, uint16_t port, apr_pool_t *pool);
+/** Begins a non-blocking connection; its end shows as APR_POLLOUT. On failure
+ * *out is the socket made so far, or NULL. */
+enum az_status net_connect(uint32_t ip, uint16_t port, apr_pool_t *pool,
+			   apr_socket_t **out);
+
+/* ---- slope programs (*_slopes.c) ---- */
+
+/** Processor time of this process in microseconds. */
+double slope_cpu_us(void);
+/** Bytes that malloc() has handed out. */
+double slope_held_bytes(void);
+/** Prints one "slope.NAME.SIZE value unit" line. */
+void slope_print(const char *name, uint32_t n, double value, const char *unit);
+
 #endif
--- a/member/member_slopes.c
+++ b/member/member_slopes.c
@@ -15,26 +15,6 @@
 #define VIEWS 200
 #define DCS 10
 
-static double cpu_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
-}
-
-static double held_bytes(void)
-{
-	struct mallinfo2 m = mallinfo2();
-
-	return (double)(m.uordblks + m.hblkhd);
-}
-
-static void print(const char *name, uint32_t n, double value, const char *unit)
-{
-	printf("slope.%s.%u %.3f %s\n", name, n, value, unit);
-}
-
 static struct member sample_member(uint32_t i)
 {
 	struct member m = { .id = ((uint64_t)i << 32) + 1,
@@ -57,23 +37,24 @@
 
 	for (uint32_t i = 0; i < n; i++)
 		list[i] = sample_member(i);
-	before = held_bytes();
+	before = slope_held_bytes();
 	{
 		struct member_view *v =
 			member_view_new(1, list, n, NULL, 0, NULL, 0);
 
-		print("view_bytes", n, held_bytes() - before, "B");
-		us = cpu_us();
+		slope_print("view_bytes", n, slope_held_bytes() - before, "B");
+		us = slope_cpu_us();
 		for (uint32_t i = 0; i < REPEAT; i++)
 			member_home(v, i, i % DCS + 1, 1);
-		print("home_choice_cpu", n, (cpu_us() - us) / REPEAT, "us");
+		slope_print("home_choice_cpu", n,
+			    (slope_cpu_us() - us) / REPEAT, "us");
 		member_view_release(v);
 	}
-	us = cpu_us();
+	us = slope_cpu_us();
 	for (uint32_t i = 0; i < VIEWS; i++)
 		member_view_release(
 			member_view_new(1, list, n, NULL, 0, NULL, 0));
-	print("view_cpu", n, (cpu_us() - us) / VIEWS, "us");
+	slope_print("view_cpu", n, (slope_cpu_us() - us) / VIEWS, "us");
 	free(list);
 }
 
@@ -97,15 +78,16 @@
 		m.updates[i].kind = UPDATE_FULL;
 		m.updates[i].member = sample_member(i);
 	}
-	us = cpu_us();
+	us = slope_cpu_us();
 	for (uint32_t i = 0; i < 10 * REPEAT; i++) {
 		bytes = wire_encode(&m, &keys, data);
 		if (!bytes || wire_decode(data, bytes, &keys, &back) != AZ_OK)
 			exit(1);
 	}
-	us = cpu_us() - us;
-	print("datagram_bytes", updates, bytes, "B");
-	print("datagram_encode_decode_cpu", updates, us / (10 * REPEAT), "us");
+	us = slope_cpu_us() - us;
+	slope_print("datagram_bytes", updates, bytes, "B");
+	slope_print("datagram_encode_decode_cpu", updates, us / (10 * REPEAT),
+		    "us");
 }
 
 /* Traffic, memory and processor time of a daemon in a modelled fleet. */
@@ -120,17 +102,17 @@
 	model_run(m, 5 * US_PER_S);
 	for (uint32_t i = 0; i < n; i++)
 		m->daemons[i].bytes = 0;
-	us = cpu_us();
+	us = slope_cpu_us();
 	model_run(m, for_us);
-	us = cpu_us() - us;
+	us = slope_cpu_us() - us;
 	for (uint32_t i = 0; i < n; i++)
 		bytes += m->daemons[i].bytes;
-	print("member_traffic", n,
-	      (double)bytes / n / ((double)for_us / US_PER_S), "B/s");
+	slope_print("member_traffic", n,
+		    (double)bytes / n / ((double)for_us / US_PER_S), "B/s");
 	/* The model's own time is in it. */
-	print("member_cpu", n, us / n / (double)for_us * 100, "%");
-	print("member_bytes", n, (double)swim_memory_bytes(m->daemons[0].swim),
-	      "B");
+	slope_print("member_cpu", n, us / n / (double)for_us * 100, "%");
+	slope_print("member_bytes", n,
+		    (double)swim_memory_bytes(m->daemons[0].swim), "B");
 	model_free(m);
 }
 
--- a/member/view.c
+++ b/member/view.c
@@ -23,15 +23,6 @@
 	uint32_t dc_count;
 };
 
-static void *must_alloc(size_t n)
-{
-	void *p = calloc(1, n ? n : 1);
-
-	if (!p)
-		abort();
-	return p;
-}
-
 static int by_incarnation(const void *a, const void *b, void *arg)
 {
 	const struct member *list = arg;
@@ -84,10 +75,10 @@
 
 static struct view_index *index_new(const struct member *list, uint32_t n)
 {
-	struct view_index *x = must_alloc(sizeof(*x));
+	struct view_index *x = az_alloc(sizeof(*x));
 
-	x->by_dc = must_alloc(n * sizeof(*x->by_dc));
-	x->by_incarnation = must_alloc(n * sizeof(*x->by_incarnation));
+	x->by_dc = az_alloc(n * sizeof(*x->by_dc));
+	x->by_incarnation = az_alloc(n * sizeof(*x->by_incarnation));
 	index_dcs(x, list, n);
 	for (uint32_t i = 0; i < n; i++)
 		x->by_incarnation[i] = i;
@@ -108,7 +99,7 @@
 
 static void *copy_of(const void *src, size_t bytes)
 {
-	void *p = must_alloc(bytes);
+	void *p = az_alloc(bytes);
 
 	if (bytes)
 		memcpy(p, src, bytes);
@@ -121,7 +112,7 @@
 		uint32_t departed_count, const struct report *reports,
 		uint32_t report_count)
 {
-	struct member_view *v = must_alloc(sizeof(*v));
+	struct member_view *v = az_alloc(sizeof(*v));
 
 	v->references = 1;
 	v->version = version;
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -276,24 +276,11 @@
 
 enum az_status peer_conn_connect(struct peer_conn *c)
 {
-	apr_sockaddr_t *sa;
-	char ip[16];
-	apr_status_t rv;
-
-	snprintf(ip, sizeof(ip), "%u.%u.%u.%u", c->target.ip >> 24,
-		 c->target.ip >> 16 & 255, c->target.ip >> 8 & 255,
-		 c->target.ip & 255);
-	if (apr_sockaddr_info_get(&sa, ip, APR_INET, c->target.port, 0,
-				  c->pool) ||
-	    apr_socket_create(&c->poll.sock, APR_INET, SOCK_STREAM,
-			      APR_PROTO_TCP, c->pool))
-		return az_fail(AZ_IO, "no socket for a peer");
-	apr_socket_opt_set(c->poll.sock, APR_SO_NONBLOCK, 1);
-	apr_socket_timeout_set(c->poll.sock, 0);
-	apr_socket_opt_set(c->poll.sock, APR_TCP_NODELAY, 1);
-	rv = apr_socket_connect(c->poll.sock, sa);
-	if (rv && !APR_STATUS_IS_EINPROGRESS(rv))
-		return az_fail(AZ_IO, "connect to a peer failed");
+	enum az_status st = net_connect(c->target.ip, c->target.port, c->pool,
+					&c->poll.sock);
+
+	if (st != AZ_OK)
+		return st;
 	return duty_poll(&c->peer->duty, &c->poll, APR_POLLOUT);
 }
 
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -171,15 +171,13 @@
 {
 	struct peer_settings *s = &p->settings;
 	apr_pool_t *pool = p->duty.pool;
-	apr_sockaddr_t *sa;
-	char ip[16];
+	apr_sockaddr_t *sa = net_address(s->ip, s->port, pool);
+	char *ip;
 
-	snprintf(ip, sizeof(ip), "%u.%u.%u.%u", s->ip >> 24, s->ip >> 16 & 255,
-		 s->ip >> 8 & 255, s->ip & 255);
-	if (apr_sockaddr_info_get(&sa, ip, APR_INET, s->port, 0, pool) ||
+	if (!sa || apr_sockaddr_ip_get(&ip, sa) ||
 	    apr_socket_create(&p->listener.poll.sock, APR_INET, SOCK_STREAM,
 			      APR_PROTO_TCP, pool))
-		return az_fail(AZ_IO, "no socket on %s:%u", ip, s->port);
+		return az_fail(AZ_IO, "no socket on port %u", s->port);
 	apr_socket_opt_set(p->listener.poll.sock, APR_SO_REUSEADDR, 1);
 	apr_socket_opt_set(p->listener.poll.sock, APR_SO_NONBLOCK, 1);
 	if (apr_socket_bind(p->listener.poll.sock, sa) ||
--- a/peer/peer_slopes.c
+++ b/peer/peer_slopes.c
@@ -16,14 +16,6 @@
 #define CALL_US (20 * US_PER_S)
 #define TO_INCARNATION 9
 
-static double cpu_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
-}
-
 static double resident_bytes(void)
 {
 	FILE *f = fopen("/proc/self/statm", "r");
@@ -36,12 +28,6 @@
 	return (double)pages * 4096;
 }
 
-static void print(const char *name, uint32_t n, double value, const char *unit)
-{
-	printf("slope.%s.%u %.3f %s\n", name, n, value, unit);
-	fflush(stdout);
-}
-
 /* ---- records ---- */
 
 static void measure_record(const struct fleet_keys *keys, uint32_t body_bytes)
@@ -58,7 +44,7 @@
 	buf_printf(&f.request->headers, "Content-Type: application/json\r\n"
 					"Accept: */*\r\nHost: azurehold\r\n");
 	buf_append(&f.request->body, body, body_bytes);
-	us = cpu_us();
+	us = slope_cpu_us();
 	for (uint32_t i = 0; i < REPEAT; i++) {
 		struct buf args = { 0 };
 		struct buf out = { 0 };
@@ -76,9 +62,9 @@
 		buf_free(&args);
 		buf_free(&out);
 	}
-	us = cpu_us() - us;
-	print("forward_bytes", body_bytes, bytes, "B");
-	print("forward_encode_decode_cpu", body_bytes, us / REPEAT, "us");
+	us = slope_cpu_us() - us;
+	slope_print("forward_bytes", body_bytes, bytes, "B");
+	slope_print("forward_encode_decode_cpu", body_bytes, us / REPEAT, "us");
 	request_free(f.request);
 	free(body);
 }
@@ -169,8 +155,8 @@
 	for (uint32_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
 		call_each(a, (uint16_t)(port + 1), sizes[i], &e);
 		/* Both ends are in this process. */
-		print("peer_connection_end_bytes", 2 * sizes[i],
-		      resident_bytes() - base, "B");
+		slope_print("peer_connection_end_bytes", 2 * sizes[i],
+			    resident_bytes() - base, "B");
 	}
 	if (e.failures) {
 		fprintf(stderr, "peer_slopes: %u calls failed\n", e.failures);
--- a/route/floor.c
+++ b/route/floor.c
@@ -28,31 +28,6 @@
 	return (s->worker_count * (uint32_t)s->floor_percent + 99) / 100;
 }
 
-/** Worst report of a kind about a worker; 0 if there is none. Several homes may
- * report the same worker while its cell moves. */
-static uint8_t reported(const struct member_view *v, uint64_t worker,
-			enum report_kind kind)
-{
-	uint32_t low = 0;
-	uint32_t high = v->report_count;
-	uint8_t worst = 0;
-
-	while (low < high) {
-		uint32_t mid = low + (high - low) / 2;
-
-		if (v->reports[mid].subject < worker)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	for (; low < v->report_count && v->reports[low].subject == worker;
-	     low++)
-		if (v->reports[low].kind == kind &&
-		    v->reports[low].severity > worst)
-			worst = v->reports[low].severity;
-	return worst;
-}
-
 void floor_exclude(const struct conf_service *s, const struct member_view *v,
 		   uint16_t *masks)
 {
@@ -72,12 +47,14 @@
 			uint8_t severity;
 
 			if (w->admin != WORKER_IN_SERVICE ||
-			    reported(v, w->id, REPORT_WORKER_LEAVING)) {
+			    member_view_severity(v, w->id,
+						 REPORT_WORKER_LEAVING)) {
 				masks[i] |= (uint16_t)(1U << w->bit);
 				continue;
 			}
 			in++;
-			severity = reported(v, w->id, REPORT_WORKER_UNHEALTHY);
+			severity = member_view_severity(
+				v, w->id, REPORT_WORKER_UNHEALTHY);
 			if (severity && c)
 				c[candidates++] =
 					(struct candidate){ w, i, severity };
--- a/ticket/ticket_slopes.c
+++ b/ticket/ticket_slopes.c
@@ -14,26 +14,6 @@
 
 static const uint8_t key[TICKET_KEY_BYTES] = { 1 };
 
-static double cpu_us(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
-}
-
-static double held_bytes(void)
-{
-	struct mallinfo2 m = mallinfo2();
-
-	return (double)(m.uordblks + m.hblkhd);
-}
-
-static void print(const char *name, uint32_t n, double value, const char *unit)
-{
-	printf("slope.%s.%u %.3f %s\n", name, n, value, unit);
-}
-
 static struct ticket sample_ticket(uint64_t sequence)
 {
 	struct ticket t = { .ip = 0x7f000001,
@@ -61,9 +41,9 @@
 
 static void measure_ledger(uint32_t n)
 {
-	double bytes = held_bytes();
+	double bytes = slope_held_bytes();
 	struct ledger *l = ledger_create(5, key);
-	double us = cpu_us();
+	double us = slope_cpu_us();
 
 	for (uint32_t i = 0; i < n; i++) {
 		struct ticket t = sample_ticket(i);
@@ -73,9 +53,10 @@
 			break;
 		ledger_end(l, d.entry, sample_answer());
 	}
-	us = cpu_us() - us;
-	print("ledger_bytes", ledger_size(l), held_bytes() - bytes, "B");
-	print("ledger_sign_present_end_cpu", ledger_size(l), us, "us");
+	us = slope_cpu_us() - us;
+	slope_print("ledger_bytes", ledger_size(l), slope_held_bytes() - bytes,
+		    "B");
+	slope_print("ledger_sign_present_end_cpu", ledger_size(l), us, "us");
 	ledger_destroy(l);
 }
 
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -131,7 +131,8 @@
 static void conn_close(struct conn *c)
 {
 	duty_poll(&c->up->duty, &c->poll, 0);
-	apr_socket_close(c->poll.sock);
+	if (c->poll.sock)
+		apr_socket_close(c->poll.sock);
 	buf_free(&c->out);
 	buf_free(&c->field);
 	buf_free(&c->value);
@@ -507,29 +508,6 @@
 	list_add(&c->up->active, c);
 }
 
-static enum az_status conn_socket(struct conn *c)
-{
-	apr_sockaddr_t *sa;
-	char ip[16];
-	apr_status_t rv;
-
-	snprintf(ip, sizeof(ip), "%u.%u.%u.%u", c->req.ip >> 24,
-		 c->req.ip >> 16 & 255, c->req.ip >> 8 & 255, c->req.ip & 255);
-	if (apr_sockaddr_info_get(&sa, ip, APR_INET, c->req.port, 0, c->pool) !=
-		    APR_SUCCESS ||
-	    apr_socket_create(&c->poll.sock, APR_INET, SOCK_STREAM,
-			      APR_PROTO_TCP, c->pool) != APR_SUCCESS)
-		return az_fail(AZ_IO, "no socket for %s:%u", ip, c->req.port);
-	apr_socket_opt_set(c->poll.sock, APR_SO_NONBLOCK, 1);
-	apr_socket_timeout_set(c->poll.sock, 0);
-	apr_socket_opt_set(c->poll.sock, APR_TCP_NODELAY, 1);
-	rv = apr_socket_connect(c->poll.sock, sa);
-	if (rv != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(rv))
-		return az_fail(AZ_IO, "connect to %s:%u failed", ip,
-			       c->req.port);
-	return AZ_OK;
-}
-
 static void conn_open(struct upstream *u, const struct upstream_request *r)
 {
 	struct conn *c = calloc(1, sizeof(*c));
@@ -543,7 +521,7 @@
 	c->poll.ops = &conn_poll_ops;
 	conn_begin(c, r);
 	counter_add(u->connects, 1);
-	if (conn_socket(c) != AZ_OK) {
+	if (net_connect(r->ip, r->port, c->pool, &c->poll.sock) != AZ_OK) {
 		conn_fail(c, UPSTREAM_CONNECT_REFUSED);
 		return;
 	}
