conf: routes by host, split and time-out; one HTTP call, one address parser

Cause: routes of the users' platform are chosen by host and path prefix, may be split among services by weight, and have time-outs, targets and a number of attempts; workers have a boot. IP:PORT was parsed in three places and the HTTP call of conf/ is needed for a second store protocol. Change: keys host, below, split, attempts, timeout_ms, target_ms of a route; boot, cold_ms, leaving of a worker; a [limits] section; lib/http_call.c and net_parse() taken out of conf/ and cmd/azhd.

--- a/cmd/azhd/settings.c
+++ b/cmd/azhd/settings.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <errno.h>
 #include <ini.h>
 #include <stdio.h>
@@ -37,23 +36,7 @@
 
 static enum az_status parse_address(const char *s, struct address *out)
 {
-	char ip[16];
-	size_t n = strcspn(s, ":");
-	char *end;
-	unsigned long port;
-	struct in_addr a;
-
-	if (n >= sizeof(ip) || s[n] != ':')
-		return az_fail(AZ_INVALID, "'%s' is not IP:PORT", s);
-	memcpy(ip, s, n);
-	ip[n] = '\0';
-	port = strtoul(s + n + 1, &end, 10);
-	if (!inet_aton(ip, &a) || end == s + n + 1 || *end || !port ||
-	    port > UINT16_MAX)
-		return az_fail(AZ_INVALID, "'%s' is not IP:PORT", s);
-	out->ip = ntohl(a.s_addr);
-	out->port = (uint16_t)port;
-	return AZ_OK;
+	return net_parse(s, &out->ip, &out->port);
 }
 
 static enum az_status parse_number(const char *s, uint32_t low, uint32_t high,
--- a/conf/check.c
+++ b/conf/check.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -56,14 +55,27 @@
 	{ NULL },
 };
 
+static const struct field limit_fields[] = {
+	U32(conf_limits, header_bytes, 256, 1U << 20),
+	U32(conf_limits, body_bytes, 0, UINT32_MAX),
+	U32(conf_limits, header_timeout_ms, 1, 3600000),
+	U32(conf_limits, idle_timeout_ms, 1, 86400000),
+	{ NULL },
+};
+
 static const struct field worker_fields[] = {
 	U8(conf_worker, slots, 1, 255),
+	U32(conf_worker, cold_ms, 0, 3600000),
 	{ NULL },
 };
 
 static const struct field route_fields[] = {
 	BOOL(conf_route, idempotent),
+	BOOL(conf_route, below),
+	U8(conf_route, attempts, 0, 255),
 	U32(conf_route, deadline_ms, 0, 300000),
+	U32(conf_route, timeout_ms, 0, 3600000),
+	U32(conf_route, target_ms, 0, 3600000),
 	{ NULL },
 };
 
@@ -250,6 +262,13 @@
 			unknown_key(b, s, k);
 }
 
+static void build_limits(struct build *b, const struct ini_section *s)
+{
+	for (const struct ini_key *k = s->keys; k; k = k->next)
+		if (!set_field(b, limit_fields, k->name, k, &b->fleet->limits))
+			unknown_key(b, s, k);
+}
+
 static void build_place(struct build *b, const struct ini_section *s)
 {
 	struct conf_place *p = &b->fleet->places[b->fleet->place_count];
@@ -291,12 +310,15 @@
 		abort();
 	b->fleet->references = 1;
 	memcpy(b->fleet->ranks, rank_defaults, sizeof(rank_defaults));
+	b->fleet->limits = *conf_limits(NULL);
 	for (const struct ini_section *s = b->doc->first; s; s = s->next) {
 		if (!strcmp(s->kind, "data_centre")) {
 			build_place(b, s);
 		} else if (!strcmp(s->kind, "rank")) {
 			build_rank(b, s);
 			last_rank = s;
+		} else if (!strcmp(s->kind, "limits")) {
+			build_limits(b, s);
 		}
 	}
 	if (last_rank)
@@ -438,23 +460,17 @@
 	check_shares(b, s, d->ranks);
 }
 
-static bool parse_address(const char *s, struct conf_worker *w)
+/* A process that starts again under its name is another worker: nothing that
+ * was learnt of the one before holds for it. */
+static void set_boot(struct build *b, const struct ini_key *k,
+		     struct conf_worker *w)
 {
-	char ip[16];
-	const char *colon = strrchr(s, ':');
-	struct in_addr a;
-	uint32_t port;
+	char *end;
 
-	if (!colon || (size_t)(colon - s) >= sizeof(ip))
-		return false;
-	memcpy(ip, s, (size_t)(colon - s));
-	ip[colon - s] = '\0';
-	if (inet_pton(AF_INET, ip, &a) != 1 ||
-	    !parse_number(colon + 1, 1, 65535, &port))
-		return false;
-	w->ip = ntohl(a.s_addr);
-	w->port = (uint16_t)port;
-	return true;
+	w->boot = strtoull(k->value, &end, 10);
+	if (end == k->value || *end)
+		bad_key(b, k, "a number");
+	w->id = hash_bytes(&w->boot, sizeof(w->boot), w->id);
 }
 
 static void build_worker(struct build *b, struct service_sections *v,
@@ -472,15 +488,26 @@
 	for (const struct ini_key *k = s->keys; k; k = k->next) {
 		if (!strcmp(k->name, "address")) {
 			has_address = true;
-			if (!parse_address(k->value, w))
+			if (net_parse(k->value, &w->ip, &w->port) != AZ_OK)
 				bad_key(b, k, "IP:PORT");
 		} else if (!strcmp(k->name, "data_centre")) {
 			has_place = true;
 			place = find_place(b->fleet, k->value);
-			if (place)
+			if (place) {
 				w->dc = place->dc;
-			else
+				w->region = place->region;
+			} else {
 				bad_key(b, k, "a [data_centre NAME]");
+			}
+		} else if (!strcmp(k->name, "boot")) {
+			set_boot(b, k, w);
+		} else if (!strcmp(k->name, "leaving")) {
+			bool leaving = false;
+
+			if (!parse_bool(k->value, &leaving))
+				bad_key(b, k, "yes or no");
+			w->admin = leaving ? WORKER_DRAINING :
+					     WORKER_IN_SERVICE;
 		} else if (!set_field(b, worker_fields, k->name, k, w)) {
 			unknown_key(b, s, k);
 		}
@@ -522,6 +549,10 @@
 	size_t n = 0;
 	size_t word = 0;
 
+	if (!strcmp(k->value, "*")) {
+		strcpy(r->methods, "*");
+		return;
+	}
 	for (const char *p = k->value; *p; p++) {
 		if (*p == ' ' || *p == '\t')
 			continue;
@@ -539,6 +570,35 @@
 		bad_key(b, k, "methods such as GET,HEAD, at most 63 bytes");
 }
 
+/* "SERVICE:WEIGHT, ..." */
+static void set_split(struct build *b, const struct ini_key *k,
+		      struct conf_route *r)
+{
+	char copy[CONF_SPLIT_MAX * (CONF_NAME_MAX_BYTES + 16)];
+	char *save = NULL;
+
+	if (strlen(k->value) >= sizeof(copy)) {
+		bad_key(b, k, "at most 8 services");
+		return;
+	}
+	strcpy(copy, k->value);
+	r->split_count = 0;
+	for (char *t = strtok_r(copy, ", ", &save); t;
+	     t = strtok_r(NULL, ", ", &save)) {
+		char *colon = strrchr(t, ':');
+		struct conf_split_part *part = &r->split[r->split_count];
+
+		if (!colon || r->split_count == CONF_SPLIT_MAX ||
+		    !parse_number(colon + 1, 0, 1000000, &part->weight)) {
+			bad_key(b, k, "at most 8 of SERVICE:WEIGHT");
+			return;
+		}
+		*colon = '\0';
+		part->service = hash_string(t);
+		r->split_count++;
+	}
+}
+
 static void build_route(struct build *b, struct service_sections *v,
 			const struct ini_section *s)
 {
@@ -560,6 +620,10 @@
 		} else if (!strcmp(k->name, "rank")) {
 			if (rank_parse(k->value, &r->rank) != AZ_OK)
 				bad_key(b, k, "urgent, normal or bulk");
+		} else if (!strcmp(k->name, "host")) {
+			r->host = conf_host_id(k->value);
+		} else if (!strcmp(k->name, "split")) {
+			set_split(b, k, r);
 		} else if (strcmp(k->name, "service") != 0 &&
 			   !set_field(b, route_fields, k->name, k, r)) {
 			unknown_key(b, s, k);
@@ -843,20 +907,21 @@
 
 static void sort_sections(struct build *b, bool own_fleet)
 {
-	static const char *const kinds[] = { "data_centre", "rank",
-					     "service",	    "worker",
-					     "route",	    "organisation" };
+	static const char *const kinds[] = { "data_centre", "rank",  "limits",
+					     "service",	    "worker", "route",
+					     "organisation" };
+	const uint32_t count = sizeof(kinds) / sizeof(kinds[0]);
 
 	for (const struct ini_section *s = b->doc->first; s; s = s->next) {
 		uint32_t i = 0;
 
-		while (i < 6 && strcmp(kinds[i], s->kind) != 0)
+		while (i < count && strcmp(kinds[i], s->kind) != 0)
 			i++;
-		if (i == 6)
+		if (i == count)
 			bad_section(b, s, "is of an unknown kind");
-		else if (i < 2 && !own_fleet)
+		else if (i < 3 && !own_fleet)
 			bad_section(b, s, "does not belong in this object");
-		else if (i == 2)
+		else if (i == 3)
 			add_service(b, s);
 	}
 }
--- a/conf/conf.c
+++ b/conf/conf.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -113,6 +114,8 @@
 {
 	const char *p = methods;
 
+	if (!strcmp(methods, "*"))
+		return true;
 	while (*p) {
 		size_t n = strcspn(p, ",");
 
@@ -125,6 +128,8 @@
 
 static bool methods_overlap(const char *a, const char *b)
 {
+	if (!strcmp(a, "*") || !strcmp(b, "*"))
+		return true;
 	while (*a) {
 		size_t n = strcspn(a, ",");
 
@@ -148,6 +153,7 @@
 
 	for (; c->routes[at]; at = (at + 1) & c->route_mask)
 		if (!strcmp(c->routes[at]->path, r->path) &&
+		    c->routes[at]->host == r->host &&
 		    methods_overlap(c->routes[at]->methods, r->methods))
 			conf_error_add(errors, r->service->name, 0,
 				       "routes %s and %s have the same path "
@@ -288,6 +294,7 @@
 	char text[CONF_PATH_MAX_BYTES];
 	uint32_t ends[CONF_PATH_SEGMENTS_MAX + 1]; /**< of each prefix */
 	uint32_t count;
+	uint32_t len; /**< of `text` */
 };
 
 static int32_t hex_digit(char c)
@@ -360,53 +367,131 @@
 	if (segment && o->count <= CONF_PATH_SEGMENTS_MAX &&
 	    n < sizeof(o->text))
 		o->ends[o->count++] = n;
+	o->len = n;
 	return true;
 }
 
+uint64_t conf_host_id(const char *host)
+{
+	char name[256];
+	size_t n = 0;
+
+	if (!host)
+		return 0;
+	for (; host[n] && host[n] != ':' && n < sizeof(name) - 1; n++)
+		name[n] = (char)tolower((unsigned char)host[n]);
+	name[n] = '\0';
+	return n ? hash_string(name) : 0;
+}
+
+/** What a route is looked up by. */
+struct route_query {
+	uint64_t host;
+	const char *method;
+	size_t method_bytes;
+	struct plain_path path;
+	bool path_found;
+};
+
+/* A route of the host itself goes before one of any host. */
 static const struct conf_route *find_exact(const struct conf *c,
-					   const char *path, size_t len,
-					   const char *method, bool *path_found)
+					   struct route_query *q, uint32_t end)
 {
-	uint32_t at = (uint32_t)path_hash(path, len) & c->route_mask;
-	size_t n = strlen(method);
+	/* The first end is that of the root, whose path is "/". */
+	uint32_t len = end ? end : 1;
+	uint32_t at =
+		(uint32_t)path_hash(q->path.text, len) & c->route_mask;
+	const struct conf_route *any = NULL;
 
 	for (; c->routes[at]; at = (at + 1) & c->route_mask) {
 		const struct conf_route *r = c->routes[at];
 
-		if (strncmp(r->path, path, len) != 0 || r->path[len])
+		if (strncmp(r->path, q->path.text, len) != 0 || r->path[len] ||
+		    (r->host && r->host != q->host) ||
+		    (r->below && end >= q->path.len))
+			continue;
+		q->path_found = true;
+		if (!has_method(r->methods, q->method, q->method_bytes))
 			continue;
-		*path_found = true;
-		if (has_method(r->methods, method, n))
+		if (r->host)
 			return r;
+		any = r;
 	}
-	return NULL;
+	return any;
 }
 
-const struct conf_route *conf_find_route(const struct conf *c,
+const struct conf_route *conf_find_route(const struct conf *c, const char *host,
 					 const char *method, const char *path,
 					 enum error_kind *why)
 {
+	struct route_query q = {
+		.host = conf_host_id(host),
+		.method = method,
+		.method_bytes = strlen(method),
+	};
 	const struct conf_route *r;
-	struct plain_path p;
-	bool found = false;
 
 	*why = ERR_UNKNOWN_ROUTE;
-	if (!plain_path_set(&p, path))
+	if (!plain_path_set(&q.path, path))
 		return NULL;
-	for (uint32_t i = p.count; i-- > 0 && !found;) {
-		/* The first end is that of the root, whose path is "/". */
-		r = find_exact(c, p.text, p.ends[i] ? p.ends[i] : 1, method,
-			       &found);
+	for (uint32_t i = q.path.count; i-- > 0 && !q.path_found;) {
+		r = find_exact(c, &q, q.path.ends[i]);
 		if (r) {
 			*why = ERR_NONE;
 			return r;
 		}
 	}
-	if (found)
+	if (q.path_found)
 		*why = ERR_METHOD_NOT_ALLOWED;
 	return NULL;
 }
 
+const struct conf_service *conf_route_service(const struct conf *c,
+					      const struct conf_route *r,
+					      uint64_t random)
+{
+	uint64_t sum = 0;
+
+	for (uint8_t i = 0; i < r->split_count; i++)
+		sum += r->split[i].weight;
+	if (!sum)
+		return r->service;
+	random %= sum;
+	for (uint8_t i = 0; i < r->split_count; i++) {
+		if (random < r->split[i].weight)
+			return conf_find_service_id(c, r->split[i].service);
+		random -= r->split[i].weight;
+	}
+	return r->service;
+}
+
+const struct conf_limits *conf_limits(const struct conf *c)
+{
+	static const struct conf_limits defaults = {
+		.header_bytes = REQUEST_HEADERS_MAX_BYTES,
+		.body_bytes = REQUEST_BODY_MAX_BYTES,
+		.header_timeout_ms = 10000,
+		.idle_timeout_ms = 30000,
+	};
+
+	return c && c->parts.fleet ? &c->parts.fleet->limits : &defaults;
+}
+
+const struct conf_service *conf_find_service_id(const struct conf *c,
+						uint64_t id)
+{
+	uint32_t at = (uint32_t)id & c->service_mask;
+
+	for (; c->services[at]; at = (at + 1) & c->service_mask) {
+		const struct conf_service *s =
+			&c->parts.services[c->services[at] - 1]->service;
+
+		if (s->id == id)
+			return s;
+	}
+	return NULL;
+}
+
 const struct conf_service *conf_find_service(const struct conf *c,
 					     const char *name)
 {
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -28,6 +28,9 @@
 	uint8_t slots; /**< requests that it serves at once */
 	uint8_t bit; /**< position in its cell's masks */
 	uint32_t dc; /**< hash of the data centre's name */
+	uint32_t region;
+	uint64_t boot; /**< start of the process; 0: not told */
+	uint32_t cold_ms; /**< slow for so long after its start */
 	enum worker_admin admin;
 };
 
@@ -70,16 +73,40 @@
 	uint64_t version; /**< of the object it came from */
 };
 
+#define CONF_SPLIT_MAX 8
+
+/** A service that takes a share of a route's requests. */
+struct conf_split_part {
+	uint64_t service; /**< id */
+	uint32_t weight;
+};
+
 struct conf_route {
 	char name[CONF_NAME_MAX_BYTES];
+	uint64_t host; /**< conf_host_id() of the host; 0: any */
 	char *path; /**< prefix that ends at a '/' boundary */
-	char methods[64]; /**< comma separated */
+	char methods[64]; /**< comma separated, or "*" */
 	enum rank rank;
 	bool idempotent;
+	bool below; /**< only what lies below `path`, not `path` itself */
+	uint8_t attempts; /**< workers that may be tried; 0: the default */
+	uint8_t split_count; /**< 0: all go to `service` */
 	uint32_t deadline_ms; /**< 0: the rank's */
+	uint32_t timeout_ms; /**< longest wait that the operator wants; 0: none
+			      */
+	uint32_t target_ms; /**< latency target; 0: none */
+	struct conf_split_part split[CONF_SPLIT_MAX];
 	const struct conf_service *service;
 };
 
+/** What callers may send, and how long they may take. */
+struct conf_limits {
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint32_t header_timeout_ms; /**< from the first byte of a head */
+	uint32_t idle_timeout_ms; /**< without a request */
+};
+
 struct conf_organisation {
 	char name[CONF_NAME_MAX_BYTES];
 	uint64_t id; /**< hash_string(name) */
@@ -125,11 +152,23 @@
 struct conf *conf_retain(struct conf *c);
 void conf_release(struct conf *c);
 
-/** Longest matching path prefix; sets ERR_UNKNOWN_ROUTE or
- * ERR_METHOD_NOT_ALLOWED in `why` and returns NULL if none serves. */
-const struct conf_route *conf_find_route(const struct conf *c,
+/** Longest matching path prefix of the host's routes and of those of any host;
+ * ERR_UNKNOWN_ROUTE or ERR_METHOD_NOT_ALLOWED in `why` and returns NULL if
+ * none serves. `host` may be NULL. */
+const struct conf_route *conf_find_route(const struct conf *c, const char *host,
 					 const char *method, const char *path,
 					 enum error_kind *why);
+/** Hash of a host name without its port, in lower case; 0 for none. */
+uint64_t conf_host_id(const char *host);
+const struct conf_service *conf_find_service_id(const struct conf *c,
+						uint64_t id);
+/** The service that one request of a route goes to; `random` chooses among
+ * the parts of a split by weight. NULL if the part is not configured. */
+const struct conf_service *conf_route_service(const struct conf *c,
+					      const struct conf_route *r,
+					      uint64_t random);
+/** Defaults if the configuration names none. */
+const struct conf_limits *conf_limits(const struct conf *c);
 const struct conf_service *conf_find_service(const struct conf *c,
 					     const char *name);
 const struct conf_organisation *conf_find_organisation(const struct conf *c,
@@ -201,6 +240,7 @@
 struct conf_fleet {
 	int32_t references; /**< atomic */
 	struct conf_rank ranks[RANK_COUNT];
+	struct conf_limits limits;
 	uint32_t place_count;
 	struct conf_place places[];
 };
--- a/conf/conf_measure.c
+++ b/conf/conf_measure.c
@@ -167,7 +167,7 @@
 
 		snprintf(path, sizeof(path), "/v1/service-%04u/things-%05u/a/7",
 			 r % z->services, r);
-		found += conf_find_route(c, "GET", path, &why) != NULL;
+		found += conf_find_route(c, NULL, "GET", path, &why) != NULL;
 	}
 	if (found != n)
 		exit(1);
--- a/conf/store.c
+++ b/conf/store.c
@@ -4,16 +4,15 @@
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
-#include <curl/curl.h>
 #include <jansson.h>
 
 #include "conf/conf.h"
 
-#define CONNECT_TIMEOUT_MS 1000L
-#define CALL_TIMEOUT_MS 5000L
+#define CONNECT_TIMEOUT_MS 1000
+#define CALL_TIMEOUT_MS 5000
 /* Beyond its wait, a watch is given this: a connection that has gone silent
  * must not hide a change for the 5 s in which it is to be in force. */
-#define WATCH_EXTRA_MS 1500L
+#define WATCH_EXTRA_MS 1500
 /* Answers above this are refused: a list of all VMs is a few megabytes. */
 #define ANSWER_LIMIT_BYTES (16U << 20)
 /* Waits of 100 to 1600 ms between them: a short outage is passed over. */
@@ -22,9 +21,7 @@
 
 struct store {
 	char *url;
-	CURL *easy;
-	CURLM *multi;
-	int32_t interrupted; /**< atomic */
+	struct http_client *http;
 	struct buf answer;
 	uint64_t revision; /**< Object-Version of the answer; 0: none */
 	bool unsent; /**< the last call did not reach the store */
@@ -34,17 +31,13 @@
 
 struct store *store_create(const char *url)
 {
-	struct store *s = calloc(1, sizeof(*s));
+	struct store *s = az_alloc(sizeof(*s));
 
-	if (!s)
-		abort();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	s->url = strdup(url);
-	s->easy = curl_easy_init();
-	s->multi = curl_multi_init();
+	s->http = http_client_create();
 	s->calls = counter_get("conf_store_calls");
 	s->failures = counter_get("conf_store_failures");
-	if (s->url && s->easy && s->multi)
+	if (s->url && s->http)
 		return s;
 	store_destroy(s);
 	return NULL;
@@ -54,8 +47,7 @@
 {
 	if (!s)
 		return;
-	curl_easy_cleanup(s->easy);
-	curl_multi_cleanup(s->multi);
+	http_client_destroy(s->http);
 	buf_free(&s->answer);
 	free(s->url);
 	free(s);
@@ -63,8 +55,7 @@
 
 void store_interrupt(struct store *s)
 {
-	__atomic_store_n(&s->interrupted, 1, __ATOMIC_RELEASE);
-	curl_multi_wakeup(s->multi);
+	http_client_interrupt(s->http);
 }
 
 void store_object_free(struct store_object *o)
@@ -88,109 +79,43 @@
 
 /* ---- one call ---- */
 
-static size_t take_body(char *data, size_t size, size_t n, void *arg)
-{
-	struct store *s = arg;
-
-	if (s->answer.len_bytes + size * n > ANSWER_LIMIT_BYTES)
-		return 0;
-	buf_append(&s->answer, data, (uint32_t)(size * n));
-	return size * n;
-}
-
-static size_t take_header(char *data, size_t size, size_t n, void *arg)
-{
-	static const char name[] = "object-version:";
-	struct store *s = arg;
-
-	if (size * n > sizeof(name) &&
-	    !strncasecmp(data, name, sizeof(name) - 1))
-		s->revision = strtoull(data + sizeof(name) - 1, NULL, 10);
-	return size * n;
-}
-
-/* The multi interface, unlike a plain blocking call, can be woken. */
-static enum az_status run_call(struct store *s, long *status)
-{
-	CURLcode result = CURLE_OK;
-	int running = 1;
-	CURLMsg *m;
-	int left;
-
-	s->unsent = false;
-	curl_multi_add_handle(s->multi, s->easy);
-	while (running) {
-		if (__atomic_load_n(&s->interrupted, __ATOMIC_ACQUIRE) ||
-		    curl_multi_perform(s->multi, &running) != CURLM_OK)
-			break;
-		if (running)
-			curl_multi_poll(s->multi, NULL, 0, 1000, NULL);
-	}
-	while ((m = curl_multi_info_read(s->multi, &left)))
-		if (m->msg == CURLMSG_DONE)
-			result = m->data.result;
-	curl_multi_remove_handle(s->multi, s->easy);
-	if (running)
-		return az_fail(AZ_AGAIN, "call to the store interrupted");
-	if (result == CURLE_OPERATION_TIMEDOUT)
-		return az_fail(AZ_TIMEOUT, "store: %s",
-			       curl_easy_strerror(result));
-	s->unsent = result == CURLE_COULDNT_CONNECT ||
-		    result == CURLE_COULDNT_RESOLVE_HOST;
-	if (result != CURLE_OK)
-		return az_fail(AZ_IO, "store: %s", curl_easy_strerror(result));
-	curl_easy_getinfo(s->easy, CURLINFO_RESPONSE_CODE, status);
-	return AZ_OK;
-}
-
 /* Calls the store; *status is the HTTP status if AZ_OK. */
 static enum az_status call(struct store *s, const char *path,
 			   const char *condition, const void *body,
-			   uint32_t len_bytes, long timeout_ms, long *status)
+			   uint32_t len_bytes, uint32_t timeout_ms,
+			   uint16_t *status)
 {
-	struct curl_slist *headers = NULL;
 	char url[1024];
+	struct http_call c = {
+		.method = body ? "PUT" : NULL,
+		.url = url,
+		.headers = { condition },
+		.body = body,
+		.body_bytes = len_bytes,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.timeout_ms = timeout_ms,
+		.answer_max_bytes = ANSWER_LIMIT_BYTES,
+		.want_header = "object-version",
+	};
 	enum az_status r;
 
 	snprintf(url, sizeof(url), "%s%s", s->url, path);
+	r = http_call(s->http, &c);
 	buf_free(&s->answer);
-	s->revision = 0;
-	curl_easy_reset(s->easy);
-	curl_easy_setopt(s->easy, CURLOPT_URL, url);
-	curl_easy_setopt(s->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(s->easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(s->easy, CURLOPT_PROTOCOLS_STR, "http,https");
-	curl_easy_setopt(s->easy, CURLOPT_CONNECTTIMEOUT_MS,
-			 CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(s->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
-	curl_easy_setopt(s->easy, CURLOPT_WRITEFUNCTION, take_body);
-	curl_easy_setopt(s->easy, CURLOPT_WRITEDATA, s);
-	curl_easy_setopt(s->easy, CURLOPT_HEADERFUNCTION, take_header);
-	curl_easy_setopt(s->easy, CURLOPT_HEADERDATA, s);
-	if (condition)
-		headers = curl_slist_append(headers, condition);
-	if (body) {
-		headers = curl_slist_append(headers, "Expect:");
-		curl_easy_setopt(s->easy, CURLOPT_CUSTOMREQUEST, "PUT");
-		curl_easy_setopt(s->easy, CURLOPT_POSTFIELDSIZE,
-				 (long)len_bytes);
-		curl_easy_setopt(s->easy, CURLOPT_POSTFIELDS, body);
-	}
-	curl_easy_setopt(s->easy, CURLOPT_HTTPHEADER, headers);
-	r = run_call(s, status);
-	curl_slist_free_all(headers);
+	s->answer = c.answer;
+	s->revision = c.header_value;
+	s->unsent = c.unsent;
+	*status = c.status;
 	counter_add(s->calls, 1);
 	if (r != AZ_OK)
 		counter_add(s->failures, 1);
-	buf_append(&s->answer, "", 1);
-	s->answer.len_bytes--;
 	return r;
 }
 
-static enum az_status unexpected(struct store *s, const char *what, long status)
+static enum az_status unexpected(struct store *s, const char *what, uint16_t status)
 {
 	counter_add(s->failures, 1);
-	return az_fail(AZ_IO, "store: status %ld for %s", status, what);
+	return az_fail(AZ_IO, "store: status %u for %s", status, what);
 }
 
 enum az_status store_get(struct store *s, const char *key,
@@ -199,7 +124,7 @@
 	char path[64 + CONF_KEY_MAX_BYTES];
 	struct conf_header h;
 	enum az_status r;
-	long status = 0;
+	uint16_t status = 0;
 
 	memset(out, 0, sizeof(*out));
 	snprintf(out->key, sizeof(out->key), "%s", key);
@@ -229,7 +154,7 @@
 	char path[64 + CONF_KEY_MAX_BYTES];
 	char condition[64];
 	enum az_status r;
-	long status = 0;
+	uint16_t status = 0;
 
 	if (if_revision)
 		snprintf(condition, sizeof(condition), "If-Match: %" PRIu64,
@@ -308,7 +233,7 @@
 {
 	char path[64 + CONF_KEY_MAX_BYTES];
 	enum az_status r;
-	long status = 0;
+	uint16_t status = 0;
 
 	memset(out, 0, sizeof(*out));
 	snprintf(path, sizeof(path), "/v1/objects?prefix=%s", prefix);
@@ -325,7 +250,7 @@
 {
 	char path[128 + CONF_KEY_MAX_BYTES];
 	enum az_status r;
-	long status = 0;
+	uint16_t status = 0;
 
 	memset(out, 0, sizeof(*out));
 	snprintf(path, sizeof(path),
@@ -344,7 +269,7 @@
 {
 	char condition[64];
 	enum az_status r;
-	long status = 0;
+	uint16_t status = 0;
 	json_t *list;
 	json_t *root;
 	json_t *o;
--- a/front/classify.c
+++ b/front/classify.c
@@ -105,7 +105,7 @@
 	struct classification out = { .kind = ERR_NONE };
 	enum error_kind k = ERR_NONE;
 
-	out.route = conf_find_route(c, in->method, in->path, &k);
+	out.route = conf_find_route(c, in->host, in->method, in->path, &k);
 	if (!out.route)
 		return refusal(k);
 	k = check_organisation(c, in, &out);
--- a/front/front.h
+++ b/front/front.h
@@ -26,6 +26,7 @@
 /** What a caller sent, as far as routing needs it; NULL if absent. */
 struct caller_input {
 	const char *method;
+	const char *host;
 	const char *path;
 	const char *organisation;
 	const char *authorization;
--- a/lib/az.h
+++ b/lib/az.h
@@ -365,12 +365,45 @@
 /* ---- sockets ---- */
 
 /** Address for APR; `ip` is IPv4 in host byte order. NULL if there is none. */
+/** Parses "IP:PORT"; AZ_INVALID otherwise. */
+enum az_status net_parse(const char *s, uint32_t *ip, uint16_t *port);
 apr_sockaddr_t *net_address(uint32_t ip, uint16_t port, apr_pool_t *pool);
 /** Begins a non-blocking connection; its end shows as APR_POLLOUT. On failure
  * *out is the socket made so far, or NULL. */
 enum az_status net_connect(uint32_t ip, uint16_t port, apr_pool_t *pool,
 			   apr_socket_t **out);
 
+/* ---- HTTP calls that block (http_call.c) ---- */
+
+/** Keeps its connection between calls; for one thread at a time. */
+struct http_client;
+
+/** A call; what is not said is zero. */
+struct http_call {
+	const char *method; /**< NULL: GET */
+	const char *url;
+	const char *headers[8]; /**< "Name: value" lines, NULL behind the last */
+	const void *body;
+	uint32_t body_bytes;
+	uint32_t connect_timeout_ms;
+	uint32_t timeout_ms;
+	uint32_t answer_max_bytes;
+	const char *want_header; /**< name of a header with a number, or NULL */
+	/* The result. */
+	uint16_t status; /**< HTTP status, if AZ_OK */
+	uint64_t header_value; /**< 0: not in the answer */
+	bool unsent; /**< the call did not reach the server */
+	struct buf answer; /**< zero-terminated behind its length; the
+				caller frees it */
+};
+
+struct http_client *http_client_create(void);
+void http_client_destroy(struct http_client *h);
+/** Ends the call in progress and all later ones with AZ_AGAIN. Any thread. */
+void http_client_interrupt(struct http_client *h);
+/** AZ_TIMEOUT, AZ_IO or AZ_AGAIN if there is no answer. */
+enum az_status http_call(struct http_client *h, struct http_call *c);
+
 /* ---- slope programs (*_slopes.c) ---- */
 
 /** Processor time of this process in microseconds. */
--- a/lib/net.c
+++ b/lib/net.c
@@ -1,4 +1,7 @@
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <arpa/inet.h>
 
 #include "lib/az.h"
 
@@ -10,6 +13,27 @@
 		 ip >> 8 & 255, ip & 255);
 }
 
+enum az_status net_parse(const char *s, uint32_t *ip, uint16_t *port)
+{
+	char text[IP_TEXT_BYTES];
+	size_t n = strcspn(s, ":");
+	struct in_addr a;
+	unsigned long value = 0;
+
+	if (n < sizeof(text) && s[n] == ':') {
+		memcpy(text, s, n);
+		text[n] = '\0';
+		if (inet_pton(AF_INET, text, &a) == 1 &&
+		    strspn(s + n + 1, "0123456789") == strlen(s + n + 1))
+			value = strtoul(s + n + 1, NULL, 10);
+	}
+	if (!value || value > UINT16_MAX)
+		return az_fail(AZ_INVALID, "'%s' is not IP:PORT", s);
+	*ip = ntohl(a.s_addr);
+	*port = (uint16_t)value;
+	return AZ_OK;
+}
+
 apr_sockaddr_t *net_address(uint32_t ip, uint16_t port, apr_pool_t *pool)
 {
 	apr_sockaddr_t *sa;
