--- /dev/null
+++ b/attempt/decide.c
@@ -0,0 +1,101 @@
+#include "attempt/attempt.h"
+
+/* With less than this left another worker would not answer in time. */
+#define RETRY_LEFT_US (50 * US_PER_MS)
+
+static bool is_server_error(const struct attempt_input *in)
+{
+	return in->kind == ERR_NONE && in->http_status >= 500;
+}
+
+enum attempt_action attempt_decide(const struct attempt_input *in)
+{
+	bool in_time =
+		in->tries < ATTEMPT_TRIES_MAX && in->left_us > RETRY_LEFT_US;
+	bool not_run = in->kind != ERR_NONE && in->outcome == OUTCOME_NOT_RUN;
+
+	if (in->kind == ERR_NONE && !is_server_error(in))
+		return ATTEMPT_FINISH;
+	if (in->others_out)
+		return ATTEMPT_WAIT;
+	if (not_run)
+		return in_time ? ATTEMPT_RETRY : ATTEMPT_FINISH;
+	return in->idempotent && in_time && in->runs < in->runs_max ?
+		       ATTEMPT_RETRY :
+		       ATTEMPT_FINISH;
+}
+
+bool attempt_arrived(enum upstream_fault f)
+{
+	return !upstream_fault_is_not_run(f);
+}
+
+enum home_event attempt_event(const struct upstream_result *r)
+{
+	switch (r->fault) {
+	case UPSTREAM_OK:
+		if (r->verdict == WORKER_DID_NOT_RUN)
+			return EVENT_SHED;
+		if (r->verdict == WORKER_IS_ANOTHER)
+			return EVENT_IS_ANOTHER;
+		if (r->verdict == WORKER_ANSWER_BAD)
+			return EVENT_BROKEN;
+		return r->answer->http_status >= 500 ? EVENT_SERVER_ERROR :
+						       EVENT_ANSWERED;
+	case UPSTREAM_CONNECT_REFUSED:
+	case UPSTREAM_CONNECT_TIMEOUT:
+		return EVENT_UNREACHABLE;
+	case UPSTREAM_CLOSED_UNSENT:
+	case UPSTREAM_CLOSED:
+	case UPSTREAM_TRUNCATED:
+		return EVENT_BROKEN;
+	case UPSTREAM_TIMEOUT:
+	case UPSTREAM_SILENT:
+		return EVENT_TIMEOUT;
+	case UPSTREAM_TOO_LARGE:
+	case UPSTREAM_CANCELLED:
+	case UPSTREAM_CANCELLED_UNSENT:
+		break;
+	}
+	return EVENT_UNUSED;
+}
+
+static enum error_kind kind_of_answer(const struct upstream_result *r)
+{
+	switch (r->verdict) {
+	case WORKER_ANSWERED:
+		return ERR_NONE;
+	case WORKER_DID_NOT_RUN:
+		return ERR_WORKER_SHED;
+	case WORKER_IS_ANOTHER:
+		return ERR_CONNECT_FAILED;
+	case WORKER_ANSWER_BAD:
+		return ERR_ANSWER_TRUNCATED;
+	}
+	return ERR_INTERNAL;
+}
+
+enum error_kind attempt_kind(const struct upstream_result *r)
+{
+	switch (r->fault) {
+	case UPSTREAM_OK:
+		return kind_of_answer(r);
+	case UPSTREAM_CONNECT_REFUSED:
+	case UPSTREAM_CONNECT_TIMEOUT:
+	case UPSTREAM_CLOSED_UNSENT:
+		return ERR_CONNECT_FAILED;
+	case UPSTREAM_CANCELLED_UNSENT:
+		return ERR_DEADLINE_NOT_RUN;
+	case UPSTREAM_CLOSED:
+	case UPSTREAM_SILENT:
+		return ERR_ANSWER_LOST;
+	case UPSTREAM_TRUNCATED:
+		return ERR_ANSWER_TRUNCATED;
+	case UPSTREAM_TOO_LARGE:
+		return ERR_ANSWER_TOO_LARGE;
+	case UPSTREAM_TIMEOUT:
+	case UPSTREAM_CANCELLED:
+		return ERR_DEADLINE_UNKNOWN;
+	}
+	return ERR_INTERNAL;
+}
--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -243,6 +243,24 @@
 	};
 	struct route_settings rs = { me.id,   d->incarnation, me.dc, me.region,
 				     d->conf, d->membership,  NULL,  NULL };
+	struct home_settings hs = {
+		.ip = s->peer.ip,
+		.port = s->peer.port,
+		.incarnation = d->incarnation,
+		.conf = d->conf,
+		.membership = d->membership,
+		.retry_slack = s->retry_slack,
+	};
+	struct attempt_settings as = {
+		.ip = s->peer.ip,
+		.member_id = me.id,
+		.incarnation = d->incarnation,
+		.dc = me.dc,
+		.region = me.region,
+		.conf = d->conf,
+		.membership = d->membership,
+		.upstream = d->upstream,
+	};
 	struct ticket_settings ts = {
 		.ip = s->peer.ip,
 		.port = s->peer.port,
@@ -253,7 +271,10 @@
 	struct front_settings fs = {
 		.ip = s->front.ip,
 		.port = s->front.port,
+		.ready_ip = s->ready.ip,
+		.ready_port = s->ready.port,
 		.in_flight_max = s->max_in_flight,
+		.dialect = s->platform[0] ? &platform_caller_dialect : NULL,
 		.conf = d->conf,
 		.membership = d->membership,
 	};
@@ -266,12 +287,17 @@
 	rs.cell = d->cell;
 	rs.peer = d->peer;
 	d->route = route_create(&rs, d->timers, d->pool);
-	ts.route = d->route;
+	d->home = home_create(&hs, d->timers);
+	as.home = d->home;
+	d->attempts = attempts_create(&as, d->timers);
+	if (!d->home || !d->attempts)
+		return AZ_IO;
+	ts.attempts = d->attempts;
 	ts.peer = d->peer;
 	d->ticket = ticket_create(&ts, d->timers, d->pool);
-	fs.route = d->route;
+	fs.attempts = d->attempts;
 	fs.ticket = d->ticket;
-	d->front = front_create(&fs, d->pool);
+	d->front = front_create(&fs, d->timers, d->pool);
 	return d->route && d->ticket && d->front ? AZ_OK : AZ_IO;
 }
 
@@ -294,6 +320,25 @@
 	return d->conf_duty ? AZ_OK : AZ_IO;
 }
 
+static enum az_status create_source(struct azhd *d)
+{
+	struct feed_settings fs = { d->conf };
+	struct platform_source_settings ps = {
+		.store = d->settings.platform,
+		.places = (const char *)d->settings.places.data,
+		.bounds = d->settings.bounds,
+	};
+
+	if (!d->settings.platform[0])
+		return AZ_OK;
+	upstream_set_dialect(d->upstream, &platform_worker_dialect);
+	d->feed = feed_create(&fs, d->timers);
+	ps.feed = d->feed;
+	if (d->feed)
+		d->source_of_conf = platform_source_create(&ps, d->pool);
+	return d->source_of_conf ? AZ_OK : AZ_IO;
+}
+
 static enum az_status create_admin(struct azhd *d)
 {
 	struct admin_settings as = {
@@ -328,9 +373,19 @@
 		st = create_path(d);
 	if (st == AZ_OK)
 		st = create_conf_duty(d);
+	if (st == AZ_OK)
+		st = create_source(d);
 	return st == AZ_OK ? create_admin(d) : st;
 }
 
+static void set_keys(struct azhd *d)
+{
+	peer_set_keys(d->peer, &d->settings.keys);
+	membership_set_keys(d->membership, &d->settings.keys);
+	home_set_keys(d->home, &d->settings.keys);
+	attempts_set_keys(d->attempts, &d->settings.keys);
+}
+
 static enum az_status start(struct azhd *d)
 {
 	enum az_status st = timer_service_start(d->timers);
@@ -349,6 +404,16 @@
 		st = peer_start(d->peer);
 	if (st == AZ_OK && d->conf_duty)
 		st = conf_duty_start(d->conf_duty);
+	if (st == AZ_OK)
+		st = home_start(d->home);
+	if (st == AZ_OK)
+		st = attempts_start(d->attempts);
+	if (st == AZ_OK && d->feed)
+		st = feed_start(d->feed);
+	if (st == AZ_OK && d->source_of_conf)
+		st = platform_source_start(d->source_of_conf);
+	if (st == AZ_OK)
+		set_keys(d);
 	if (st == AZ_OK && d->admin)
 		st = admin_start(d->admin);
 	if (st == AZ_OK)
@@ -364,9 +429,15 @@
 	front_stop(d->front);
 	if (d->conf_duty)
 		conf_duty_stop(d->conf_duty);
+	if (d->source_of_conf)
+		platform_source_stop(d->source_of_conf);
+	if (d->feed)
+		feed_stop(d->feed);
 	ticket_stop(d->ticket);
 	route_stop(d->route);
+	attempts_stop(d->attempts);
 	upstream_stop(d->upstream);
+	home_stop(d->home);
 	cell_home_stop(d->cell);
 	peer_stop(d->peer);
 	membership_stop(d->membership);
@@ -389,8 +460,7 @@
 		return;
 	}
 	d->settings.keys = s.keys;
-	peer_set_keys(d->peer, &s.keys);
-	membership_set_keys(d->membership, &s.keys);
+	set_keys(d);
 	log_set_level(s.log_level);
 	if (load_conf(d) != AZ_OK)
 		log_write(LOG_ERROR, "azhd", "reload refused: %s",
--- a/cmd/azhd/azhd.h
+++ b/cmd/azhd/azhd.h
@@ -6,12 +6,16 @@
 #define AZHD_AZHD_H
 
 #include "admin/admin.h"
+#include "attempt/attempt.h"
 #include "cell/cell.h"
 #include "conf/conf.h"
+#include "feed/feed.h"
 #include "front/front.h"
+#include "home/home.h"
 #include "lib/az.h"
 #include "member/member.h"
 #include "peer/peer.h"
+#include "platform/platform.h"
 #include "route/route.h"
 #include "ticket/ticket.h"
 #include "upstream/upstream.h"
@@ -30,6 +34,8 @@
 	char region[CONF_NAME_MAX_BYTES];
 	char site[CONF_NAME_MAX_BYTES];
 	struct address front;
+	struct address
+		ready; /**< where the balancer asks besides; 0: nowhere */
 	struct address peer;
 	struct address member;
 	struct address
@@ -41,6 +47,12 @@
 	char store[64]; /**< ip:port of the platform's API, "" for none */
 	char seeds[SEEDS_MAX][32];
 	uint32_t seed_count;
+	/** "ip:port" of the users' platform; "" for none. It then has the
+	 * configuration, and callers and workers speak its way. */
+	char platform[64];
+	struct buf places; /**< [data_centre] sections for its configuration */
+	struct platform_bounds bounds;
+	uint32_t retry_slack; /**< repeats that a cell may save up */
 	struct fleet_keys keys;
 	enum log_level log_level;
 	uint32_t max_in_flight;
@@ -68,6 +80,10 @@
 	struct cell_home *cell;
 	struct peer *peer;
 	struct route *route;
+	struct home *home;
+	struct attempts *attempts;
+	struct feed *feed; /**< NULL without the platform */
+	struct platform_source *source_of_conf; /**< same */
 	struct ticket_duty *ticket;
 	struct front *front;
 	struct conf_duty *conf_duty; /**< NULL without a store */
--- a/cmd/azhd/drain.c
+++ b/cmd/azhd/drain.c
@@ -24,7 +24,7 @@
 
 static uint32_t in_flight(struct azhd *d)
 {
-	return front_in_flight(d->front) + route_in_flight(d->route) +
+	return front_in_flight(d->front) + attempts_in_flight(d->attempts) +
 	       ticket_in_flight(d->ticket) + cell_home_in_flight(d->cell);
 }
 
--- a/cmd/azhd/settings.c
+++ b/cmd/azhd/settings.c
@@ -12,6 +12,8 @@
 #define VMS_INTERVAL_MS_DEFAULT 2000
 #define DRAIN_MS_DEFAULT 2000
 #define STOP_TIMEOUT_MS_DEFAULT 30000
+/* A tenth of a percent of what a cell serves in a minute. */
+#define RETRY_SLACK_DEFAULT 10
 
 struct parse {
 	const char *path;
@@ -61,6 +63,30 @@
 	return AZ_OK;
 }
 
+/* Addresses of other daemons whose port is not that of membership. */
+static enum az_status parse_seed_hosts(const char *s, struct azhd_settings *out)
+{
+	char copy[512];
+	char *save = NULL;
+	struct address a;
+
+	snprintf(copy, sizeof(copy), "%s", s);
+	for (char *t = strtok_r(copy, ", ", &save); t;
+	     t = strtok_r(NULL, ", ", &save)) {
+		enum az_status st = parse_address(t, &a);
+
+		if (st != AZ_OK)
+			return st;
+		if (out->seed_count == SEEDS_MAX)
+			return az_fail(AZ_INVALID, "more than %d seeds",
+				       SEEDS_MAX);
+		snprintf(out->seeds[out->seed_count++], sizeof(out->seeds[0]),
+			 "%u.%u.%u.%u:%u", a.ip >> 24, a.ip >> 16 & 255,
+			 a.ip >> 8 & 255, a.ip & 255, out->member.port);
+	}
+	return AZ_OK;
+}
+
 static enum az_status parse_seeds(const char *s, struct azhd_settings *out)
 {
 	char copy[512];
@@ -89,6 +115,8 @@
 {
 	if (!strcmp(key, "front"))
 		return parse_address(v, &o->front);
+	if (!strcmp(key, "ready"))
+		return parse_address(v, &o->ready);
 	if (!strcmp(key, "peer"))
 		return parse_address(v, &o->peer);
 	if (!strcmp(key, "peer_bind"))
@@ -116,6 +144,7 @@
 		{ "base", o->base, sizeof(o->base) },
 		{ "overlay", o->overlay, sizeof(o->overlay) },
 		{ "store", o->store, sizeof(o->store) },
+		{ "platform", o->platform, sizeof(o->platform) },
 	};
 
 	for (uint32_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++)
@@ -129,6 +158,10 @@
 {
 	if (!strcmp(key, "seeds"))
 		return parse_seeds(v, o);
+	if (!strcmp(key, "seed_hosts"))
+		return parse_seed_hosts(v, o);
+	if (!strcmp(key, "retry_slack"))
+		return parse_number(v, 0, 100000, &o->retry_slack);
 	if (!strcmp(key, "log_level"))
 		return log_level_parse(v, &o->log_level);
 	if (!strcmp(key, "max_in_flight"))
@@ -155,6 +188,13 @@
 			return fleet_keys_parse(v, &o->keys);
 		return az_fail(AZ_NOT_FOUND, "unknown key '%s'", key);
 	}
+	if (!strcmp(section, "bounds"))
+		return platform_bound(&o->bounds, key, v);
+	if (!strcmp(section, "places")) {
+		buf_printf(&o->places, "[data_centre %s]\nregion = %s\n", key,
+			   v);
+		return AZ_OK;
+	}
 	if (strcmp(section, "daemon") != 0)
 		return az_fail(AZ_NOT_FOUND, "unknown section [%s]", section);
 	st = set_address(o, key, v);
@@ -204,9 +244,9 @@
 		add_error(p, 0, "[daemon] member is missing");
 	if (o->admin.port && !o->admin_token[0])
 		add_error(p, 0, "[daemon] admin needs admin_token");
-	if (!o->base[0] && !o->store[0])
-		add_error(p, 0, "[daemon] base or store is missing");
-	if (!o->keys.count)
+	if (!o->base[0] && !o->store[0] && !o->platform[0])
+		add_error(p, 0, "[daemon] base, store or platform is missing");
+	if (!o->keys.count && !o->platform[0])
 		add_error(p, 0, "[fleet] keys is missing");
 }
 
@@ -228,11 +268,16 @@
 		add_error(&p, 0, strerror(errno));
 		return az_fail(AZ_INVALID, "cannot read %s", path);
 	}
+	out->retry_slack = RETRY_SLACK_DEFAULT;
 	rv = ini_parse_stream(read_line, &p, on_value, &p);
 	fclose(p.file);
 	if (rv > 0)
 		add_error(&p, rv, "not INI syntax");
 	check_whole(&p);
+	buf_append(&out->places, "", 1);
+	/* The platform says how long a stop may take. */
+	if (out->bounds.stop_ms)
+		out->stop_timeout_ms = out->bounds.stop_ms;
 	if (!out->peer_bind.port)
 		out->peer_bind = out->peer;
 	if (errors->count)
--- a/conf/check.c
+++ b/conf/check.c
@@ -506,8 +506,8 @@
 
 			if (!parse_bool(k->value, &leaving))
 				bad_key(b, k, "yes or no");
-			w->admin = leaving ? WORKER_DRAINING :
-					     WORKER_IN_SERVICE;
+			w->admin =
+				leaving ? WORKER_DRAINING : WORKER_IN_SERVICE;
 		} else if (!set_field(b, worker_fields, k->name, k, w)) {
 			unknown_key(b, s, k);
 		}
@@ -907,7 +907,7 @@
 
 static void sort_sections(struct build *b, bool own_fleet)
 {
-	static const char *const kinds[] = { "data_centre", "rank",  "limits",
+	static const char *const kinds[] = { "data_centre", "rank",   "limits",
 					     "service",	    "worker", "route",
 					     "organisation" };
 	const uint32_t count = sizeof(kinds) / sizeof(kinds[0]);
--- a/conf/conf.c
+++ b/conf/conf.c
@@ -399,8 +399,7 @@
 {
 	/* The first end is that of the root, whose path is "/". */
 	uint32_t len = end ? end : 1;
-	uint32_t at =
-		(uint32_t)path_hash(q->path.text, len) & c->route_mask;
+	uint32_t at = (uint32_t)path_hash(q->path.text, len) & c->route_mask;
 	const struct conf_route *any = NULL;
 
 	for (; c->routes[at]; at = (at + 1) & c->route_mask) {
--- a/conf/conf_test.c
+++ b/conf/conf_test.c
@@ -44,7 +44,8 @@
 			      const char *path)
 {
 	enum error_kind why;
-	const struct conf_route *r = conf_find_route(c, NULL, method, path, &why);
+	const struct conf_route *r =
+		conf_find_route(c, NULL, method, path, &why);
 
 	return r ? r->name : error_info(why)->name;
 }
--- a/conf/store.c
+++ b/conf/store.c
@@ -112,7 +112,8 @@
 	return r;
 }
 
-static enum az_status unexpected(struct store *s, const char *what, uint16_t status)
+static enum az_status unexpected(struct store *s, const char *what,
+				 uint16_t status)
 {
 	counter_add(s->failures, 1);
 	return az_fail(AZ_IO, "store: status %u for %s", status, what);
--- /dev/null
+++ b/feed/feed.h
@@ -0,0 +1,95 @@
+/**
+ * @file
+ * Keeps the snapshot current from a source that tells whole configurations and
+ * single workers: which workers count, which version is in force, and when a
+ * new snapshot is built.
+ */
+#ifndef FEED_FEED_H
+#define FEED_FEED_H
+
+#include <apr_hash.h>
+
+#include "conf/conf.h"
+#include "lib/az.h"
+
+/** What a source says of one worker. */
+struct feed_worker {
+	char name[CONF_NAME_MAX_BYTES];
+	char service[CONF_NAME_MAX_BYTES];
+	char data_centre[CONF_NAME_MAX_BYTES];
+	uint32_t ip; /**< IPv4, host byte order */
+	uint16_t port;
+	uint8_t slots;
+	bool leaving; /**< finishes what it has and takes nothing new */
+	uint64_t boot; /**< tells one start of the process from another */
+	uint32_t cold_ms; /**< slow for so much longer */
+	uint64_t revision; /**< of the entry; a later one is newer */
+};
+
+/* ---- worker table (table.c): plain state, time passed in ---- */
+
+/** Entries that lapsed while the source was away come back within 2 s of its
+ * return, if the worker lives; the rest is for the way of the news. */
+#define FEED_HOLD_US (2500 * US_PER_MS)
+
+struct feed_entry {
+	struct feed_worker worker;
+	int64_t gone_at_us; /**< dropped then unless it is told again; 0: there
+			     */
+};
+
+struct feed_table {
+	apr_pool_t *pool;
+	apr_hash_t *by_name;
+	bool source_away;
+	int64_t source_back_us; /**< when the source last came back; 0: never */
+};
+
+struct feed_table *feed_table_create(void);
+void feed_table_destroy(struct feed_table *t);
+/** True if it changes what a snapshot says. An older revision of the same boot
+ * changes nothing. */
+bool feed_table_put(struct feed_table *t, const struct feed_worker *w);
+/** True if the worker is dropped at once. While the source was away within the
+ * last FEED_HOLD_US the entry may have lapsed and is held. */
+bool feed_table_remove(struct feed_table *t, const char *name, int64_t now_us);
+/** The source's whole list: others are removed as by feed_table_remove(). */
+bool feed_table_replace(struct feed_table *t, const struct feed_worker *list,
+			uint32_t count, int64_t now_us);
+void feed_table_source_lost(struct feed_table *t);
+void feed_table_source_back(struct feed_table *t, int64_t now_us);
+/** Drops held entries whose time has come; true if there were any. *next_us is
+ * the time of the next one, or INT64_MAX. */
+bool feed_table_expire(struct feed_table *t, int64_t now_us, int64_t *next_us);
+uint32_t feed_table_size(const struct feed_table *t);
+/** Appends "[worker SERVICE/NAME]" sections for the services that `text`
+ * configures. Of entries with one address only the newest counts. */
+void feed_table_print(const struct feed_table *t, const char *text,
+		      struct buf *out);
+
+/* ---- the duty ---- */
+
+struct feed;
+
+struct feed_settings {
+	struct conf_current *current;
+};
+
+struct feed *feed_create(const struct feed_settings *s,
+			 struct timer_service *timers);
+enum az_status feed_start(struct feed *f);
+void feed_stop(struct feed *f);
+/** A whole configuration without workers, as INI text. A version that is not
+ * higher than the one in force is ignored. Any thread. */
+void feed_set_configuration(struct feed *f, uint64_t version, const char *text);
+/** Any thread. */
+void feed_put_workers(struct feed *f, const struct feed_worker *list,
+		      uint32_t count);
+void feed_replace_workers(struct feed *f, const struct feed_worker *list,
+			  uint32_t count);
+void feed_remove_worker(struct feed *f, const char *name);
+/** The source of workers stopped answering, or answers again. Any thread. */
+void feed_source_lost(struct feed *f);
+void feed_source_back(struct feed *f);
+
+#endif
--- /dev/null
+++ b/feed/table.c
@@ -0,0 +1,223 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "feed/feed.h"
+
+struct feed_table *feed_table_create(void)
+{
+	struct feed_table *t = az_alloc(sizeof(*t));
+
+	if (apr_pool_create_unmanaged_ex(&t->pool, NULL, NULL) != APR_SUCCESS)
+		abort();
+	t->by_name = apr_hash_make(t->pool);
+	return t;
+}
+
+void feed_table_destroy(struct feed_table *t)
+{
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i))
+		free(apr_hash_this_val(i));
+	apr_pool_destroy(t->pool);
+	free(t);
+}
+
+uint32_t feed_table_size(const struct feed_table *t)
+{
+	return apr_hash_count(t->by_name);
+}
+
+static struct feed_entry *find(const struct feed_table *t, const char *name)
+{
+	return apr_hash_get(t->by_name, name, APR_HASH_KEY_STRING);
+}
+
+static void drop(struct feed_table *t, struct feed_entry *e)
+{
+	apr_hash_set(t->by_name, e->worker.name, APR_HASH_KEY_STRING, NULL);
+	free(e);
+}
+
+/* The rest of a cold start shrinks with each entry and is of use only when the
+ * worker is first seen. */
+static bool same(const struct feed_worker *a, const struct feed_worker *b)
+{
+	return !strcmp(a->service, b->service) &&
+	       !strcmp(a->data_centre, b->data_centre) && a->ip == b->ip &&
+	       a->port == b->port && a->slots == b->slots &&
+	       a->leaving == b->leaving && a->boot == b->boot;
+}
+
+bool feed_table_put(struct feed_table *t, const struct feed_worker *w)
+{
+	struct feed_entry *e = find(t, w->name);
+	uint32_t cold_ms = w->cold_ms;
+	bool changed;
+
+	if (!e) {
+		e = az_alloc(sizeof(*e));
+		e->worker = *w;
+		apr_hash_set(t->by_name, e->worker.name, APR_HASH_KEY_STRING,
+			     e);
+		return true;
+	}
+	if (w->revision < e->worker.revision)
+		return false;
+	changed = !same(&e->worker, w);
+	if (e->worker.boot == w->boot)
+		cold_ms = e->worker.cold_ms;
+	e->worker = *w;
+	e->worker.cold_ms = cold_ms;
+	e->gone_at_us = 0;
+	return changed;
+}
+
+static bool remove_entry(struct feed_table *t, struct feed_entry *e,
+			 int64_t now_us)
+{
+	int64_t until_us = t->source_back_us + FEED_HOLD_US;
+
+	if (t->source_away)
+		until_us = now_us + FEED_HOLD_US;
+	if (t->source_away || (t->source_back_us && now_us < until_us)) {
+		if (!e->gone_at_us)
+			e->gone_at_us = until_us;
+		return false;
+	}
+	drop(t, e);
+	return true;
+}
+
+bool feed_table_remove(struct feed_table *t, const char *name, int64_t now_us)
+{
+	struct feed_entry *e = find(t, name);
+
+	return e && remove_entry(t, e, now_us);
+}
+
+static bool is_listed(const struct feed_worker *list, uint32_t count,
+		      const char *name)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (!strcmp(list[i].name, name))
+			return true;
+	return false;
+}
+
+bool feed_table_replace(struct feed_table *t, const struct feed_worker *list,
+			uint32_t count, int64_t now_us)
+{
+	bool changed = false;
+	apr_hash_index_t *i;
+
+	for (uint32_t n = 0; n < count; n++)
+		changed |= feed_table_put(t, &list[n]);
+	/* APR allows the current entry to be removed during a walk. */
+	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
+		struct feed_entry *e = apr_hash_this_val(i);
+
+		if (!is_listed(list, count, e->worker.name))
+			changed |= remove_entry(t, e, now_us);
+	}
+	return changed;
+}
+
+void feed_table_source_lost(struct feed_table *t)
+{
+	t->source_away = true;
+}
+
+void feed_table_source_back(struct feed_table *t, int64_t now_us)
+{
+	apr_hash_index_t *i;
+
+	if (!t->source_away)
+		return;
+	t->source_away = false;
+	t->source_back_us = now_us;
+	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
+		struct feed_entry *e = apr_hash_this_val(i);
+
+		if (e->gone_at_us)
+			e->gone_at_us = now_us + FEED_HOLD_US;
+	}
+}
+
+bool feed_table_expire(struct feed_table *t, int64_t now_us, int64_t *next_us)
+{
+	bool dropped = false;
+	apr_hash_index_t *i;
+
+	*next_us = INT64_MAX;
+	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
+		struct feed_entry *e = apr_hash_this_val(i);
+
+		if (!e->gone_at_us || t->source_away)
+			continue;
+		if (e->gone_at_us <= now_us) {
+			drop(t, e);
+			dropped = true;
+		} else if (e->gone_at_us < *next_us) {
+			*next_us = e->gone_at_us;
+		}
+	}
+	return dropped;
+}
+
+static int by_address(const void *a, const void *b)
+{
+	const struct feed_worker *x = *(const struct feed_worker *const *)a;
+	const struct feed_worker *y = *(const struct feed_worker *const *)b;
+
+	if (x->ip != y->ip)
+		return x->ip < y->ip ? -1 : 1;
+	if (x->port != y->port)
+		return x->port < y->port ? -1 : 1;
+	if (x->revision != y->revision)
+		return x->revision > y->revision ? -1 : 1;
+	return strcmp(x->name, y->name);
+}
+
+static bool is_configured(const char *text, const char *service)
+{
+	char heading[CONF_NAME_MAX_BYTES + 16];
+
+	snprintf(heading, sizeof(heading), "[service %s]\n", service);
+	return strstr(text, heading) != NULL;
+}
+
+static void print_worker(const struct feed_worker *w, struct buf *out)
+{
+	buf_printf(out, "[worker %s/%s]\naddress = %u.%u.%u.%u:%u\n",
+		   w->service, w->name, w->ip >> 24, w->ip >> 16 & 255,
+		   w->ip >> 8 & 255, w->ip & 255, w->port);
+	buf_printf(out,
+		   "data_centre = %s\nslots = %u\nboot = %llu\n"
+		   "cold_ms = %u\nleaving = %s\n",
+		   w->data_centre, w->slots, (unsigned long long)w->boot,
+		   w->cold_ms, w->leaving ? "yes" : "no");
+}
+
+void feed_table_print(const struct feed_table *t, const char *text,
+		      struct buf *out)
+{
+	uint32_t count = 0;
+	const struct feed_worker **list =
+		az_alloc((feed_table_size(t) + 1) * sizeof(*list));
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i))
+		list[count++] =
+			&((struct feed_entry *)apr_hash_this_val(i))->worker;
+	qsort(list, count, sizeof(*list), by_address);
+	for (uint32_t n = 0; n < count; n++) {
+		bool older = n && list[n]->ip == list[n - 1]->ip &&
+			     list[n]->port == list[n - 1]->port;
+
+		if (!older && is_configured(text, list[n]->service))
+			print_worker(list[n], out);
+	}
+	free(list);
+}
--- a/front/classify.c
+++ b/front/classify.c
@@ -59,25 +59,25 @@
 	return ERR_NONE;
 }
 
-static enum error_kind check_deadline(const struct caller_input *in,
-				      int64_t now_us,
-				      struct classification *out)
+enum error_kind classify_deadline(const struct conf_route *r, enum rank rank,
+				  const char *ms_text, int64_t now_us,
+				  int64_t *deadline_us)
 {
-	int64_t ms = out->route->deadline_ms;
+	int64_t ms = r->deadline_ms;
 	char *end;
 
 	if (!ms)
-		ms = out->route->service->ranks[out->rank].deadline_ms;
-	if (in->deadline_ms) {
-		ms = strtoll(in->deadline_ms, &end, 10);
-		if (end == in->deadline_ms || *end || ms < 1 ||
-		    ms > DEADLINE_MAX_MS)
-			return az_fail(AZ_INVALID,
-				       HEADER_DEADLINE " is 1 to %d",
+		ms = r->service->ranks[rank].deadline_ms;
+	if (ms_text) {
+		ms = strtoll(ms_text, &end, 10);
+		if (end == ms_text || *end || ms < 1 || ms > DEADLINE_MAX_MS)
+			return az_fail(AZ_INVALID, "a deadline is 1 to %d ms",
 				       DEADLINE_MAX_MS),
 			       ERR_BAD_REQUEST;
 	}
-	out->deadline_us = now_us + ms * US_PER_MS;
+	if (r->timeout_ms && ms > r->timeout_ms)
+		ms = r->timeout_ms;
+	*deadline_us = now_us + ms * US_PER_MS;
 	return ERR_NONE;
 }
 
@@ -108,13 +108,19 @@
 	out.route = conf_find_route(c, in->host, in->method, in->path, &k);
 	if (!out.route)
 		return refusal(k);
+	out.service = conf_route_service(c, out.route, random_u64());
+	if (!out.service)
+		return refusal(ERR_NO_WORKER);
 	k = check_organisation(c, in, &out);
 	if (k == ERR_NONE)
 		k = check_rank(in, &out);
 	if (k == ERR_NONE)
-		k = check_deadline(in, now_us, &out);
+		k = classify_deadline(out.route, out.rank, in->deadline_ms,
+				      now_us, &out.deadline_us);
 	if (k == ERR_NONE)
 		k = choose_way(in, &out);
+	out.has_ticket = in->ticket != NULL;
+	out.single = !out.route->idempotent && out.organisation;
 	if (k != ERR_NONE) {
 		out.way = FRONT_REFUSE;
 		out.kind = k;
--- /dev/null
+++ b/front/conn.c
@@ -0,0 +1,612 @@
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <apr_portable.h>
+
+#include "front/front.h"
+#include "attempt/attempt.h"
+
+#define READ_BYTES 16384
+#define CONNECTIONS_MAX 3000
+/** Requests of one connection that are under way at once. */
+#define PIPELINE_MAX 32
+/** Answers that wait for a caller who does not read: then no more of its
+ * requests are read. */
+#define OUT_MAX_BYTES (1U << 20)
+/** Of one request's body: it is held whole until its worker is known. */
+#define BODY_MAX_BYTES (16U << 20)
+/** Of the bodies of all requests, a quarter of a small VM's memory. */
+#define BODIES_MAX_BYTES (64U << 20)
+/** After the last answer the rest of what the caller sends is read and thrown
+ * away for so long: a close with unread bytes would reset the connection and
+ * could take the answer with it. */
+#define LINGER_US US_PER_S
+
+enum conn_phase {
+	PHASE_HEAD,
+	PHASE_BODY,
+	PHASE_DEAF, /**< nothing more is read as a request */
+	PHASE_LINGER, /**< all is sent; waits for the caller to close */
+};
+
+struct front_conn {
+	struct poll_handler poll;
+	struct front *front;
+	apr_pool_t *pool;
+	struct front_conn *next;
+	struct front_conn *prev;
+	bool balancer_only;
+	enum conn_phase phase;
+	struct buf in; /**< bytes of a head that is not whole */
+	uint32_t in_seen_bytes;
+	http_parser parser;
+	bool in_value;
+	bool too_large;
+	struct exchange *reading; /**< its body arrives */
+	struct exchange *first; /**< in the order of the requests */
+	struct exchange *last;
+	uint32_t exchange_count;
+	struct buf out;
+	uint32_t out_sent_bytes;
+	int64_t due_us; /**< closed or refused then */
+};
+
+/* ---- the list of connections ---- */
+
+static void conn_close(struct front_conn *c)
+{
+	struct front *f = c->front;
+
+	while (c->first) {
+		struct exchange *x = c->first;
+
+		c->first = x->next;
+		x->conn = NULL;
+		if (x->submitted && !x->answer) {
+			counter_add(f->left, 1);
+			if (x->attempt_id)
+				attempt_cancel(f->settings.attempts,
+					       x->attempt_id);
+		} else {
+			exchange_free(x);
+		}
+	}
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		f->conns = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	if (!c->balancer_only)
+		__atomic_sub_fetch(&f->conn_count, 1, __ATOMIC_RELAXED);
+	duty_poll(&f->duty, &c->poll, 0);
+	apr_socket_close(c->poll.sock);
+	buf_free(&c->in);
+	buf_free(&c->out);
+	apr_pool_destroy(c->pool);
+	free(c);
+}
+
+static void set_due(struct front_conn *c, int64_t at_us)
+{
+	c->due_us = at_us;
+	front_arm(c->front, at_us);
+}
+
+static struct conf_limits limits(struct front *f)
+{
+	struct conf *conf = conf_current_get(f->settings.conf);
+	struct conf_limits l = *conf_limits(conf);
+
+	conf_release(conf);
+	return l;
+}
+
+/* ---- writing ---- */
+
+/* False if the connection is gone. */
+static bool flush(struct front_conn *c)
+{
+	while (c->out_sent_bytes < c->out.len_bytes) {
+		apr_size_t n = c->out.len_bytes - c->out_sent_bytes;
+		apr_status_t rv = apr_socket_send(
+			c->poll.sock, (char *)c->out.data + c->out_sent_bytes,
+			&n);
+
+		if (APR_STATUS_IS_EAGAIN(rv))
+			return true;
+		if (rv != APR_SUCCESS) {
+			conn_close(c);
+			return false;
+		}
+		c->out_sent_bytes += (uint32_t)n;
+	}
+	c->out.len_bytes = c->out_sent_bytes = 0;
+	return true;
+}
+
+static bool has_unsent(const struct front_conn *c)
+{
+	return c->out_sent_bytes < c->out.len_bytes;
+}
+
+static void start_linger(struct front_conn *c)
+{
+	c->phase = PHASE_LINGER;
+	apr_socket_shutdown(c->poll.sock, APR_SHUTDOWN_WRITE);
+	set_due(c, c->front->duty.now_us + LINGER_US);
+}
+
+static void set_interest(struct front_conn *c)
+{
+	int16_t events = APR_POLLIN;
+
+	if (c->exchange_count >= PIPELINE_MAX ||
+	    c->out.len_bytes > OUT_MAX_BYTES)
+		events = 0;
+	if (has_unsent(c))
+		events |= APR_POLLOUT;
+	duty_poll(&c->front->duty, &c->poll, events);
+}
+
+static void set_idle_due(struct front_conn *c)
+{
+	struct conf_limits l = limits(c->front);
+
+	/* A stopping daemon closes its idle connections when it quiesces. */
+	set_due(c, c->front->duty.now_us + l.idle_timeout_ms * US_PER_MS);
+}
+
+/* Sends the answers that are next in order. False if the connection is gone. */
+static bool send_ready(struct front_conn *c)
+{
+	bool sent = false;
+
+	while (c->first && c->first->answer && c->first->whole) {
+		struct exchange *x = c->first;
+
+		/* Only the last answer may close: requests behind it were
+		 * perhaps passed on. */
+		if (x->next)
+			x->close_after = false;
+		else if (c->phase == PHASE_DEAF || !x->head.keep_alive ||
+			 front_is_stopping(c->front))
+			x->close_after = true;
+		exchange_print(x, &c->out);
+		c->first = x->next;
+		if (!c->first)
+			c->last = NULL;
+		c->exchange_count--;
+		if (x->close_after)
+			c->phase = PHASE_DEAF;
+		exchange_free(x);
+		sent = true;
+	}
+	if (!flush(c))
+		return false;
+	if (c->phase == PHASE_DEAF && !c->first && !has_unsent(c))
+		start_linger(c);
+	else if (sent && !c->first && c->phase == PHASE_HEAD &&
+		 !c->in.len_bytes)
+		set_idle_due(c);
+	set_interest(c);
+	return true;
+}
+
+void front_conn_answered(struct exchange *x)
+{
+	if (x->conn)
+		send_ready(x->conn);
+	else
+		exchange_free(x);
+}
+
+/* ---- reading ---- */
+
+static struct exchange *exchange_new(struct front_conn *c)
+{
+	struct exchange *x = az_alloc(sizeof(*x));
+
+	x->front = c->front;
+	x->conn = c;
+	x->begun_us = c->front->duty.now_us;
+	if (c->last)
+		c->last->next = x;
+	else
+		c->first = x;
+	c->last = x;
+	c->exchange_count++;
+	return x;
+}
+
+/* What comes behind it cannot be read as a request any more. */
+static void refuse_and_stop(struct front_conn *c, struct exchange *x,
+			    enum error_kind k)
+{
+	x->whole = true;
+	x->close_after = true;
+	c->reading = NULL;
+	c->phase = PHASE_DEAF;
+	c->in.len_bytes = 0;
+	set_due(c, c->front->duty.now_us + DEADLINE_MAX_MS * US_PER_MS);
+	exchange_refuse(x, k);
+}
+
+static int on_url(http_parser *p, const char *data, size_t n)
+{
+	struct front_conn *c = p->data;
+	struct head *h = &c->reading->head;
+
+	if (!h->target)
+		h->target = h->text.len_bytes;
+	buf_append(&h->text, data, (uint32_t)n);
+	return 0;
+}
+
+static int on_field(http_parser *p, const char *data, size_t n)
+{
+	struct front_conn *c = p->data;
+	struct head *h = &c->reading->head;
+
+	/* Fields behind a chunked body are not part of the head. */
+	if (c->phase == PHASE_BODY)
+		return 0;
+	if (c->in_value || !h->field_count) {
+		buf_append(&h->text, "", 1);
+		if (h->field_count == HEAD_FIELDS_MAX) {
+			c->too_large = true;
+			return 1;
+		}
+		h->fields[h->field_count++].name = h->text.len_bytes;
+		c->in_value = false;
+	}
+	buf_append(&h->text, data, (uint32_t)n);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *data, size_t n)
+{
+	struct front_conn *c = p->data;
+	struct head *h = &c->reading->head;
+
+	if (c->phase == PHASE_BODY)
+		return 0;
+	if (!c->in_value) {
+		buf_append(&h->text, "", 1);
+		h->fields[h->field_count - 1].value = h->text.len_bytes;
+		c->in_value = true;
+	}
+	buf_append(&h->text, data, (uint32_t)n);
+	return 0;
+}
+
+static int on_headers(http_parser *p)
+{
+	struct front_conn *c = p->data;
+	struct head *h = &c->reading->head;
+	const char *expect;
+
+	buf_append(&h->text, "", 1);
+	snprintf(h->method, sizeof(h->method), "%s",
+		 http_method_str(p->method));
+	h->keep_alive = http_should_keep_alive(p);
+	h->body_bytes = p->content_length;
+	expect = head_value(h, "Expect");
+	h->continues = expect && !strcasecmp(expect, "100-continue");
+	c->phase = PHASE_BODY;
+	return 0;
+}
+
+static int on_body(http_parser *p, const char *data, size_t n)
+{
+	struct front_conn *c = p->data;
+	struct exchange *x = c->reading;
+
+	if (x->body.len_bytes + n > limits(c->front).body_bytes ||
+	    x->body.len_bytes + n > BODY_MAX_BYTES) {
+		c->too_large = true;
+		return 1;
+	}
+	buf_append(&x->body, data, (uint32_t)n);
+	c->front->body_bytes += n;
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct front_conn *c = p->data;
+
+	c->reading->whole = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* The request is whole and goes on its way; the next head may follow. */
+static void finish_request(struct front_conn *c)
+{
+	struct exchange *x = c->reading;
+
+	c->reading = NULL;
+	c->phase = x->head.keep_alive ? PHASE_HEAD : PHASE_DEAF;
+	c->due_us = 0;
+	if (c->balancer_only) {
+		bool health = !strcmp(head_target(&x->head), HEALTH_PATH);
+
+		x->close_after = true;
+		exchange_refuse(
+			x, !health		       ? ERR_UNKNOWN_ROUTE :
+			   front_is_stopping(c->front) ? ERR_STOPPING :
+			   __atomic_load_n(&c->front->ready, __ATOMIC_ACQUIRE) ?
+							 ERR_NONE :
+							 ERR_NOT_CONFIGURED);
+		return;
+	}
+	exchange_submit(x);
+}
+
+/* Bytes of a body; returns how many belong to it. */
+static uint32_t take_body(struct front_conn *c, const uint8_t *data,
+			  uint32_t len_bytes)
+{
+	struct exchange *x = c->reading;
+	size_t n = http_parser_execute(&c->parser, &parser_settings,
+				       (const char *)data, len_bytes);
+
+	if (c->too_large) {
+		refuse_and_stop(c, x, ERR_BODY_TOO_LARGE);
+		return len_bytes;
+	}
+	if (x->whole) {
+		finish_request(c);
+		return (uint32_t)n;
+	}
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
+		refuse_and_stop(c, x, ERR_BAD_REQUEST);
+		return len_bytes;
+	}
+	set_idle_due(c);
+	return (uint32_t)n;
+}
+
+static enum error_kind check_head(struct front_conn *c, struct exchange *x)
+{
+	enum error_kind k = head_check_fields(&x->head);
+	struct conf_limits l = limits(c->front);
+
+	if (k != ERR_NONE)
+		return k;
+	if (x->head.body_bytes != UINT64_MAX &&
+	    (x->head.body_bytes > l.body_bytes ||
+	     x->head.body_bytes > BODY_MAX_BYTES))
+		return ERR_BODY_TOO_LARGE;
+	if (c->front->body_bytes > BODIES_MAX_BYTES)
+		return ERR_OVERLOADED;
+	return ERR_NONE;
+}
+
+/* A whole head is in `in`. */
+static void take_head(struct front_conn *c)
+{
+	struct exchange *x = exchange_new(c);
+	enum error_kind k = head_check_bytes(c->in.data, c->in.len_bytes);
+	size_t n = 0;
+
+	c->reading = x;
+	c->in_value = c->too_large = false;
+	head_reset(&x->head);
+	buf_append(&x->head.text, "", 1);
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+	if (k == ERR_NONE)
+		n = http_parser_execute(&c->parser, &parser_settings,
+					(const char *)c->in.data,
+					c->in.len_bytes);
+	if (k == ERR_NONE && c->too_large)
+		k = ERR_HEADERS_TOO_LARGE;
+	else if (k == ERR_NONE && (n < c->in.len_bytes || c->parser.upgrade ||
+				   c->phase != PHASE_BODY))
+		k = ERR_BAD_REQUEST;
+	c->in.len_bytes = c->in_seen_bytes = 0;
+	if (k == ERR_NONE)
+		k = check_head(c, x);
+	if (k != ERR_NONE) {
+		refuse_and_stop(c, x, k);
+		return;
+	}
+	if (x->whole) {
+		finish_request(c);
+		return;
+	}
+	if (x->head.continues && c->first == x) {
+		static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+		buf_append(&c->out, go_on, sizeof(go_on) - 1);
+	}
+	set_idle_due(c);
+}
+
+/* Bytes of a head; returns how many were taken. */
+static uint32_t take_head_bytes(struct front_conn *c, const uint8_t *data,
+				uint32_t len_bytes)
+{
+	uint32_t held = c->in.len_bytes;
+	uint32_t max = limits(c->front).header_bytes;
+	uint32_t end;
+
+	if (!held) {
+		/* Empty lines before a request are passed over. */
+		uint32_t blank = 0;
+
+		while (blank < len_bytes &&
+		       (data[blank] == '\r' || data[blank] == '\n'))
+			blank++;
+		if (blank)
+			return blank;
+		set_due(c,
+			c->front->duty.now_us +
+				limits(c->front).header_timeout_ms * US_PER_MS);
+	}
+	buf_append(&c->in, data, len_bytes);
+	end = head_end(c->in.data, c->in.len_bytes, held);
+	if ((end ? end : c->in.len_bytes) > max) {
+		c->in.len_bytes = 0;
+		refuse_and_stop(c, exchange_new(c), ERR_HEADERS_TOO_LARGE);
+		return len_bytes;
+	}
+	if (!end)
+		return len_bytes;
+	c->in.len_bytes = end;
+	take_head(c);
+	return end - held;
+}
+
+static void take(struct front_conn *c, const uint8_t *data, uint32_t len_bytes)
+{
+	while (len_bytes && c->phase <= PHASE_BODY) {
+		uint32_t n = c->phase == PHASE_HEAD ?
+				     take_head_bytes(c, data, len_bytes) :
+				     take_body(c, data, len_bytes);
+
+		data += n;
+		len_bytes -= n;
+	}
+}
+
+static void conn_readable(struct front_conn *c)
+{
+	uint8_t data[READ_BYTES];
+	apr_size_t n = sizeof(data);
+	apr_status_t rv = apr_socket_recv(c->poll.sock, (char *)data, &n);
+
+	if (APR_STATUS_IS_EAGAIN(rv))
+		return;
+	if (rv != APR_SUCCESS || !n) {
+		conn_close(c);
+		return;
+	}
+	take(c, data, (uint32_t)n);
+	send_ready(c);
+}
+
+static void conn_ready(struct poll_handler *h, int16_t events)
+{
+	struct front_conn *c = az_container_of(h, struct front_conn, poll);
+
+	if ((events & APR_POLLOUT) && !send_ready(c))
+		return;
+	if (events & ~APR_POLLOUT)
+		conn_readable(c);
+}
+
+static const struct poll_ops conn_poll_ops = { conn_ready };
+
+/* ---- connections ---- */
+
+static void conn_open(struct front *f, struct front_listener *l,
+		      apr_socket_t *sock, apr_pool_t *pool)
+{
+	struct front_conn *c = az_alloc(sizeof(*c));
+	apr_os_sock_t fd;
+
+	apr_os_sock_get(&fd, sock);
+	net_keep_alive(fd);
+	apr_socket_opt_set(sock, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(sock, 0);
+	apr_socket_opt_set(sock, APR_TCP_NODELAY, 1);
+	c->poll.ops = &conn_poll_ops;
+	c->poll.sock = sock;
+	c->pool = pool;
+	c->front = f;
+	c->balancer_only = l->balancer_only;
+	c->next = f->conns;
+	if (c->next)
+		c->next->prev = c;
+	f->conns = c;
+	if (!c->balancer_only)
+		__atomic_add_fetch(&f->conn_count, 1, __ATOMIC_RELAXED);
+	set_idle_due(c);
+	set_interest(c);
+}
+
+bool front_conn_accept(struct front *f, struct front_listener *l)
+{
+	apr_socket_t *sock;
+	apr_pool_t *pool;
+
+	if (apr_pool_create_unmanaged_ex(&pool, NULL, NULL) != APR_SUCCESS)
+		return false;
+	if (apr_socket_accept(&sock, l->poll.sock, pool) != APR_SUCCESS) {
+		apr_pool_destroy(pool);
+		return false;
+	}
+	if (front_connections(f) >= CONNECTIONS_MAX) {
+		log_write(LOG_WARN, "front", "connection refused open=%u",
+			  front_connections(f));
+		apr_socket_close(sock);
+		apr_pool_destroy(pool);
+		return true;
+	}
+	conn_open(f, l, sock, pool);
+	return true;
+}
+
+/* A caller that took too long to send its request learns that it did not run;
+ * one that sent nothing is just closed. */
+static void conn_expire(struct front_conn *c)
+{
+	if (c->phase == PHASE_HEAD && c->in.len_bytes) {
+		refuse_and_stop(c, exchange_new(c), ERR_REQUEST_TIMEOUT);
+		send_ready(c);
+	} else if (c->phase == PHASE_BODY && c->reading) {
+		refuse_and_stop(c, c->reading, ERR_REQUEST_TIMEOUT);
+		send_ready(c);
+	} else if (c->phase == PHASE_LINGER || !c->first) {
+		conn_close(c);
+	} else {
+		c->due_us = 0;
+	}
+}
+
+static bool is_idle(const struct front_conn *c)
+{
+	return c->phase == PHASE_HEAD && !c->first && !c->in.len_bytes;
+}
+
+int64_t front_conns_tick(struct front *f, int64_t now_us)
+{
+	bool quiesced = front_is_quiesced(f);
+	int64_t next_us = INT64_MAX;
+	struct front_conn *after;
+
+	for (struct front_conn *c = f->conns; c; c = after) {
+		after = c->next;
+		if (quiesced && is_idle(c) && !c->balancer_only) {
+			conn_close(c);
+			continue;
+		}
+		if (c->due_us && c->due_us <= now_us) {
+			conn_expire(c);
+			continue;
+		}
+		if (c->due_us && c->due_us < next_us)
+			next_us = c->due_us;
+	}
+	return next_us;
+}
+
+void front_conns_close(struct front *f)
+{
+	while (f->conns)
+		conn_close(f->conns);
+}
--- a/front/front.c
+++ b/front/front.c
@@ -1,520 +1,177 @@
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
-#include <arpa/inet.h>
-#include <unistd.h>
-#include <microhttpd.h>
+#include <sys/socket.h>
+#include <apr_portable.h>
 
 #include "front/front.h"
-#include "route/route.h"
 
-#define CONNECTIONS_MAX 4096
-#define CONNECTION_MEMORY_BYTES 32768
-#define IDLE_TIMEOUT_S 30
+/* Larger than all requests that the daemon admits, so that answers fit. */
+#define RING_SLOTS 32768
 #define LIMITER_BUCKETS 16384
-
-struct front {
-	struct front_settings settings;
-	struct MHD_Daemon *daemon;
-	struct limiter *limiter;
-	uint32_t in_flight; /**< atomic */
-	int32_t ready; /**< atomic */
-	int32_t stopping; /**< atomic */
-	struct counter *requests;
-	struct counter *refused;
-	struct counter *answered;
-};
-
-/** One caller's request on its connection. */
-struct caller {
-	struct reply_to reply;
-	struct front *front;
-	struct MHD_Connection *connection;
-	char *uri;
-	struct buf body;
-	enum error_kind early; /**< refusal while the body arrives */
-	bool begun;
-	bool has_ticket;
-	bool single; /**< non-idempotent: the answer carries a next ticket */
-	uint64_t organisation;
-	enum rank rank;
-	struct span span;
-	struct answer *answer; /**< set once, then the connection resumes */
-};
+#define LISTEN_BACKLOG 1024
+/* Connections that wait to be accepted are taken this many at a time, so that
+ * a storm of new ones does not hold up the old ones. */
+#define ACCEPTS_A_TURN 32
 
 uint32_t front_in_flight(struct front *f)
 {
 	return __atomic_load_n(&f->in_flight, __ATOMIC_RELAXED);
 }
 
-/* ---- headers ---- */
-
-static const char *header(struct caller *c, const char *name)
-{
-	return MHD_lookup_connection_value(c->connection, MHD_HEADER_KIND,
-					   name);
-}
-
-/* Hop-by-hop headers, those that the fleet sets anew, and those that are for
- * the fleet itself. */
-static bool is_own_header(const char *name)
-{
-	static const char *const names[] = {
-		"connection",
-		"keep-alive",
-		"transfer-encoding",
-		"content-length",
-		"trailer",
-		"upgrade",
-		"te",
-		"proxy-connection",
-		"expect",
-		"host",
-		"traceparent",
-		"authorization",
-		HEADER_TICKET,
-		HEADER_OUTCOME,
-		HEADER_RANK,
-		HEADER_DEADLINE,
-		HEADER_ERROR,
-		HEADER_ORGANISATION,
-	};
-
-	for (uint32_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
-		if (!strcasecmp(name, names[i]))
-			return true;
-	return false;
-}
-
-/** Headers to pass on; more than fit are an error, as none may be lost. */
-struct header_copy {
-	struct buf *out;
-	bool too_large;
-};
-
-static enum MHD_Result copy_header(void *arg, enum MHD_ValueKind kind,
-				   const char *name, const char *value)
-{
-	struct header_copy *h = arg;
-
-	(void)kind;
-	if (is_own_header(name))
-		return MHD_YES;
-	buf_printf(h->out, "%s: %s\r\n", name, value ? value : "");
-	h->too_large = h->out->len_bytes > REQUEST_HEADERS_MAX_BYTES;
-	return h->too_large ? MHD_NO : MHD_YES;
-}
-
-/* Adds lines "Name: value\r\n" to a response. */
-static void add_headers(struct MHD_Response *r, const struct buf *lines)
+uint32_t front_connections(struct front *f)
 {
-	char *copy = calloc(1, lines->len_bytes + 1);
-	char *save = NULL;
-
-	if (!copy)
-		abort();
-	if (lines->len_bytes)
-		memcpy(copy, lines->data, lines->len_bytes);
-	for (char *line = strtok_r(copy, "\r\n", &save); line;
-	     line = strtok_r(NULL, "\r\n", &save)) {
-		char *colon = strstr(line, ": ");
-
-		if (!colon)
-			continue;
-		*colon = '\0';
-		MHD_add_response_header(r, line, colon + 2);
-	}
-	free(copy);
+	return __atomic_load_n(&f->conn_count, __ATOMIC_RELAXED);
 }
 
-/* ---- answers ---- */
-
-static bool is_stopping(const struct front *f)
+bool front_is_stopping(const struct front *f)
 {
 	return __atomic_load_n(&f->stopping, __ATOMIC_ACQUIRE);
 }
 
-/* A stopping daemon gives tickets only to those who cannot do without, as a
- * ticket is lost if the handover fails. */
-static void add_next_ticket(struct caller *c, struct MHD_Response *r)
-{
-	bool needed = c->answer->kind == ERR_TICKET_REQUIRED;
-	char text[TICKET_TEXT_MAX_BYTES];
-
-	if (c->single && (needed || !is_stopping(c->front)) &&
-	    ticket_issue(c->front->settings.ticket, c->organisation, c->rank,
-			 text) == AZ_OK)
-		MHD_add_response_header(r, HEADER_TICKET, text);
-}
-
-static void add_refusal_body(struct answer *a)
+bool front_is_quiesced(const struct front *f)
 {
-	const struct error_info *e = error_info(a->kind);
-
-	buf_printf(&a->headers, "Content-Type: application/json\r\n");
-	buf_printf(&a->body,
-		   "{\"error\":\"%s\",\"outcome\":\"%s\",\"retryable\":%s}\n",
-		   e->name, outcome_name(a->outcome),
-		   e->retryable ? "true" : "false");
-}
-
-static enum MHD_Result send_answer(struct caller *c)
-{
-	struct answer *a = c->answer;
-	const struct error_info *e = error_info(a->kind);
-	struct MHD_Response *r;
-	enum MHD_Result done;
-	char trace[56];
-
-	if (a->kind != ERR_NONE) {
-		counter_add(c->front->refused, 1);
-		log_write(e->level, "front", "refused error=%s outcome=%s %s",
-			  e->name, outcome_name(a->outcome), c->uri);
-		if (!a->body.len_bytes)
-			add_refusal_body(a);
-	} else {
-		counter_add(c->front->answered, 1);
-	}
-	r = MHD_create_response_from_buffer(a->body.len_bytes, a->body.data,
-					    MHD_RESPMEM_MUST_COPY);
-	add_headers(r, &a->headers);
-	MHD_add_response_header(r, HEADER_OUTCOME, outcome_name(a->outcome));
-	if (a->kind != ERR_NONE)
-		MHD_add_response_header(r, HEADER_ERROR, e->name);
-	add_next_ticket(c, r);
-	if (is_stopping(c->front))
-		MHD_add_response_header(r, "Connection", "close");
-	span_format(&c->span, trace);
-	MHD_add_response_header(r, "traceparent", trace);
-	done = MHD_queue_response(c->connection, a->http_status, r);
-	MHD_destroy_response(r);
-	span_end(&c->span, "entry", e->name);
-	return done;
+	return __atomic_load_n(&f->quiesced, __ATOMIC_ACQUIRE);
 }
 
-/* A refusal made here before the request was passed on. */
-static enum MHD_Result refuse(struct caller *c, enum error_kind k)
+void front_set_ready(struct front *f)
 {
-	c->answer = answer_new(k);
-	if (!refusal_proves_not_run(k, c->has_ticket))
-		c->answer->outcome = OUTCOME_UNKNOWN;
-	return send_answer(c);
+	__atomic_store_n(&f->ready, 1, __ATOMIC_RELEASE);
 }
 
-static void caller_answer(struct reply_to *to, struct answer *a)
+void front_set_stopping(struct front *f)
 {
-	struct caller *c = az_container_of(to, struct caller, reply);
-
-	c->answer = a;
-	__atomic_sub_fetch(&c->front->in_flight, 1, __ATOMIC_RELAXED);
-	MHD_resume_connection(c->connection);
+	__atomic_store_n(&f->stopping, 1, __ATOMIC_RELEASE);
 }
 
-static const struct reply_ops caller_ops = { caller_answer };
-
-/* ---- the daemon's own paths ---- */
-
-static enum MHD_Result send_text(struct caller *c, uint32_t status,
-				 const char *text)
+void front_arm(struct front *f, int64_t at_us)
 {
-	struct MHD_Response *r = MHD_create_response_from_buffer(
-		strlen(text), (void *)text, MHD_RESPMEM_PERSISTENT);
-	enum MHD_Result done = MHD_queue_response(c->connection, status, r);
-
-	MHD_destroy_response(r);
-	return done;
+	if (f->armed_us && f->armed_us <= at_us)
+		return;
+	f->armed_us = at_us;
+	duty_arm(&f->duty, at_us);
 }
 
-static enum MHD_Result health(struct caller *c)
+static void on_timer(struct duty *d, int64_t now_us)
 {
-	if (is_stopping(c->front))
-		return send_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "stopping\n");
-	if (!__atomic_load_n(&c->front->ready, __ATOMIC_ACQUIRE))
-		return send_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "starting\n");
-	return send_text(c, MHD_HTTP_OK, "ok\n");
-}
+	struct front *f = az_container_of(d, struct front, duty);
+	int64_t next_us;
 
-static enum MHD_Result wait_for_answer(struct caller *c)
-{
-	__atomic_add_fetch(&c->front->in_flight, 1, __ATOMIC_RELAXED);
-	MHD_suspend_connection(c->connection);
-	return MHD_YES;
+	f->armed_us = 0;
+	next_us = front_conns_tick(f, now_us);
+	if (next_us != INT64_MAX)
+		front_arm(f, next_us);
 }
 
-static enum MHD_Result ticket_status(struct caller *c, const char *text)
+static void on_stop(struct duty *d)
 {
-	struct ticket t;
+	struct front *f = az_container_of(d, struct front, duty);
 
-	c->has_ticket = true;
-	if (ticket_parse(text, &t) != AZ_OK)
-		return refuse(c, ERR_TICKET_MALFORMED);
-	wait_for_answer(c);
-	ticket_submit(c->front->settings.ticket, &t, NULL,
-		      clock_now_us() + 2 * US_PER_S, &c->reply);
-	return MHD_YES;
+	front_conns_close(f);
+	for (uint32_t i = 0; i < 2; i++)
+		if (f->listeners[i].poll.sock)
+			apr_socket_close(f->listeners[i].poll.sock);
 }
 
-/* ---- requests ---- */
+static const struct duty_ops duty_ops = { "front", on_timer, on_stop };
 
-/* NULL if the headers are too large. */
-static struct request *new_request(struct caller *c, const char *method,
-				   const struct classification *k)
-{
-	struct request *q =
-		request_new(method, c->uri, k->route->service->name);
-	struct header_copy headers = { NULL, false };
-
-	q->organisation = k->organisation;
-	q->rank = k->rank;
-	q->idempotent = k->route->idempotent;
-	q->deadline_us = k->deadline_us;
-	q->span = c->span;
-	q->body = c->body;
-	memset(&c->body, 0, sizeof(c->body));
-	headers.out = &q->headers;
-	MHD_get_connection_values(c->connection, MHD_HEADER_KIND, copy_header,
-				  &headers);
-	if (!headers.too_large)
-		return q;
-	request_free(q);
-	return NULL;
-}
+struct quiesce_msg {
+	struct msg msg;
+};
 
-static bool within_limit(struct front *f, const struct classification *k,
-			 int64_t now_us)
+static void quiesce_run(struct msg *m, struct duty *to)
 {
-	const struct member_view *v;
-	bool within;
+	struct front *f = az_container_of(to, struct front, duty);
 
-	if (!k->requests_per_s)
-		return true;
-	v = membership_view(f->settings.membership);
-	within = limiter_take(f->limiter, k->organisation, k->requests_per_s,
-			      k->burst, v->member_count, now_us);
-	member_view_release(v);
-	return within;
+	on_timer(&f->duty, f->duty.now_us);
+	free(az_container_of(m, struct quiesce_msg, msg));
 }
 
-static enum error_kind admit(struct caller *c, const struct classification *k,
-			     int64_t now_us)
+static void quiesce_drop(struct msg *m)
 {
-	struct front *f = c->front;
-
-	if (k->way == FRONT_REFUSE || !k->route)
-		return k->kind;
-	if (!within_limit(f, k, now_us))
-		return ERR_OVER_LIMIT;
-	if (front_in_flight(f) >= f->settings.in_flight_max)
-		return ERR_OVERLOADED;
-	return ERR_NONE;
+	free(az_container_of(m, struct quiesce_msg, msg));
 }
 
-static enum MHD_Result pass_on(struct caller *c, const char *method,
-			       const struct classification *k)
-{
-	struct front_settings *s = &c->front->settings;
-	struct request *q = new_request(c, method, k);
+static const struct msg_ops quiesce_ops = { "front-quiesce", quiesce_run,
+					    quiesce_drop };
 
-	if (!q)
-		return refuse(c, ERR_HEADERS_TOO_LARGE);
-	/* The connection sleeps before the answer can arrive. */
-	wait_for_answer(c);
-	if (k->way == FRONT_TICKET)
-		ticket_submit(s->ticket, &k->ticket, q, k->deadline_us,
-			      &c->reply);
-	else
-		route_submit(s->route, q, k->deadline_us, &c->reply);
-	return MHD_YES;
-}
-
-static enum MHD_Result request_whole(struct caller *c, const char *method)
+void front_quiesce(struct front *f)
 {
-	int64_t now_us = clock_now_us();
-	struct caller_input in = {
-		.method = method,
-		.path = c->uri,
-		.organisation = header(c, HEADER_ORGANISATION),
-		.authorization = header(c, "Authorization"),
-		.rank = header(c, HEADER_RANK),
-		.deadline_ms = header(c, HEADER_DEADLINE),
-		.ticket = header(c, HEADER_TICKET),
-	};
-	struct conf *conf = conf_current_get(c->front->settings.conf);
-	struct classification k = classify(conf, &in, now_us);
-	enum error_kind e = admit(c, &k, now_us);
-	enum MHD_Result done;
+	struct quiesce_msg *m = az_alloc(sizeof(*m));
 
-	c->has_ticket = in.ticket != NULL;
-	c->single = k.route && !k.route->idempotent && k.organisation;
-	c->organisation = k.organisation;
-	c->rank = k.rank;
-	if (e == ERR_NONE && k.route)
-		done = pass_on(c, method, &k);
-	else
-		done = refuse(c, e);
-	conf_release(conf);
-	return done;
+	__atomic_store_n(&f->quiesced, 1, __ATOMIC_RELEASE);
+	m->msg.ops = &quiesce_ops;
+	duty_send(&f->duty, &m->msg);
 }
 
-static void begin(struct caller *c, struct MHD_Connection *connection)
+static void listener_ready(struct poll_handler *h, int16_t events)
 {
-	const char *length;
+	struct front_listener *l =
+		az_container_of(h, struct front_listener, poll);
 
-	c->begun = true;
-	c->connection = connection;
-	span_start(&c->span, header(c, "traceparent"));
-	counter_add(c->front->requests, 1);
-	length = header(c, "Content-Length");
-	if (length && strtoull(length, NULL, 10) > REQUEST_BODY_MAX_BYTES)
-		c->early = ERR_BODY_TOO_LARGE;
+	(void)events;
+	for (uint32_t i = 0; i < ACCEPTS_A_TURN; i++)
+		if (!front_conn_accept(l->front, l))
+			return;
 }
 
-static void take_body(struct caller *c, const char *data, size_t n)
-{
-	if (c->body.len_bytes + n > REQUEST_BODY_MAX_BYTES)
-		c->early = ERR_BODY_TOO_LARGE;
-	if (c->early == ERR_NONE)
-		buf_append(&c->body, data, (uint32_t)n);
-}
+static const struct poll_ops listener_ops = { listener_ready };
 
-static enum MHD_Result on_request(void *arg, struct MHD_Connection *connection,
-				  const char *url, const char *method,
-				  const char *version, const char *data,
-				  size_t *data_bytes, void **con_cls)
+static enum az_status listen_at(struct front *f, struct front_listener *l,
+				uint32_t ip, uint16_t port)
 {
-	struct caller *c = *con_cls;
+	apr_pool_t *pool = f->duty.pool;
+	apr_sockaddr_t *sa = net_address(ip, port, pool);
+	apr_socket_t *sock;
 
-	(void)arg;
-	(void)url;
-	(void)version;
-	if (!c->begun) {
-		begin(c, connection);
-		if (c->early == ERR_NONE)
-			return MHD_YES;
-		c->has_ticket = header(c, HEADER_TICKET) != NULL;
-		return refuse(c, c->early);
+	l->front = f;
+	l->poll.ops = &listener_ops;
+	if (!sa || apr_socket_create(&sock, APR_INET, SOCK_STREAM,
+				     APR_PROTO_TCP, pool))
+		return az_fail(AZ_IO, "no socket for port %u", port);
+	apr_socket_opt_set(sock, APR_SO_REUSEADDR, 1);
+	apr_socket_opt_set(sock, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(sock, 0);
+	if (apr_socket_bind(sock, sa) ||
+	    apr_socket_listen(sock, LISTEN_BACKLOG)) {
+		apr_socket_close(sock);
+		return az_fail(AZ_IO, "cannot listen on port %u", port);
 	}
-	if (*data_bytes) {
-		take_body(c, data, *data_bytes);
-		*data_bytes = 0;
-		return MHD_YES;
-	}
-	if (c->answer)
-		return send_answer(c);
-	if (c->early != ERR_NONE) {
-		c->has_ticket = header(c, HEADER_TICKET) != NULL;
-		return refuse(c, c->early);
-	}
-	if (!strcmp(c->uri, HEALTH_PATH))
-		return health(c);
-	if (!strncmp(c->uri, TICKET_PATH, strlen(TICKET_PATH)) &&
-	    !strcmp(method, "GET"))
-		return ticket_status(c, c->uri + strlen(TICKET_PATH));
-	return request_whole(c, method);
-}
-
-/* Called first: the raw path, as libmicrohttpd decodes it later. */
-static void *on_uri(void *arg, const char *uri, struct MHD_Connection *con)
-{
-	struct caller *c = calloc(1, sizeof(*c));
-
-	(void)con;
-	if (!c)
-		abort();
-	c->reply.ops = &caller_ops;
-	c->front = arg;
-	c->uri = strdup(uri);
-	if (!c->uri)
-		abort();
-	return c;
-}
-
-static void on_completed(void *arg, struct MHD_Connection *connection,
-			 void **con_cls, enum MHD_RequestTerminationCode code)
-{
-	struct caller *c = *con_cls;
-
-	(void)arg;
-	(void)connection;
-	(void)code;
-	if (!c)
-		return;
-	answer_free(c->answer);
-	buf_free(&c->body);
-	free(c->uri);
-	free(c);
-	*con_cls = NULL;
+	l->poll.sock = sock;
+	return duty_poll(&f->duty, &l->poll, APR_POLLIN);
 }
 
-/* ---- the duty ---- */
-
-struct front *front_create(const struct front_settings *s, apr_pool_t *pool)
+struct front *front_create(const struct front_settings *s,
+			   struct timer_service *timers, apr_pool_t *pool)
 {
 	struct front *f = apr_pcalloc(pool, sizeof(*f));
 
+	if (duty_init(&f->duty, &duty_ops, RING_SLOTS, timers) != AZ_OK)
+		return NULL;
 	f->settings = *s;
+	f->dialect = s->dialect ? s->dialect->ops : front_own_dialect.ops;
 	f->limiter = limiter_create(LIMITER_BUCKETS);
 	f->requests = counter_get("front_requests");
 	f->refused = counter_get("front_refused");
 	f->answered = counter_get("front_answered");
+	f->left = counter_get("front_callers_left");
+	f->latency = histogram_get("front_latency");
 	return f;
 }
 
 enum az_status front_start(struct front *f)
 {
-	struct sockaddr_in sa = {
-		.sin_family = AF_INET,
-		.sin_port = htons(f->settings.port),
-		.sin_addr.s_addr = htonl(f->settings.ip),
-	};
-
-	f->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
-			MHD_USE_ITC,
-		f->settings.port, NULL, NULL, on_request, f,
-		MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_URI_LOG_CALLBACK, on_uri,
-		f, MHD_OPTION_NOTIFY_COMPLETED, on_completed, f,
-		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
-		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)CONNECTION_MEMORY_BYTES,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-	if (!f->daemon)
-		return az_fail(AZ_IO, "cannot listen on port %u: %s",
-			       f->settings.port, strerror(errno));
-	return AZ_OK;
-}
-
-void front_set_ready(struct front *f)
-{
-	__atomic_store_n(&f->ready, 1, __ATOMIC_RELEASE);
-}
-
-void front_set_stopping(struct front *f)
-{
-	__atomic_store_n(&f->stopping, 1, __ATOMIC_RELEASE);
-}
-
-void front_quiesce(struct front *f)
-{
-	MHD_socket listener = MHD_quiesce_daemon(f->daemon);
+	const struct front_settings *s = &f->settings;
+	enum az_status st = listen_at(f, &f->listeners[0], s->ip, s->port);
 
-	if (listener != MHD_INVALID_SOCKET)
-		close(listener);
-}
-
-uint32_t front_connections(struct front *f)
-{
-	const union MHD_DaemonInfo *i = MHD_get_daemon_info(
-		f->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-
-	return i ? i->num_connections : 0;
+	if (st == AZ_OK && s->ready_port) {
+		f->listeners[1].balancer_only = true;
+		st = listen_at(f, &f->listeners[1], s->ready_ip, s->ready_port);
+	}
+	return st == AZ_OK ? duty_start(&f->duty) : st;
 }
 
 void front_stop(struct front *f)
 {
-	if (f->daemon)
-		MHD_stop_daemon(f->daemon);
+	duty_stop(&f->duty);
 	limiter_destroy(f->limiter);
 }
--- /dev/null
+++ b/home/cells.c
@@ -0,0 +1,146 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "home/home.h"
+
+/* Before any answer is known, and the least that a request may be taken to
+ * need: shorter ones are not told apart from the noise of small VMs. */
+#define USUAL_START_US (500 * US_PER_MS)
+#define USUAL_MIN_US (20 * US_PER_MS)
+
+uint64_t home_cell_id(uint64_t service, uint32_t region)
+{
+	struct {
+		uint64_t service;
+		uint64_t region;
+	} key = { service, region };
+
+	return hash_bytes(&key, sizeof(key), 0);
+}
+
+int64_t home_usual_us(const struct home_cell *c)
+{
+	double us = c->usual_us ? c->usual_us : USUAL_START_US;
+
+	return us < USUAL_MIN_US ? USUAL_MIN_US : (int64_t)us;
+}
+
+static struct home_worker *find_worker(struct home_cell *c, uint64_t id)
+{
+	for (uint32_t i = 0; i < c->worker_count; i++)
+		if (c->workers[i].id == id)
+			return &c->workers[i];
+	return NULL;
+}
+
+/* A position is free once its worker is gone and no request is out there. */
+static struct home_worker *free_position(struct home_cell *c)
+{
+	for (uint32_t i = 0; i < c->worker_count; i++) {
+		struct home_worker *w = &c->workers[i];
+
+		if (!w->conf && !w->track.out_count)
+			return w;
+	}
+	return c->worker_count < HOME_WORKERS_MAX ?
+		       &c->workers[c->worker_count++] :
+		       NULL;
+}
+
+static void place_worker(struct home_cell *c, const struct conf_worker *cw,
+			 int64_t now_us)
+{
+	struct home_worker *w = find_worker(c, cw->id);
+
+	if (!w) {
+		w = free_position(c);
+		if (!w) {
+			log_write(LOG_ERROR, "home",
+				  "cell has no room for a worker worker=%s",
+				  cw->name);
+			return;
+		}
+		memset(w, 0, sizeof(*w));
+		w->id = cw->id;
+		w->track.cold_until_us = now_us + cw->cold_ms * US_PER_MS;
+	}
+	w->conf = cw;
+}
+
+static void set_queue(struct home_cell *c, const struct conf_service *s)
+{
+	for (uint32_t r = 0; r < RANK_COUNT; r++) {
+		c->queue.settings.limit[r] = s->ranks[r].queue_limit;
+		c->queue.settings.share_percent[r] = s->ranks[r].share_percent;
+	}
+}
+
+/* Takes `conf`. */
+static void refresh(struct home_cell *c, struct conf *conf, int64_t now_us)
+{
+	const struct conf_service *s = conf_find_service_id(conf, c->service);
+
+	for (uint32_t i = 0; i < c->worker_count; i++)
+		c->workers[i].conf = NULL;
+	for (uint32_t i = 0; s && i < s->worker_count; i++)
+		if (s->workers[i].region == c->region)
+			place_worker(c, &s->workers[i], now_us);
+	if (s)
+		set_queue(c, s);
+	c->conf_service = s;
+	conf_release(c->conf);
+	c->conf = conf;
+}
+
+struct home_cell *home_cell_get(struct home *h, uint64_t service,
+				uint32_t region)
+{
+	uint64_t id = home_cell_id(service, region);
+	struct home_cell *c = apr_hash_get(h->cells, &id, sizeof(id));
+	struct conf *conf = conf_current_get(h->settings.conf);
+	struct queue_settings none = { { 0 }, { 0 } };
+
+	if (!c) {
+		c = az_alloc(sizeof(*c));
+		c->id = id;
+		c->service = service;
+		c->region = region;
+		rank_queue_init(&c->queue, &none);
+		apr_hash_set(h->cells, &c->id, sizeof(c->id), c);
+	}
+	c->used_us = h->duty.now_us;
+	if (conf == c->conf)
+		conf_release(conf);
+	else
+		refresh(c, conf, h->duty.now_us);
+	return c;
+}
+
+void home_cell_free(struct home_cell *c)
+{
+	conf_release(c->conf);
+	free(c);
+}
+
+static bool is_excluded(const struct home_msg *ask, uint64_t worker)
+{
+	for (uint32_t i = 0; i < ask->excluded_count; i++)
+		if (ask->excluded[i] == worker)
+			return true;
+	return false;
+}
+
+uint32_t home_candidates(const struct home_cell *c, const struct home_msg *ask,
+			 struct candidate *out)
+{
+	for (uint32_t i = 0; i < c->worker_count; i++) {
+		const struct home_worker *w = &c->workers[i];
+
+		out[i].track = &w->track;
+		out[i].slots = w->conf ? w->conf->slots : 1;
+		out[i].out = !w->conf || w->conf->admin != WORKER_IN_SERVICE ||
+			     is_excluded(ask, w->id);
+		out[i].near = w->conf && w->conf->dc == ask->dc;
+	}
+	return c->worker_count;
+}
--- /dev/null
+++ b/home/home.c
@@ -0,0 +1,576 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "home/home.h"
+
+/* Larger than all requests that the daemon admits, so that ends always fit. */
+#define RING_SLOTS 32768
+/* While requests wait, the workers' state is looked at this often besides: a
+ * worker leaves trouble by time alone. */
+#define TICK_US (50 * US_PER_MS)
+/* Grants whose end was never told are looked for this often. */
+#define SWEEP_US US_PER_S
+/* An end that is later than the request's deadline by more is not coming. */
+#define GRANT_EXTRA_US (2 * US_PER_S)
+#define LATENCY_WEIGHT 0.05
+/* Most requests take less than the usual time and so many deviations. */
+#define EXPECTED_DEVIATIONS 4.0
+/* A refused caller comes back in no less: sooner, it would find the same
+ * queue. */
+#define RETRY_MIN_MS 200
+#define RETRY_MAX_MS 4000
+
+static void tell(struct home *h, const struct grant *g, struct home_msg *m)
+{
+	uint8_t data[HOME_DATAGRAM_MAX_BYTES];
+	uint32_t n;
+
+	m->asker = g->key[0];
+	m->sequence = g->key[1];
+	if (g->asker) {
+		g->asker->ops->tell(g->asker, m);
+		return;
+	}
+	n = home_encode(m, &h->keys, data);
+	if (!n)
+		return;
+	/* A datagram that cannot be sent is like one that is lost: the asker
+	 * asks again. */
+	net_send_to(h->socket.sock, data, n, g->ip, g->port);
+}
+
+/* ---- grants ---- */
+
+static void forget(struct home *h, struct grant *g)
+{
+	apr_hash_set(h->grants, g->key, sizeof(g->key), NULL);
+	free(g);
+}
+
+static void tell_grant(struct home *h, const struct grant *g)
+{
+	const struct home_cell *c = g->cell;
+	struct home_msg m = {
+		.kind = HOME_GRANT,
+		.worker = g->worker,
+		.expected_us =
+			(uint32_t)((double)home_usual_us(c) +
+				   EXPECTED_DEVIATIONS * c->deviation_us),
+	};
+
+	tell(h, g, &m);
+}
+
+static uint32_t wait_ms(const struct home_cell *c, enum rank r)
+{
+	uint64_t ahead = 1;
+
+	for (uint32_t i = 0; i <= (uint32_t)r; i++)
+		ahead += c->queue.depth[i];
+	return (uint32_t)(ahead * (uint64_t)c->queue.service_us / US_PER_MS);
+}
+
+static void tell_queued(struct home *h, const struct grant *g)
+{
+	struct home_msg m = {
+		.kind = HOME_QUEUED,
+		.wait_ms = wait_ms(g->cell, g->item.rank),
+	};
+
+	tell(h, g, &m);
+}
+
+/* Those that are refused come back when the queue before them will have been
+ * served, spread over as long again. */
+static uint32_t retry_ms(const struct home_cell *c, enum rank r)
+{
+	uint32_t ms = wait_ms(c, r);
+
+	if (ms < RETRY_MIN_MS)
+		ms = RETRY_MIN_MS;
+	ms += (uint32_t)(random_u64() % ms);
+	return ms > RETRY_MAX_MS ? RETRY_MAX_MS : ms;
+}
+
+static void refuse(struct home *h, struct grant *g, enum error_kind k)
+{
+	struct home_msg m = {
+		.kind = HOME_REFUSE,
+		.error = (uint8_t)k,
+		.wait_ms = retry_ms(g->cell, g->item.rank),
+	};
+
+	counter_add(h->refused, 1);
+	log_write(LOG_INFO, "home",
+		  "ask refused cell=%016llx rank=%s error=%s queued=%u "
+		  "retry_ms=%u left_ms=%u",
+		  (unsigned long long)g->cell->id, rank_name(g->item.rank),
+		  error_info(k)->name, rank_queue_depth(&g->cell->queue),
+		  m.wait_ms, g->ask.left_ms);
+	tell(h, g, &m);
+	forget(h, g);
+}
+
+static void give(struct home *h, struct grant *g, uint32_t position)
+{
+	struct home_worker *w = &g->cell->workers[position];
+
+	g->state = GRANT_GIVEN;
+	g->position = position;
+	g->worker = w->id;
+	g->given_us = h->duty.now_us;
+	track_send(&w->track, g->given_us);
+	counter_add(h->granted, 1);
+	tell_grant(h, g);
+}
+
+/* The worker of a given grant, unless its position has another one now. */
+static struct home_worker *worker_of(const struct grant *g)
+{
+	struct home_worker *w = &g->cell->workers[g->position];
+
+	return w->id == g->worker ? w : NULL;
+}
+
+/* ---- the queue ---- */
+
+static int32_t choose(const struct home *h, const struct grant *g)
+{
+	struct candidate list[HOME_WORKERS_MAX];
+	uint32_t n = home_candidates(g->cell, &g->ask, list);
+
+	return choose_worker(list, n, home_usual_us(g->cell), g->key[1],
+			     h->duty.now_us);
+}
+
+struct fit {
+	struct home *home;
+};
+
+static bool fits(const struct queue_item *i, void *arg)
+{
+	const struct fit *f = arg;
+
+	return choose(f->home, az_container_of(i, struct grant, item)) >= 0;
+}
+
+static void dispatch(struct home *h, struct home_cell *c)
+{
+	struct fit f = { h };
+	struct queue_item *expired = NULL;
+	struct queue_item *i;
+
+	while ((i = rank_queue_pop(&c->queue, h->duty.now_us, fits, &f,
+				   &expired))) {
+		struct grant *g = az_container_of(i, struct grant, item);
+
+		give(h, g, (uint32_t)choose(h, g));
+	}
+	while (expired) {
+		struct queue_item *next = expired->next;
+
+		refuse(h, az_container_of(expired, struct grant, item),
+		       ERR_DEADLINE_NOT_RUN);
+		expired = next;
+	}
+	if (rank_queue_depth(&c->queue))
+		home_arm(h, h->duty.now_us + TICK_US);
+}
+
+/* How fast the queue moves follows from what the workers can do now. */
+static bool estimate(struct home *h, struct home_cell *c,
+		     const struct home_msg *ask)
+{
+	struct candidate list[HOME_WORKERS_MAX];
+	uint32_t n = home_candidates(c, ask, list);
+	int64_t usual_us = home_usual_us(c);
+	uint32_t slots = choose_slots(list, n, usual_us, h->duty.now_us);
+	bool any = false;
+
+	for (uint32_t i = 0; i < n; i++)
+		any |= !list[i].out;
+	c->queue.service_us = usual_us / (slots ? slots : 1);
+	return any;
+}
+
+/* ---- asks ---- */
+
+static bool take_retry(struct home *h, struct home_cell *c,
+		       const struct home_msg *ask)
+{
+	int64_t max = (int64_t)h->settings.retry_slack * 100;
+
+	if (!ask->repeat) {
+		c->retry_tokens_percent +=
+			c->conf_service ? c->conf_service->retry_percent : 0;
+		if (c->retry_tokens_percent > max)
+			c->retry_tokens_percent = max;
+		return true;
+	}
+	if (c->retry_tokens_percent < 100)
+		return false;
+	c->retry_tokens_percent -= 100;
+	return true;
+}
+
+static void ask_again(struct home *h, struct grant *g)
+{
+	if (g->state == GRANT_GIVEN)
+		tell_grant(h, g);
+	else
+		tell_queued(h, g);
+}
+
+static void admit(struct home *h, struct grant *g)
+{
+	struct home_cell *c = g->cell;
+	bool any = estimate(h, c, &g->ask);
+	enum error_kind k;
+
+	if (!any) {
+		refuse(h, g, ERR_NO_WORKER);
+		return;
+	}
+	if (!take_retry(h, c, &g->ask)) {
+		refuse(h, g, ERR_OVER_LIMIT);
+		return;
+	}
+	if (g->ask.only_free &&
+	    (rank_queue_depth(&c->queue) || choose(h, g) < 0)) {
+		refuse(h, g, ERR_OVERLOADED);
+		return;
+	}
+	k = rank_queue_push(&c->queue, &g->item, h->duty.now_us);
+	if (k != ERR_NONE) {
+		refuse(h, g, k);
+		return;
+	}
+	dispatch(h, c);
+}
+
+static void on_ask(struct home *h, const struct home_msg *m,
+		   struct home_asker *asker, uint32_t ip, uint16_t port)
+{
+	uint64_t key[2] = { m->asker, m->sequence };
+	struct grant *g = apr_hash_get(h->grants, key, sizeof(key));
+	int64_t left_us = m->left_ms * US_PER_MS;
+	int64_t usual_us;
+
+	if (g) {
+		ask_again(h, g);
+		return;
+	}
+	counter_add(h->asked, 1);
+	g = az_alloc(sizeof(*g));
+	memcpy(g->key, key, sizeof(key));
+	g->ask = *m;
+	g->asker = asker;
+	g->ip = ip;
+	g->port = port;
+	g->cell = home_cell_get(h, m->service, m->region);
+	usual_us = home_usual_us(g->cell);
+	g->item.rank = (enum rank)m->rank;
+	/* It must be sent early enough to end in time. */
+	g->item.deadline_us =
+		h->duty.now_us +
+		(left_us > 2 * usual_us ? left_us - usual_us : left_us / 2);
+	g->until_us = h->duty.now_us + left_us + GRANT_EXTRA_US;
+	apr_hash_set(h->grants, g->key, sizeof(g->key), g);
+	home_arm(h, h->duty.now_us + SWEEP_US);
+	admit(h, g);
+	/* The grant may be gone; it is told that it waits if it does. */
+	g = apr_hash_get(h->grants, key, sizeof(key));
+	if (g && g->state == GRANT_QUEUED) {
+		counter_add(h->queued, 1);
+		tell_queued(h, g);
+	}
+}
+
+static void note_latency(struct home_cell *c, int64_t latency_us)
+{
+	double d = (double)latency_us - c->usual_us;
+
+	if (!c->usual_us) {
+		c->usual_us = (double)latency_us;
+		c->deviation_us = (double)latency_us / 2;
+		return;
+	}
+	c->usual_us += LATENCY_WEIGHT * d;
+	c->deviation_us += LATENCY_WEIGHT * (fabs(d) - c->deviation_us);
+}
+
+static void end(struct home *h, struct grant *g, enum home_event e,
+		int64_t latency_us)
+{
+	struct home_cell *c = g->cell;
+	struct home_worker *w = worker_of(g);
+	double before;
+
+	if (w) {
+		before = track_trouble(&w->track, home_usual_us(c),
+				       h->duty.now_us);
+		track_end(&w->track, g->given_us, e, latency_us,
+			  h->duty.now_us);
+		if (before < CHOOSE_TROUBLE_MAX &&
+		    track_trouble(&w->track, home_usual_us(c),
+				  h->duty.now_us) >= CHOOSE_TROUBLE_MAX)
+			log_write(LOG_WARN, "home",
+				  "worker in trouble worker=%s cell=%016llx "
+				  "event=%u out=%u",
+				  w->conf ? w->conf->name : "-",
+				  (unsigned long long)c->id, e,
+				  w->track.out_count);
+	}
+	if (e == EVENT_ANSWERED)
+		note_latency(c, latency_us);
+	forget(h, g);
+	dispatch(h, c);
+}
+
+static void on_end(struct home *h, const struct home_msg *m, uint32_t ip,
+		   uint16_t port, bool remote)
+{
+	uint64_t key[2] = { m->asker, m->sequence };
+	struct grant *g = apr_hash_get(h->grants, key, sizeof(key));
+	struct grant to = { .key = { key[0], key[1] }, .ip = ip, .port = port };
+	struct home_msg ack = { .kind = HOME_END_ACK };
+
+	if (remote)
+		tell(h, &to, &ack);
+	if (g && g->state == GRANT_GIVEN)
+		end(h, g, (enum home_event)m->event, m->latency_us);
+}
+
+static void on_cancel(struct home *h, const struct home_msg *m)
+{
+	uint64_t key[2] = { m->asker, m->sequence };
+	struct grant *g = apr_hash_get(h->grants, key, sizeof(key));
+
+	if (!g)
+		return;
+	if (g->state == GRANT_GIVEN) {
+		end(h, g, EVENT_UNUSED, 0);
+		return;
+	}
+	rank_queue_remove(&g->cell->queue, &g->item);
+	forget(h, g);
+}
+
+static void on_msg(struct home *h, const struct home_msg *m,
+		   struct home_asker *asker, uint32_t ip, uint16_t port)
+{
+	switch (m->kind) {
+	case HOME_ASK:
+		on_ask(h, m, asker, ip, port);
+		return;
+	case HOME_END:
+		on_end(h, m, ip, port, !asker);
+		return;
+	case HOME_CANCEL:
+		on_cancel(h, m);
+		return;
+	default:
+		return;
+	}
+}
+
+/* ---- asks of this daemon ---- */
+
+struct told_msg {
+	struct msg msg;
+	struct home_msg home_msg;
+	struct home_asker *asker;
+};
+
+static void told_run(struct msg *m, struct duty *to)
+{
+	struct told_msg *t = az_container_of(m, struct told_msg, msg);
+
+	on_msg(az_container_of(to, struct home, duty), &t->home_msg, t->asker,
+	       0, 0);
+	free(t);
+}
+
+static void told_drop(struct msg *m)
+{
+	free(az_container_of(m, struct told_msg, msg));
+}
+
+static const struct msg_ops told_ops = { "home-told", told_run, told_drop };
+
+void home_tell(struct home *h, const struct home_msg *m,
+	       struct home_asker *asker)
+{
+	struct told_msg *t = az_alloc(sizeof(*t));
+
+	t->msg.ops = &told_ops;
+	t->home_msg = *m;
+	t->asker = asker;
+	/* A full ring loses the ask like a datagram: it is asked again. */
+	duty_send(&h->duty, &t->msg);
+}
+
+/* ---- asks of others ---- */
+
+static void on_readable(struct poll_handler *p, int16_t events)
+{
+	struct home *h = az_container_of(p, struct home, socket);
+	uint8_t data[HOME_DATAGRAM_MAX_BYTES];
+	struct home_msg m;
+	uint16_t port;
+	uint32_t ip;
+	uint32_t n;
+
+	(void)events;
+	while ((n = net_receive(p->sock, data, sizeof(data), &ip, &port)))
+		if (home_decode(data, n, &h->keys, &m) == AZ_OK)
+			on_msg(h, &m, NULL, ip, port);
+}
+
+static const struct poll_ops socket_ops = { on_readable };
+
+/* ---- timers ---- */
+
+void home_arm(struct home *h, int64_t at_us)
+{
+	if (h->armed_us && h->armed_us <= at_us)
+		return;
+	h->armed_us = at_us;
+	duty_arm(&h->duty, at_us);
+}
+
+static bool is_live(const struct member_view *v, uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < v->member_count; i++)
+		if (v->members[i].incarnation == incarnation)
+			return true;
+	return false;
+}
+
+/* Grants of daemons that are gone, and those whose end did not come. */
+static void sweep(struct home *h, int64_t now_us)
+{
+	const struct member_view *v = membership_view(h->settings.membership);
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, h->grants); i; i = apr_hash_next(i)) {
+		struct grant *g = apr_hash_this_val(i);
+		struct home_worker *w;
+		bool gone = !g->asker && !is_live(v, g->key[0]);
+
+		if (g->until_us > now_us && !gone)
+			continue;
+		counter_add(h->expired, 1);
+		w = g->state == GRANT_GIVEN ? worker_of(g) : NULL;
+		if (w)
+			track_end(&w->track, g->given_us, EVENT_UNUSED, 0,
+				  now_us);
+		if (g->state == GRANT_QUEUED)
+			rank_queue_remove(&g->cell->queue, &g->item);
+		forget(h, g);
+	}
+	member_view_release(v);
+}
+
+static void on_timer(struct duty *d, int64_t now_us)
+{
+	struct home *h = az_container_of(d, struct home, duty);
+	apr_hash_index_t *i;
+
+	h->armed_us = 0;
+	if (now_us >= h->sweep_us) {
+		h->sweep_us = now_us + SWEEP_US;
+		sweep(h, now_us);
+	}
+	for (i = apr_hash_first(NULL, h->cells); i; i = apr_hash_next(i)) {
+		struct home_cell *c = apr_hash_this_val(i);
+
+		if (!rank_queue_depth(&c->queue))
+			continue;
+		home_cell_get(h, c->service, c->region);
+		dispatch(h, c);
+	}
+	if (apr_hash_count(h->grants))
+		home_arm(h, h->sweep_us);
+}
+
+static void on_stop(struct duty *d)
+{
+	struct home *h = az_container_of(d, struct home, duty);
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, h->grants); i; i = apr_hash_next(i))
+		free(apr_hash_this_val(i));
+	for (i = apr_hash_first(NULL, h->cells); i; i = apr_hash_next(i))
+		home_cell_free(apr_hash_this_val(i));
+	if (h->socket.sock)
+		apr_socket_close(h->socket.sock);
+}
+
+static const struct duty_ops duty_ops = { "home", on_timer, on_stop };
+
+/* ---- keys ---- */
+
+struct keys_msg {
+	struct msg msg;
+	struct fleet_keys keys;
+};
+
+static void keys_run(struct msg *m, struct duty *to)
+{
+	struct keys_msg *k = az_container_of(m, struct keys_msg, msg);
+
+	az_container_of(to, struct home, duty)->keys = k->keys;
+	free(k);
+}
+
+static void keys_drop(struct msg *m)
+{
+	free(az_container_of(m, struct keys_msg, msg));
+}
+
+static const struct msg_ops keys_ops = { "home-keys", keys_run, keys_drop };
+
+void home_set_keys(struct home *h, const struct fleet_keys *keys)
+{
+	struct keys_msg *k = az_alloc(sizeof(*k));
+
+	k->msg.ops = &keys_ops;
+	k->keys = *keys;
+	duty_send(&h->duty, &k->msg);
+}
+
+struct home *home_create(const struct home_settings *s,
+			 struct timer_service *timers)
+{
+	struct home *h = az_alloc(sizeof(*h));
+
+	h->settings = *s;
+	if (duty_init(&h->duty, &duty_ops, RING_SLOTS, timers) != AZ_OK)
+		return NULL;
+	h->cells = apr_hash_make(h->duty.pool);
+	h->grants = apr_hash_make(h->duty.pool);
+	h->asked = counter_get("home_asks");
+	h->granted = counter_get("home_grants");
+	h->queued = counter_get("home_queued");
+	h->refused = counter_get("home_refused");
+	h->expired = counter_get("home_grants_expired");
+	h->socket.ops = &socket_ops;
+	if (s->port &&
+	    net_udp(s->ip, s->port, h->duty.pool, &h->socket.sock) != AZ_OK)
+		return NULL;
+	return h;
+}
+
+enum az_status home_start(struct home *h)
+{
+	if (h->socket.sock)
+		duty_poll(&h->duty, &h->socket, APR_POLLIN);
+	return duty_start(&h->duty);
+}
+
+void home_stop(struct home *h)
+{
+	duty_stop(&h->duty);
+}
--- /dev/null
+++ b/home/home.h
@@ -0,0 +1,238 @@
+/**
+ * @file
+ * The home of a cell, the workers of one service in one region: it grants
+ * workers' slots to the daemons that hold requests, in the order of their
+ * ranks, and learns from them how each request ended. A grant is a hint: the
+ * asker sends the request itself and once, so a home that dies loses nothing.
+ */
+#ifndef HOME_HOME_H
+#define HOME_HOME_H
+
+#include <apr_hash.h>
+
+#include "cell/cell.h"
+#include "conf/conf.h"
+#include "lib/az.h"
+#include "member/member.h"
+#include "peer/peer.h"
+
+#define HOME_EXCLUDED_MAX 6
+
+/** Names the cell of a service in a region. */
+uint64_t home_cell_id(uint64_t service, uint32_t region);
+
+/* ---- messages (wire.c encodes them) ---- */
+
+enum home_kind {
+	HOME_ASK, /**< for a worker; asked again it changes nothing */
+	HOME_GRANT,
+	HOME_QUEUED,
+	HOME_REFUSE,
+	HOME_END, /**< how the request at the worker ended */
+	HOME_END_ACK,
+	HOME_CANCEL, /**< of an ask that is no longer wanted */
+	HOME_KIND_COUNT,
+};
+
+/** How a request at a worker ended, as evidence about the worker. */
+enum home_event {
+	EVENT_ANSWERED, /**< whole answer below 500 */
+	EVENT_SERVER_ERROR,
+	EVENT_SHED, /**< refused for load, not run */
+	EVENT_BROKEN, /**< reset, truncated, or no answer of its own */
+	EVENT_TIMEOUT,
+	EVENT_UNREACHABLE, /**< no connection */
+	EVENT_IS_ANOTHER, /**< another worker has its address */
+	EVENT_UNUSED, /**< not sent, or given up by the caller: no evidence */
+	EVENT_COUNT,
+};
+
+/** One datagram; what its kind does not use is zero. */
+struct home_msg {
+	enum home_kind kind;
+	uint64_t asker; /**< incarnation of the daemon that asks */
+	uint64_t sequence; /**< of the ask; never used for a second */
+	/* ASK */
+	uint64_t service; /**< id */
+	uint32_t region;
+	uint32_t dc; /**< of the asker */
+	uint8_t rank;
+	bool idempotent;
+	bool repeat; /**< draws on the retry budget */
+	bool only_free; /**< refuse rather than queue */
+	uint32_t left_ms; /**< until the deadline */
+	uint8_t excluded_count;
+	uint64_t excluded[HOME_EXCLUDED_MAX]; /**< workers not to grant */
+	/* GRANT, END */
+	uint64_t worker;
+	uint32_t expected_us; /**< GRANT: most requests take less */
+	/* QUEUED, REFUSE */
+	uint32_t wait_ms; /**< estimated wait; REFUSE: when to come again */
+	uint8_t error; /**< REFUSE: enum error_kind */
+	/* END */
+	uint8_t event; /**< enum home_event */
+	uint32_t latency_us;
+};
+
+#define HOME_DATAGRAM_MAX_BYTES 256
+
+/** Encodes and signs; returns the length, 0 if there is no key. */
+uint32_t home_encode(const struct home_msg *m, const struct fleet_keys *keys,
+		     uint8_t out[HOME_DATAGRAM_MAX_BYTES]);
+/** AZ_INVALID if malformed, AZ_DENIED if the MAC is wrong. */
+enum az_status home_decode(const uint8_t *data, uint32_t len_bytes,
+			   const struct fleet_keys *keys, struct home_msg *out);
+
+/* ---- what is known of a worker (track.c): plain state, time passed in ---- */
+
+#define TRACK_OUT_MAX 64
+
+struct track {
+	uint32_t out_count;
+	int64_t out_us[TRACK_OUT_MAX]; /**< when each was granted */
+	double trouble; /**< of recent failures, at `trouble_us` */
+	int64_t trouble_us;
+	double latency_us; /**< smoothed, of whole answers; 0: none yet */
+	int64_t cold_until_us;
+};
+
+void track_send(struct track *t, int64_t now_us);
+/** `sent_us` is the time given to track_send(). */
+void track_end(struct track *t, int64_t sent_us, enum home_event e,
+	       int64_t latency_us, int64_t now_us);
+/** Failures weigh less with time; what is out for too long counts as one.
+ * `usual_us` is what most requests of the cell take. */
+double track_trouble(const struct track *t, int64_t usual_us, int64_t now_us);
+/** Requests out, where one that is late counts for several. */
+double track_load(const struct track *t, int64_t usual_us, int64_t now_us);
+
+/* ---- choice of a worker (choose.c): plain state, time passed in ---- */
+
+struct candidate {
+	const struct track *track;
+	uint8_t slots;
+	bool out; /**< leaving, gone or excluded by the asker */
+	bool near; /**< in the asker's data centre */
+};
+
+/** A worker with more trouble is left alone while others will do. */
+#define CHOOSE_TROUBLE_MAX 1.0
+/** At most this share of the workers in service is left alone. */
+#define CHOOSE_AVOID_PERCENT 30
+
+/** Index of the worker to use now, or -1 if all that may be used are full.
+ * `random` breaks ties. Load pattern: part of the workers of a cell hang or
+ * fail most of their requests while their probes pass. */
+int32_t choose_worker(const struct candidate *list, uint32_t count,
+		      int64_t usual_us, uint64_t random, int64_t now_us);
+/** Slots of the workers that are not out and not in trouble. */
+uint32_t choose_slots(const struct candidate *list, uint32_t count,
+		      int64_t usual_us, int64_t now_us);
+
+/* ---- the duty ---- */
+
+/** Where replies to an ask go. */
+struct home_asker;
+
+struct home_asker_ops {
+	/** From the home's thread; copies the message. */
+	void (*tell)(struct home_asker *a, const struct home_msg *m);
+};
+
+struct home_asker {
+	const struct home_asker_ops *ops;
+};
+
+struct home;
+
+struct home_settings {
+	uint32_t ip;
+	uint16_t port; /**< UDP; the same on all daemons */
+	uint64_t incarnation;
+	struct conf_current *conf;
+	struct membership *membership;
+	uint32_t retry_slack; /**< repeats that a cell may save up */
+};
+
+struct home *home_create(const struct home_settings *s,
+			 struct timer_service *timers);
+enum az_status home_start(struct home *h);
+void home_stop(struct home *h);
+void home_set_keys(struct home *h, const struct fleet_keys *keys);
+/** An ask, end or cancel of this daemon itself. `asker` outlives the home. */
+void home_tell(struct home *h, const struct home_msg *m,
+	       struct home_asker *asker);
+
+/* ---- between the files of this slice ---- */
+
+#define HOME_WORKERS_MAX 128
+
+struct home_worker {
+	uint64_t id; /**< 0: free position */
+	const struct conf_worker *conf; /**< NULL: no longer configured */
+	struct track track;
+};
+
+struct home_cell {
+	uint64_t id;
+	uint64_t service;
+	uint32_t region;
+	struct conf *conf; /**< keeps the workers */
+	const struct conf_service *conf_service; /**< NULL: not configured */
+	uint32_t worker_count; /**< positions in use or used before */
+	struct home_worker workers[HOME_WORKERS_MAX];
+	struct rank_queue queue;
+	double usual_us; /**< smoothed latency of whole answers */
+	double deviation_us;
+	int64_t retry_tokens_percent;
+	int64_t used_us;
+};
+
+enum grant_state {
+	GRANT_QUEUED,
+	GRANT_GIVEN,
+};
+
+/** One ask, until its end is told. */
+struct grant {
+	struct queue_item item;
+	uint64_t key[2]; /**< asker, sequence */
+	struct home_cell *cell;
+	struct home_msg ask;
+	enum grant_state state;
+	struct home_asker *asker; /**< of this daemon, or NULL */
+	uint32_t ip; /**< else where it is */
+	uint16_t port;
+	uint32_t position; /**< of the worker, once given */
+	uint64_t worker;
+	int64_t given_us;
+	int64_t until_us; /**< forgotten then */
+};
+
+struct home {
+	struct duty duty;
+	struct home_settings settings;
+	struct poll_handler socket;
+	struct fleet_keys keys; /**< of this thread only */
+	apr_hash_t *cells;
+	apr_hash_t *grants;
+	int64_t armed_us;
+	int64_t sweep_us;
+	struct counter *asked;
+	struct counter *granted;
+	struct counter *queued;
+	struct counter *refused;
+	struct counter *expired;
+};
+
+/** The cell with the workers of the current configuration. */
+struct home_cell *home_cell_get(struct home *h, uint64_t service,
+				uint32_t region);
+void home_cell_free(struct home_cell *c);
+/** Fills candidates for an ask; returns how many. */
+uint32_t home_candidates(const struct home_cell *c, const struct home_msg *ask,
+			 struct candidate *out);
+int64_t home_usual_us(const struct home_cell *c);
+void home_arm(struct home *h, int64_t at_us);
+
+#endif
--- /dev/null
+++ b/home/wire.c
@@ -0,0 +1,130 @@
+/**
+ * @file
+ * Encoding of a home's datagrams: XDR behind a magic number, a key id and a MAC
+ * over the rest.
+ */
+#include <string.h>
+#include <rpc/types.h>
+#include <rpc/xdr.h>
+
+#include "home/home.h"
+
+#define MAGIC 0x415a4831U /* "AZH1" */
+#define MAC_AT 8
+#define SIGNED_AT (MAC_AT + FLEET_MAC_BYTES)
+#define FLAG_IDEMPOTENT 1U
+#define FLAG_REPEAT 2U
+#define FLAG_ONLY_FREE 4U
+
+static bool code_u8(XDR *x, uint8_t *v, uint32_t end)
+{
+	uint32_t w = *v;
+
+	if (!xdr_uint32_t(x, &w) || w >= end)
+		return false;
+	*v = (uint8_t)w;
+	return true;
+}
+
+static bool code_ask(XDR *x, struct home_msg *m)
+{
+	uint32_t flags = (m->idempotent ? FLAG_IDEMPOTENT : 0) |
+			 (m->repeat ? FLAG_REPEAT : 0) |
+			 (m->only_free ? FLAG_ONLY_FREE : 0);
+
+	if (!xdr_uint64_t(x, &m->service) || !xdr_uint32_t(x, &m->region) ||
+	    !xdr_uint32_t(x, &m->dc) || !code_u8(x, &m->rank, RANK_COUNT) ||
+	    !xdr_uint32_t(x, &flags) || !xdr_uint32_t(x, &m->left_ms) ||
+	    !code_u8(x, &m->excluded_count, HOME_EXCLUDED_MAX + 1))
+		return false;
+	m->idempotent = flags & FLAG_IDEMPOTENT;
+	m->repeat = flags & FLAG_REPEAT;
+	m->only_free = flags & FLAG_ONLY_FREE;
+	for (uint32_t i = 0; i < m->excluded_count; i++)
+		if (!xdr_uint64_t(x, &m->excluded[i]))
+			return false;
+	return true;
+}
+
+static bool code_body(XDR *x, struct home_msg *m)
+{
+	switch (m->kind) {
+	case HOME_ASK:
+		return code_ask(x, m);
+	case HOME_GRANT:
+		return xdr_uint64_t(x, &m->worker) &&
+		       xdr_uint32_t(x, &m->expected_us);
+	case HOME_QUEUED:
+		return xdr_uint32_t(x, &m->wait_ms);
+	case HOME_REFUSE:
+		return xdr_uint32_t(x, &m->wait_ms) &&
+		       code_u8(x, &m->error, ERR_KIND_COUNT);
+	case HOME_END:
+		return xdr_uint64_t(x, &m->worker) &&
+		       code_u8(x, &m->event, EVENT_COUNT) &&
+		       xdr_uint32_t(x, &m->latency_us);
+	default:
+		return true;
+	}
+}
+
+static bool code(XDR *x, struct home_msg *m)
+{
+	uint8_t kind = (uint8_t)m->kind;
+
+	if (!code_u8(x, &kind, HOME_KIND_COUNT) ||
+	    !xdr_uint64_t(x, &m->asker) || !xdr_uint64_t(x, &m->sequence))
+		return false;
+	m->kind = (enum home_kind)kind;
+	return code_body(x, m);
+}
+
+static void put_u32(uint8_t *out, uint32_t v)
+{
+	for (uint32_t i = 0; i < 4; i++)
+		out[i] = (uint8_t)(v >> (24 - 8 * i));
+}
+
+static uint32_t get_u32(const uint8_t *in)
+{
+	return (uint32_t)in[0] << 24 | (uint32_t)in[1] << 16 |
+	       (uint32_t)in[2] << 8 | in[3];
+}
+
+uint32_t home_encode(const struct home_msg *m, const struct fleet_keys *keys,
+		     uint8_t out[HOME_DATAGRAM_MAX_BYTES])
+{
+	struct home_msg copy = *m;
+	uint32_t len_bytes;
+	XDR x;
+
+	if (!keys->count)
+		return 0;
+	xdrmem_create(&x, (char *)out + SIGNED_AT,
+		      HOME_DATAGRAM_MAX_BYTES - SIGNED_AT, XDR_ENCODE);
+	if (!code(&x, &copy))
+		return 0;
+	len_bytes = SIGNED_AT + xdr_getpos(&x);
+	put_u32(out, MAGIC);
+	put_u32(out + 4, fleet_sign(keys, out + SIGNED_AT,
+				    len_bytes - SIGNED_AT, out + MAC_AT));
+	return len_bytes;
+}
+
+enum az_status home_decode(const uint8_t *data, uint32_t len_bytes,
+			   const struct fleet_keys *keys, struct home_msg *out)
+{
+	XDR x;
+
+	memset(out, 0, sizeof(*out));
+	if (len_bytes < SIGNED_AT || get_u32(data) != MAGIC)
+		return az_fail(AZ_INVALID, "no datagram of a home");
+	if (!fleet_verify(keys, get_u32(data + 4), data + SIGNED_AT,
+			  len_bytes - SIGNED_AT, data + MAC_AT))
+		return az_fail(AZ_DENIED, "wrong MAC");
+	xdrmem_create(&x, (char *)data + SIGNED_AT, len_bytes - SIGNED_AT,
+		      XDR_DECODE);
+	if (!code(&x, out) || xdr_getpos(&x) != len_bytes - SIGNED_AT)
+		return az_fail(AZ_INVALID, "malformed datagram of a home");
+	return AZ_OK;
+}
--- a/lib/az.h
+++ b/lib/az.h
@@ -72,6 +72,8 @@
 	ERR_LEDGER_FULL,
 	ERR_OVER_LIMIT,
 	ERR_OVERLOADED,
+	ERR_NOT_CONFIGURED, /**< no configuration is known yet */
+	ERR_REQUEST_TIMEOUT, /**< the caller took too long to send it */
 	ERR_STOPPING,
 	ERR_NO_WORKER,
 	ERR_NO_HOME,
@@ -193,6 +195,10 @@
 	enum rank rank;
 	bool idempotent;
 	int64_t deadline_us; /**< on this process's monotonic clock */
+	int64_t target_us; /**< when its answer earns less; 0: none */
+	uint8_t attempts; /**< workers that may run it; 0: the default */
+	char *host; /**< as the caller sent it, or NULL */
+	char *correlation; /**< id that answers repeat, or NULL */
 	struct span span;
 	struct buf headers; /**< "Name: value\r\n" lines to pass on */
 	struct buf body;
@@ -203,10 +209,13 @@
 	enum error_kind kind;
 	enum outcome outcome;
 	uint16_t http_status;
+	int64_t retry_after_us; /**< when to come again; 0: not said */
 	struct buf headers; /**< "Name: value\r\n" lines to pass on */
 	struct buf body;
 };
 
+/** Copy in memory of its own; NULL stays NULL. */
+char *az_strdup(const char *s);
 struct request *request_new(const char *method, const char *path,
 			    const char *service);
 struct request *request_copy(const struct request *r);
@@ -359,6 +368,16 @@
 void counter_add(struct counter *c, int64_t n);
 void counter_set(struct counter *c, int64_t n);
 int64_t counter_value(const struct counter *c);
+/** Counts of durations in buckets that double from 1 ms to 64 s. Updated
+ * atomically. */
+struct histogram;
+
+/** The histogram called `name`, made on first use. */
+struct histogram *histogram_get(const char *name);
+void histogram_add(struct histogram *h, int64_t duration_us);
+/** Appends "name_le_MS count\n" lines, cumulative, then "name_count" and
+ * "name_sum_ms", for each histogram. */
+void histogram_print(struct buf *out);
 /** Appends "name value\n" for each counter, sorted by name. */
 void counter_print(struct buf *out);
 
@@ -373,6 +392,18 @@
 enum az_status net_connect(uint32_t ip, uint16_t port, apr_pool_t *pool,
 			   apr_socket_t **out);
 
+/** A non-blocking datagram socket; port 0 takes a free one. */
+enum az_status net_udp(uint32_t ip, uint16_t port, apr_pool_t *pool,
+		       apr_socket_t **out);
+/** Next datagram with its sender; 0 if none waits. */
+uint32_t net_receive(apr_socket_t *sock, uint8_t *data, uint32_t cap_bytes,
+		     uint32_t *ip, uint16_t *port);
+/** Datagrams that do not fit are lost, as on the way. */
+void net_send_to(apr_socket_t *sock, const uint8_t *data, uint32_t len_bytes,
+		 uint32_t ip, uint16_t port);
+/** Has the kernel find out that the other end has fallen silent. */
+void net_keep_alive(int32_t fd);
+
 /* ---- HTTP calls that block (http_call.c) ---- */
 
 /** Keeps its connection between calls; for one thread at a time. */
@@ -382,7 +413,8 @@
 struct http_call {
 	const char *method; /**< NULL: GET */
 	const char *url;
-	const char *headers[8]; /**< "Name: value" lines, NULL behind the last */
+	const char
+		*headers[8]; /**< "Name: value" lines, NULL behind the last */
 	const void *body;
 	uint32_t body_bytes;
 	uint32_t connect_timeout_ms;
--- a/lib/http_call.c
+++ b/lib/http_call.c
@@ -99,6 +99,16 @@
 	return AZ_OK;
 }
 
+/* A connection that has gone silent is found by the kernel, so that a call that
+ * waits for news need not end early. */
+static int keep_alive(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	(void)arg;
+	(void)purpose;
+	net_keep_alive(fd);
+	return CURL_SOCKOPT_OK;
+}
+
 static void set_options(struct http_client *h, struct http_call *c)
 {
 	curl_easy_reset(h->easy);
@@ -109,6 +119,7 @@
 	curl_easy_setopt(h->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)c->connect_timeout_ms);
 	curl_easy_setopt(h->easy, CURLOPT_TIMEOUT_MS, (long)c->timeout_ms);
+	curl_easy_setopt(h->easy, CURLOPT_SOCKOPTFUNCTION, keep_alive);
 	curl_easy_setopt(h->easy, CURLOPT_WRITEFUNCTION, take_body);
 	curl_easy_setopt(h->easy, CURLOPT_WRITEDATA, c);
 	if (c->want_header) {
--- a/lib/net.c
+++ b/lib/net.c
@@ -2,10 +2,20 @@
 #include <stdlib.h>
 #include <string.h>
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <apr_portable.h>
 
 #include "lib/az.h"
 
 #define IP_TEXT_BYTES 16
+/* A connection is given up 3 s after the other end fell silent: a switch that
+ * fails over is back sooner. */
+#define KEEP_ALIVE_IDLE_S 1
+#define KEEP_ALIVE_INTERVAL_S 1
+#define KEEP_ALIVE_PROBES 2
+#define UNACKNOWLEDGED_MS 3000
 
 static void format_ip(uint32_t ip, char out[IP_TEXT_BYTES])
 {
@@ -65,3 +75,75 @@
 		return az_fail(AZ_IO, "connect to %s:%u failed", text, port);
 	return AZ_OK;
 }
+
+void net_keep_alive(int32_t fd)
+{
+	const struct {
+		int level;
+		int name;
+		int value;
+	} options[] = {
+		{ SOL_SOCKET, SO_KEEPALIVE, 1 },
+		{ IPPROTO_TCP, TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S },
+		{ IPPROTO_TCP, TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S },
+		{ IPPROTO_TCP, TCP_KEEPCNT, KEEP_ALIVE_PROBES },
+		{ IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS },
+	};
+
+	/* Without them a silent connection is found by time-outs, later. */
+	for (uint32_t i = 0; i < sizeof(options) / sizeof(options[0]); i++)
+		if (setsockopt(fd, options[i].level, options[i].name,
+			       &options[i].value, sizeof(options[i].value)))
+			log_write(LOG_DEBUG, "net", "socket option %d refused",
+				  options[i].name);
+}
+
+enum az_status net_udp(uint32_t ip, uint16_t port, apr_pool_t *pool,
+		       apr_socket_t **out)
+{
+	apr_sockaddr_t *sa = net_address(ip, port, pool);
+
+	*out = NULL;
+	if (!sa ||
+	    apr_socket_create(out, APR_INET, SOCK_DGRAM, APR_PROTO_UDP, pool))
+		return az_fail(AZ_IO, "no socket for port %u", port);
+	apr_socket_opt_set(*out, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(*out, 0);
+	if (apr_socket_bind(*out, sa) != APR_SUCCESS)
+		return az_fail(AZ_IO, "cannot use port %u", port);
+	return AZ_OK;
+}
+
+uint32_t net_receive(apr_socket_t *sock, uint8_t *data, uint32_t cap_bytes,
+		     uint32_t *ip, uint16_t *port)
+{
+	struct sockaddr_in from;
+	socklen_t len = sizeof(from);
+	apr_os_sock_t fd;
+	ssize_t n;
+
+	apr_os_sock_get(&fd, sock);
+	n = recvfrom(fd, data, cap_bytes, MSG_DONTWAIT,
+		     (struct sockaddr *)&from, &len);
+	if (n <= 0)
+		return 0;
+	*ip = ntohl(from.sin_addr.s_addr);
+	*port = ntohs(from.sin_port);
+	return (uint32_t)n;
+}
+
+void net_send_to(apr_socket_t *sock, const uint8_t *data, uint32_t len_bytes,
+		 uint32_t ip, uint16_t port)
+{
+	struct sockaddr_in to = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(ip),
+	};
+	apr_os_sock_t fd;
+
+	apr_os_sock_get(&fd, sock);
+	if (sendto(fd, data, len_bytes, MSG_DONTWAIT, (struct sockaddr *)&to,
+		   sizeof(to)) < 0)
+		log_write(LOG_DEBUG, "net", "datagram lost on sending");
+}
--- a/lib/request.c
+++ b/lib/request.c
@@ -17,9 +17,9 @@
 	to->ops->answer(to, answer_new(k));
 }
 
-static char *dup_string(const char *s)
+char *az_strdup(const char *s)
 {
-	return strcpy(az_alloc(strlen(s) + 1), s);
+	return s ? strcpy(az_alloc(strlen(s) + 1), s) : NULL;
 }
 
 struct request *request_new(const char *method, const char *path,
@@ -28,8 +28,8 @@
 	struct request *r = az_alloc(sizeof(*r));
 
 	strncpy(r->method, method, sizeof(r->method) - 1);
-	r->path = dup_string(path);
-	r->service = dup_string(service);
+	r->path = az_strdup(path);
+	r->service = az_strdup(service);
 	return r;
 }
 
@@ -38,8 +38,10 @@
 	struct request *c = az_alloc(sizeof(*c));
 
 	*c = *r;
-	c->path = dup_string(r->path);
-	c->service = dup_string(r->service);
+	c->path = az_strdup(r->path);
+	c->service = az_strdup(r->service);
+	c->host = az_strdup(r->host);
+	c->correlation = az_strdup(r->correlation);
 	memset(&c->headers, 0, sizeof(c->headers));
 	memset(&c->body, 0, sizeof(c->body));
 	buf_append(&c->headers, r->headers.data, r->headers.len_bytes);
@@ -53,6 +55,8 @@
 		return;
 	free(r->path);
 	free(r->service);
+	free(r->host);
+	free(r->correlation);
 	buf_free(&r->headers);
 	buf_free(&r->body);
 	free(r);
--- /dev/null
+++ b/target/cmd/azhd/status.d
@@ -0,0 +1,53 @@
+target/cmd/azhd/status.o: cmd/azhd/status.c \
+ /usr/include/apr-1.0/apr_strings.h /usr/include/apr-1.0/apr.h \
+ /usr/include/apr-1.0/apr_errno.h /usr/include/apr-1.0/apr_pools.h \
+ /usr/include/apr-1.0/apr_general.h /usr/include/apr-1.0/apr_want.h \
+ /usr/include/apr-1.0/apr_allocator.h \
+ /usr/include/apr-1.0/apr_thread_mutex.h /usr/include/apr-1.0/apr_time.h \
+ cmd/azhd/azhd.h admin/admin.h lib/az.h \
+ /usr/include/apr-1.0/apr_network_io.h /usr/include/apr-1.0/apr_file_io.h \
+ /usr/include/apr-1.0/apr_file_info.h /usr/include/apr-1.0/apr_user.h \
+ /usr/include/apr-1.0/apr_tables.h /usr/include/apr-1.0/apr_inherit.h \
+ /usr/include/apr-1.0/apr_perms_set.h /usr/include/apr-1.0/apr_poll.h \
+ /usr/include/apr-1.0/apr_network_io.h /usr/include/apr-1.0/apr_pools.h \
+ /usr/include/apr-1.0/apr_thread_proc.h conf/conf.h attempt/attempt.h \
+ home/home.h /usr/include/apr-1.0/apr_hash.h cell/cell.h health/health.h \
+ member/member.h upstream/upstream.h peer/peer.h ticket/ticket.h \
+ feed/feed.h front/front.h platform/platform.h route/route.h
+/usr/include/apr-1.0/apr_strings.h:
+/usr/include/apr-1.0/apr.h:
+/usr/include/apr-1.0/apr_errno.h:
+/usr/include/apr-1.0/apr_pools.h:
+/usr/include/apr-1.0/apr_general.h:
+/usr/include/apr-1.0/apr_want.h:
+/usr/include/apr-1.0/apr_allocator.h:
+/usr/include/apr-1.0/apr_thread_mutex.h:
+/usr/include/apr-1.0/apr_time.h:
+cmd/azhd/azhd.h:
+admin/admin.h:
+lib/az.h:
+/usr/include/apr-1.0/apr_network_io.h:
+/usr/include/apr-1.0/apr_file_io.h:
+/usr/include/apr-1.0/apr_file_info.h:
+/usr/include/apr-1.0/apr_user.h:
+/usr/include/apr-1.0/apr_tables.h:
+/usr/include/apr-1.0/apr_inherit.h:
+/usr/include/apr-1.0/apr_perms_set.h:
+/usr/include/apr-1.0/apr_poll.h:
+/usr/include/apr-1.0/apr_network_io.h:
+/usr/include/apr-1.0/apr_pools.h:
+/usr/include/apr-1.0/apr_thread_proc.h:
+conf/conf.h:
+attempt/attempt.h:
+home/home.h:
+/usr/include/apr-1.0/apr_hash.h:
+cell/cell.h:
+health/health.h:
+member/member.h:
+upstream/upstream.h:
+peer/peer.h:
+ticket/ticket.h:
+feed/feed.h:
+front/front.h:
+platform/platform.h:
+route/route.h:
--- a/ticket/present.c
+++ b/ticket/present.c
@@ -2,7 +2,7 @@
 
 #include "member/member.h"
 #include "peer/peer.h"
-#include "route/route.h"
+#include "attempt/attempt.h"
 #include "ticket/ticket.h"
 
 /* A home is asked about a call for this long after the deadline. */
@@ -90,8 +90,7 @@
 	r->incarnation = t->incarnation;
 	r->sequence = t->sequence;
 	__atomic_add_fetch(&d->in_flight, 1, __ATOMIC_RELAXED);
-	route_submit(d->settings.route, q, q->deadline_us + RESOLVE_US,
-		     &r->reply);
+	attempt_submit(d->settings.attempts, q, &r->reply);
 }
 
 static void wait_for(struct ticket_duty *d, struct ledger_entry *e,
--- a/ticket/submit.c
+++ b/ticket/submit.c
@@ -2,7 +2,7 @@
 
 #include "member/member.h"
 #include "peer/peer.h"
-#include "route/route.h"
+#include "attempt/attempt.h"
 #include "ticket/ticket.h"
 
 #define REPRESENT_AFTER_US (200 * US_PER_MS)
--- a/ticket/ticket.h
+++ b/ticket/ticket.h
@@ -120,7 +120,7 @@
 
 /* ---- the duty ---- */
 
-struct route;
+struct attempts;
 struct peer;
 struct membership;
 
@@ -128,7 +128,7 @@
 	uint32_t ip; /**< this daemon's peer address */
 	uint16_t port;
 	uint64_t incarnation;
-	struct route *route;
+	struct attempts *attempts;
 	struct peer *peer;
 	struct membership *membership;
 	/** Until then after the start an issuer that membership does not list
--- /dev/null
+++ b/upstream/own.c
@@ -0,0 +1,49 @@
+#include <strings.h>
+
+#include "upstream/upstream.h"
+
+static void own_write_head(const struct upstream_request *u, int64_t left_ms,
+			   struct buf *out)
+{
+	const struct request *q = u->request;
+	char trace[56];
+
+	span_format(&q->span, trace);
+	buf_printf(out, "Host: %u.%u.%u.%u:%u\r\n", u->ip >> 24,
+		   u->ip >> 16 & 255, u->ip >> 8 & 255, u->ip & 255, u->port);
+	buf_printf(out, "traceparent: %s\r\nAzurehold-Deadline-Ms: %lld\r\n",
+		   trace, (long long)left_ms);
+}
+
+static bool own_read_header(const struct upstream_request *u, const char *name,
+			    const char *value, struct worker_signs *s)
+{
+	(void)u;
+	(void)value;
+	if (!strcasecmp(name, "azurehold-draining")) {
+		s->leaving = true;
+		return false;
+	}
+	return strcasecmp(name, "azurehold-outcome") &&
+	       strcasecmp(name, "azurehold-error") &&
+	       strcasecmp(name, "azurehold-ticket");
+}
+
+static enum worker_verdict own_judge(const struct upstream_request *u,
+				     const struct answer *a,
+				     const struct worker_signs *s)
+{
+	(void)u;
+	(void)a;
+	(void)s;
+	return WORKER_ANSWERED;
+}
+
+static const struct worker_dialect_ops own_ops = {
+	.name = "azurehold",
+	.write_head = own_write_head,
+	.read_header = own_read_header,
+	.judge = own_judge,
+};
+
+const struct worker_dialect upstream_own_dialect = { &own_ops };
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -25,6 +25,9 @@
 #define READ_BYTES 16384
 #define IDLE_MAX_US (60 * US_PER_S)
 #define IDLE_SCAN_US (5 * US_PER_S)
+/* Of the time for which a worker keeps an idle connection: one that it closes
+ * as a request arrives leaves the request's outcome unknown. */
+#define IDLE_SHARE_PERCENT 80
 
 enum conn_state {
 	CONN_CONNECTING,
@@ -60,7 +63,9 @@
 	struct buf field;
 	struct buf value;
 	bool in_value;
-	bool draining;
+	struct worker_signs signs;
+	int64_t first_byte_us;
+	bool not_ours; /**< the answer read belongs to another request */
 	bool whole;
 	bool too_large;
 	bool unframed;
@@ -68,12 +73,14 @@
 
 struct upstream {
 	struct duty duty;
+	const struct worker_dialect_ops *dialect;
 	apr_hash_t *endpoints;
 	struct conn *active;
 	int64_t armed_us;
 	struct counter *connects;
 	struct counter *reused;
 	struct counter *faults;
+	struct counter *skipped;
 };
 
 bool upstream_fault_is_not_run(enum upstream_fault f)
@@ -164,17 +171,26 @@
 	}
 	r->connect_us = c->connect_us;
 	r->total_us = clock_now_us() - c->started_us;
+	r->first_byte_us = c->first_byte_us;
 	r->fresh = c->fresh;
-	r->draining = c->draining;
+	r->draining = c->signs.leaving;
+	r->signs = c->signs;
+	if (r->answer && c->req.request)
+		r->verdict =
+			c->up->dialect->judge(&c->req, r->answer, &c->signs);
 	c->req.sink->ops->done(c->req.sink, r);
 }
 
 static void conn_keep(struct conn *c)
 {
 	struct endpoint *e = c->endpoint;
+	int64_t idle_us = IDLE_MAX_US;
 
+	if (c->signs.keep_alive_s)
+		idle_us = c->signs.keep_alive_s * US_PER_S *
+			  IDLE_SHARE_PERCENT / 100;
 	c->state = CONN_IDLE;
-	c->due_us = c->up->duty.now_us + IDLE_MAX_US;
+	c->due_us = c->up->duty.now_us + idle_us;
 	list_add(&e->idle, c);
 	e->idle_count++;
 	duty_poll(&c->up->duty, &c->poll, APR_POLLIN);
@@ -212,19 +228,9 @@
 static bool is_hop_header(const char *name)
 {
 	static const char *const names[] = {
-		"connection",
-		"keep-alive",
-		"transfer-encoding",
-		"content-length",
-		"trailer",
-		"upgrade",
-		"proxy-connection",
-		"te",
-		"proxy-authenticate",
-		"azurehold-outcome",
-		"azurehold-error",
-		"azurehold-ticket",
-		"azurehold-draining",
+		"connection",	    "keep-alive", "transfer-encoding",
+		"content-length",   "trailer",	  "upgrade",
+		"proxy-connection", "te",	  "proxy-authenticate",
 	};
 
 	for (uint32_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
@@ -233,15 +239,26 @@
 	return false;
 }
 
+static void read_keep_alive(struct conn *c, const char *value)
+{
+	const char *timeout = strstr(value, "timeout=");
+
+	if (timeout)
+		c->signs.keep_alive_s = (uint32_t)strtoul(
+			timeout + strlen("timeout="), NULL, 10);
+}
+
 static void header_done(struct conn *c)
 {
 	if (!c->field.len_bytes)
 		return;
 	buf_append(&c->field, "", 1);
 	buf_append(&c->value, "", 1);
-	if (!strcasecmp((char *)c->field.data, "azurehold-draining"))
-		c->draining = true;
-	if (!is_hop_header((char *)c->field.data))
+	if (!strcasecmp((char *)c->field.data, "keep-alive"))
+		read_keep_alive(c, (char *)c->value.data);
+	if (!is_hop_header((char *)c->field.data) && c->req.request &&
+	    c->up->dialect->read_header(&c->req, (char *)c->field.data,
+					(char *)c->value.data, &c->signs))
 		buf_printf(&c->answer->headers, "%s: %s\r\n",
 			   (char *)c->field.data, (char *)c->value.data);
 	c->field.len_bytes = 0;
@@ -255,6 +272,7 @@
 
 	answer_free(c->answer);
 	c->answer = answer_new(ERR_NONE);
+	memset(&c->signs, 0, sizeof(c->signs));
 	c->field.len_bytes = c->value.len_bytes = 0;
 	c->in_value = false;
 	return 0;
@@ -304,7 +322,8 @@
 	    p->status_code == 304)
 		return head;
 	/* Without a length an answer that was cut looks like a whole one. */
-	if (!(p->flags & F_CHUNKED) && p->content_length == UINT64_MAX) {
+	if (!c->up->dialect->unframed && !(p->flags & F_CHUNKED) &&
+	    p->content_length == UINT64_MAX) {
 		c->unframed = true;
 		return -1;
 	}
@@ -327,9 +346,10 @@
 
 	if (p->status_code / 100 == 1)
 		return 0;
-	c->whole = true;
 	if (!http_should_keep_alive(p))
 		c->close_after = true;
+	c->whole = true;
+	c->not_ours = c->signs.answers == ANSWERS_OTHER;
 	http_parser_pause(p, 1);
 	return 0;
 }
@@ -347,6 +367,49 @@
 
 static void conn_replace(struct conn *c);
 
+/* The worker closed its end. An answer without a length is whole then. */
+static void conn_ended(struct conn *c)
+{
+	if (AZ_TEST_BREAK_RESEND && !c->fresh && !c->answer) {
+		conn_replace(c);
+		return;
+	}
+	if (c->answer)
+		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
+	c->close_after = true;
+	if (c->whole && !c->not_ours)
+		conn_finish(c);
+	else
+		conn_fail(c, c->answer ? UPSTREAM_TRUNCATED : UPSTREAM_CLOSED);
+}
+
+/* An answer to an earlier request came late: ours is behind it. */
+static void skip_answer(struct conn *c)
+{
+	counter_add(c->up->skipped, 1);
+	c->whole = c->not_ours = false;
+	answer_free(c->answer);
+	c->answer = NULL;
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+}
+
+/* Returns how many bytes were used. */
+static size_t parse(struct conn *c, const char *data, size_t n)
+{
+	size_t used =
+		http_parser_execute(&c->parser, &parser_settings, data, n);
+
+	while (c->whole && c->not_ours && !c->close_after) {
+		skip_answer(c);
+		if (used < n)
+			used += http_parser_execute(&c->parser,
+						    &parser_settings,
+						    data + used, n - used);
+	}
+	return used;
+}
+
 static void conn_readable(struct conn *c)
 {
 	char data[READ_BYTES];
@@ -356,16 +419,18 @@
 
 	if (APR_STATUS_IS_EAGAIN(rv))
 		return;
-	if (rv != APR_SUCCESS || !n) {
-		if (AZ_TEST_BREAK_RESEND && !c->fresh && !c->answer) {
-			conn_replace(c);
-			return;
-		}
+	if (APR_STATUS_IS_EOF(rv) || (rv == APR_SUCCESS && !n)) {
+		conn_ended(c);
+		return;
+	}
+	if (rv != APR_SUCCESS) {
 		conn_fail(c, c->answer ? UPSTREAM_TRUNCATED : UPSTREAM_CLOSED);
 		return;
 	}
-	used = http_parser_execute(&c->parser, &parser_settings, data, n);
-	if (c->whole) {
+	if (!c->first_byte_us)
+		c->first_byte_us = clock_now_us() - c->started_us;
+	used = parse(c, data, n);
+	if (c->whole && !c->not_ours) {
 		/* Bytes after the answer belong to no request of ours. */
 		if (used < n)
 			c->close_after = true;
@@ -374,7 +439,8 @@
 	}
 	if (c->too_large)
 		conn_fail(c, UPSTREAM_TOO_LARGE);
-	else if (c->unframed || HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+	else if (c->unframed || c->whole ||
+		 HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
 		conn_fail(c, UPSTREAM_TRUNCATED);
 }
 
@@ -474,18 +540,12 @@
 {
 	const struct request *r = c->req.request;
 	int64_t left_ms = (c->req.deadline_us - c->up->duty.now_us) / US_PER_MS;
-	char trace[56];
 
-	span_format(&r->span, trace);
 	c->out.len_bytes = 0;
 	c->out_sent_bytes = 0;
-	buf_printf(&c->out, "%s %s HTTP/1.1\r\nHost: %u.%u.%u.%u:%u\r\n",
-		   r->method, r->path, c->req.ip >> 24, c->req.ip >> 16 & 255,
-		   c->req.ip >> 8 & 255, c->req.ip & 255, c->req.port);
+	buf_printf(&c->out, "%s %s HTTP/1.1\r\n", r->method, r->path);
+	c->up->dialect->write_head(&c->req, left_ms > 0 ? left_ms : 0, &c->out);
 	buf_append(&c->out, r->headers.data, r->headers.len_bytes);
-	buf_printf(&c->out,
-		   "traceparent: %s\r\nAzurehold-Deadline-Ms: %lld\r\n", trace,
-		   (long long)(left_ms > 0 ? left_ms : 0));
 	if (r->body.len_bytes || strcmp(r->method, "GET"))
 		buf_printf(&c->out, "Content-Length: %u\r\n",
 			   r->body.len_bytes);
@@ -498,7 +558,9 @@
 	c->req = *r;
 	c->started_us = clock_now_us();
 	c->connect_us = 0;
-	c->draining = c->whole = c->too_large = c->unframed = false;
+	c->whole = c->not_ours = c->too_large = c->unframed = false;
+	c->first_byte_us = 0;
+	memset(&c->signs, 0, sizeof(c->signs));
 	answer_free(c->answer);
 	c->answer = NULL;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
@@ -511,6 +573,7 @@
 static void conn_open(struct upstream *u, const struct upstream_request *r)
 {
 	struct conn *c = calloc(1, sizeof(*c));
+	apr_os_sock_t fd;
 
 	if (!c || apr_pool_create_unmanaged_ex(&c->pool, NULL, NULL))
 		abort();
@@ -525,6 +588,8 @@
 		conn_fail(c, UPSTREAM_CONNECT_REFUSED);
 		return;
 	}
+	if (apr_os_sock_get(&fd, c->poll.sock) == APR_SUCCESS)
+		net_keep_alive(fd);
 	c->due_us = c->started_us + r->connect_timeout_ms * US_PER_MS;
 	if (c->due_us > r->deadline_us)
 		c->due_us = r->deadline_us;
@@ -766,9 +831,16 @@
 	u->connects = counter_get("upstream_connects");
 	u->reused = counter_get("upstream_reused");
 	u->faults = counter_get("upstream_faults");
+	u->skipped = counter_get("upstream_answers_skipped");
+	u->dialect = upstream_own_dialect.ops;
 	return u;
 }
 
+void upstream_set_dialect(struct upstream *u, const struct worker_dialect *d)
+{
+	u->dialect = d->ops;
+}
+
 enum az_status upstream_start(struct upstream *u)
 {
 	return duty_start(&u->duty);
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -25,14 +25,72 @@
 /** True if the worker cannot have seen the request. */
 bool upstream_fault_is_not_run(enum upstream_fault f);
 
+/* ---- how workers speak ---- */
+
+/** Which request an answer says that it belongs to. */
+enum worker_answers {
+	ANSWERS_UNSAID,
+	ANSWERS_THIS,
+	ANSWERS_OTHER,
+};
+
+/** What the headers of an answer tell. */
+struct worker_signs {
+	enum worker_answers answers;
+	bool not_run; /**< the worker says that it did not run the request */
+	bool signed_answer; /**< it vouches for the answer */
+	bool encoded; /**< the body has an encoding that was not asked for */
+	bool other_worker; /**< another worker has the address */
+	bool leaving;
+	bool has_load; /**< the next three are said */
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	uint32_t keep_alive_s; /**< idle connections last so long; 0: unsaid */
+};
+
+enum worker_verdict {
+	WORKER_ANSWERED,
+	WORKER_DID_NOT_RUN,
+	WORKER_IS_ANOTHER, /**< at this address; it did not run the request */
+	WORKER_ANSWER_BAD, /**< no answer of this worker to this request */
+};
+
+struct upstream_request;
+
+struct worker_dialect_ops {
+	const char *name;
+	/** An answer without a length ends with its connection. */
+	bool unframed;
+	/** Adds the headers that the fleet sets. */
+	void (*write_head)(const struct upstream_request *u, int64_t left_ms,
+			   struct buf *out);
+	/** Takes note of a header; false if it does not go to the caller. */
+	bool (*read_header)(const struct upstream_request *u, const char *name,
+			    const char *value, struct worker_signs *s);
+	enum worker_verdict (*judge)(const struct upstream_request *u,
+				     const struct answer *a,
+				     const struct worker_signs *s);
+};
+
+struct worker_dialect {
+	const struct worker_dialect_ops *ops;
+};
+
+/** The project's own (own.c). */
+extern const struct worker_dialect upstream_own_dialect;
+
 struct upstream_result {
 	uint64_t token; /**< the sender's, as given */
 	enum upstream_fault fault;
 	struct answer *answer; /**< owned by the receiver; NULL unless OK */
 	int64_t connect_us; /**< 0 on a reused connection */
 	int64_t total_us;
+	int64_t first_byte_us; /**< from the start to the first byte; 0: none */
 	bool fresh;
 	bool draining; /**< the worker said that it is leaving */
+	struct worker_signs signs;
+	enum worker_verdict verdict; /**< of an UPSTREAM_OK answer */
 };
 
 struct upstream_sink;
@@ -54,6 +112,7 @@
 	int64_t deadline_us;
 	uint32_t idle_max; /**< idle connections kept to this worker */
 	bool fresh; /**< use a new connection */
+	const char *worker; /**< its id, borrowed until `done`; NULL: unsaid */
 	/** Borrowed until `done`; the sender keeps it. NULL only connects. */
 	const struct request *request;
 	struct upstream_sink *sink;
@@ -63,6 +122,8 @@
 
 struct upstream *upstream_create(struct timer_service *timers,
 				 apr_pool_t *pool);
+/** Before upstream_start(); the project's own otherwise. */
+void upstream_set_dialect(struct upstream *u, const struct worker_dialect *d);
 enum az_status upstream_start(struct upstream *u);
 void upstream_stop(struct upstream *u);
 /** Once stopped, and when no part can send any more. */
