--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -320,10 +320,47 @@
 	return d->conf_duty ? AZ_OK : AZ_IO;
 }
 
+static void set_keys(struct azhd *d, const struct fleet_keys *keys)
+{
+	peer_set_keys(d->peer, keys);
+	membership_set_keys(d->membership, keys);
+	home_set_keys(d->home, keys);
+	attempts_set_keys(d->attempts, keys);
+}
+
+static void on_shared_text(struct platform_listener *l, const char *text)
+{
+	struct azhd *d = az_container_of(l, struct azhd, listener);
+	struct fleet_keys keys;
+
+	if (fleet_keys_parse(text, &keys) == AZ_OK) {
+		set_keys(d, &keys);
+		log_write(LOG_INFO, "azhd", "fleet key taken from the store");
+	} else {
+		log_write(LOG_ERROR, "azhd", "fleet key refused reason=%s",
+			  az_last_message());
+	}
+}
+
+static const struct platform_listener_ops listener_ops = { on_shared_text };
+
+/* A key that this daemon made up: that of the first daemon is for all. */
+/* A key that this daemon made up: that of the first daemon is for all. */
+static void random_key(char out[FLEET_KEY_TEXT_BYTES])
+{
+	snprintf(out, FLEET_KEY_TEXT_BYTES, "1:%016llx%016llx%016llx%016llx",
+		 (unsigned long long)random_u64(),
+		 (unsigned long long)random_u64(),
+		 (unsigned long long)random_u64(),
+		 (unsigned long long)random_u64());
+}
+
 static enum az_status create_source(struct azhd *d)
 {
 	struct feed_settings fs = { d->conf };
 	struct platform_source_settings ps = {
+		.proposed_text = d->proposed_key,
+		.listener = &d->listener,
 		.store = d->settings.platform,
 		.places = (const char *)d->settings.places.data,
 		.bounds = d->settings.bounds,
@@ -331,6 +368,8 @@
 
 	if (!d->settings.platform[0])
 		return AZ_OK;
+	random_key(d->proposed_key);
+	d->listener.ops = &listener_ops;
 	upstream_set_dialect(d->upstream, &platform_worker_dialect);
 	d->feed = feed_create(&fs, d->timers);
 	ps.feed = d->feed;
@@ -378,14 +417,6 @@
 	return st == AZ_OK ? create_admin(d) : st;
 }
 
-static void set_keys(struct azhd *d)
-{
-	peer_set_keys(d->peer, &d->settings.keys);
-	membership_set_keys(d->membership, &d->settings.keys);
-	home_set_keys(d->home, &d->settings.keys);
-	attempts_set_keys(d->attempts, &d->settings.keys);
-}
-
 static enum az_status start(struct azhd *d)
 {
 	enum az_status st = timer_service_start(d->timers);
@@ -412,8 +443,8 @@
 		st = feed_start(d->feed);
 	if (st == AZ_OK && d->source_of_conf)
 		st = platform_source_start(d->source_of_conf);
-	if (st == AZ_OK)
-		set_keys(d);
+	if (st == AZ_OK && d->settings.keys.count)
+		set_keys(d, &d->settings.keys);
 	if (st == AZ_OK && d->admin)
 		st = admin_start(d->admin);
 	if (st == AZ_OK)
@@ -459,8 +490,10 @@
 			  az_last_message());
 		return;
 	}
-	d->settings.keys = s.keys;
-	set_keys(d);
+	if (s.keys.count) {
+		d->settings.keys = s.keys;
+		set_keys(d, &s.keys);
+	}
 	log_set_level(s.log_level);
 	if (load_conf(d) != AZ_OK)
 		log_write(LOG_ERROR, "azhd", "reload refused: %s",
--- a/cmd/azhd/azhd.h
+++ b/cmd/azhd/azhd.h
@@ -69,6 +69,8 @@
 struct azhd {
 	struct peer_handler handler;
 	struct admin_source source;
+	struct platform_listener listener;
+	char proposed_key[FLEET_KEY_TEXT_BYTES];
 	int32_t stopping; /**< atomic */
 	struct azhd_settings settings;
 	uint64_t incarnation;
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -32,6 +32,8 @@
 #define FLEET_KEYS_MAX 4
 #define FLEET_KEY_BYTES 32
 #define FLEET_MAC_BYTES 16
+/** "1:" and the digits of one key. */
+#define FLEET_KEY_TEXT_BYTES (2 + 2 * FLEET_KEY_BYTES + 1)
 
 struct fleet_key {
 	uint32_t id;
