platform: news of the store spread by membership

Change: each daemon tells how far it has got in the digest of its membership messages; a watch that stays behind for 0.6 s is asked again.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -342,7 +342,27 @@
 	}
 }
 
-static const struct platform_listener_ops listener_ops = { on_shared_text };
+/* The members tell one another how far the store has told them. */
+static void on_news(struct platform_listener *l, uint64_t digest)
+{
+	struct azhd *d = az_container_of(l, struct azhd, listener);
+
+	membership_set_digest(d->membership, digest);
+}
+
+static const struct platform_listener_ops listener_ops = { on_shared_text,
+							   on_news };
+
+static void on_digest(struct digest_listener *l, const struct member *from,
+		      uint64_t digest)
+{
+	struct azhd *d = az_container_of(l, struct azhd, digest_listener);
+
+	(void)from;
+	platform_source_hint(d->source_of_conf, digest, clock_now_us());
+}
+
+static const struct digest_listener_ops digest_ops = { on_digest };
 
 /* A key that this daemon made up: that of the first daemon is for all. */
 /* A key that this daemon made up: that of the first daemon is for all. */
@@ -375,7 +395,11 @@
 	ps.feed = d->feed;
 	if (d->feed)
 		d->source_of_conf = platform_source_create(&ps, d->pool);
-	return d->source_of_conf ? AZ_OK : AZ_IO;
+	if (!d->source_of_conf)
+		return AZ_IO;
+	d->digest_listener.ops = &digest_ops;
+	membership_listen_digest(d->membership, &d->digest_listener);
+	return AZ_OK;
 }
 
 static enum az_status create_admin(struct azhd *d)
--- a/cmd/azhd/azhd.h
+++ b/cmd/azhd/azhd.h
@@ -70,6 +70,7 @@
 	struct peer_handler handler;
 	struct admin_source source;
 	struct platform_listener listener;
+	struct digest_listener digest_listener;
 	char proposed_key[FLEET_KEY_TEXT_BYTES];
 	int32_t stopping; /**< atomic */
 	struct azhd_settings settings;
--- a/lib/az.h
+++ b/lib/az.h
@@ -433,6 +433,8 @@
 void http_client_destroy(struct http_client *h);
 /** Ends the call in progress and all later ones with AZ_AGAIN. Any thread. */
 void http_client_interrupt(struct http_client *h);
+/** Ends the call in progress, or the next one, with AZ_AGAIN. Any thread. */
+void http_client_break_off(struct http_client *h);
 /** AZ_TIMEOUT, AZ_IO or AZ_AGAIN if there is no answer. */
 enum az_status http_call(struct http_client *h, struct http_call *c);
 
--- a/lib/http_call.c
+++ b/lib/http_call.c
@@ -12,7 +12,13 @@
 struct http_client {
 	CURL *easy;
 	CURLM *multi;
-	int32_t interrupted; /**< atomic */
+	int32_t interrupted; /**< atomic: enum interruption */
+};
+
+enum interruption {
+	GO_ON,
+	END_THIS_CALL,
+	END_ALL_CALLS,
 };
 
 struct http_client *http_client_create(void)
@@ -39,10 +45,30 @@
 
 void http_client_interrupt(struct http_client *h)
 {
-	__atomic_store_n(&h->interrupted, 1, __ATOMIC_RELEASE);
+	__atomic_store_n(&h->interrupted, END_ALL_CALLS, __ATOMIC_RELEASE);
 	curl_multi_wakeup(h->multi);
 }
 
+void http_client_break_off(struct http_client *h)
+{
+	int32_t expected = GO_ON;
+
+	__atomic_compare_exchange_n(&h->interrupted, &expected, END_THIS_CALL,
+				    false, __ATOMIC_ACQ_REL, __ATOMIC_ACQUIRE);
+	curl_multi_wakeup(h->multi);
+}
+
+/* True if the call is to end; forgets an order to end only one. */
+static bool take_interruption(struct http_client *h)
+{
+	int32_t expected = END_THIS_CALL;
+
+	return __atomic_compare_exchange_n(&h->interrupted, &expected, GO_ON,
+					   false, __ATOMIC_ACQ_REL,
+					   __ATOMIC_ACQUIRE) ||
+	       expected == END_ALL_CALLS;
+}
+
 static size_t take_body(char *data, size_t size, size_t n, void *arg)
 {
 	struct http_call *c = arg;
@@ -76,7 +102,7 @@
 	c->unsent = false;
 	curl_multi_add_handle(h->multi, h->easy);
 	while (running) {
-		if (__atomic_load_n(&h->interrupted, __ATOMIC_ACQUIRE) ||
+		if (take_interruption(h) ||
 		    curl_multi_perform(h->multi, &running) != CURLM_OK)
 			break;
 		if (running)
