home: lateness as evidence, idle workers preferred, near ones first; replay of load patterns

Gray workers that hang took three to six requests before they were left alone. Change: requests that are out count by the odds of being so late; the worst workers are left alone down to the floor; a worker that got nothing for half a second is preferred; home_measure replays six patterns in model time.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 SLICES = lib front route ticket cell health upstream peer member conf admin \
 	fake home attempt feed platform
-NOT_LIBRARY = %_test.c %_measure.c %_slopes.c %_main.c
+NOT_LIBRARY = %_test.c %_measure.c %_slopes.c %_main.c home/replay.c
 SRC = $(filter-out $(NOT_LIBRARY),$(wildcard $(addsuffix /*.c,$(SLICES))))
 OBJ = $(SRC:%.c=$(BUILD)/%.o)
 TESTS = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_test.c))
@@ -47,10 +47,10 @@
 	ar rcs $@ $(OBJ)
 
 $(BUILD)/%_test: $(BUILD)/%_test.o $(BUILD)/libaz.a
-	$(CC) -o $@ $^ $(LIBS)
+	$(CC) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
 $(BUILD)/%_measure: $(BUILD)/%_measure.o $(BUILD)/libaz.a
-	$(CC) -o $@ $^ $(LIBS)
+	$(CC) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
 $(BUILD)/%_slopes: $(BUILD)/%_slopes.o $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
@@ -58,6 +58,8 @@
 $(BUILD)/%_main: $(BUILD)/%_main.o $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
 
+$(BUILD)/home/home_test $(BUILD)/home/home_measure: $(BUILD)/home/replay.o
+
 FAULT_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard fault/*.c)))
 $(BUILD)/fault/faults_main: $(BUILD)/fault/faults_main.o $(FAULT_OBJ) $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
--- a/conf/check.c
+++ b/conf/check.c
@@ -93,7 +93,9 @@
 
 static const struct conf_service service_defaults = {
 	.floor_percent = 70,
-	.connect_timeout_ms = 1000,
+	/* Ten times the way between regions; what was not sent is sent
+	 * elsewhere. */
+	.connect_timeout_ms = 300,
 	.connections = 400,
 	.probe_interval_ms = 1000,
 	.cold_start_ms = 30000,
--- a/home/cells.c
+++ b/home/cells.c
@@ -7,6 +7,7 @@
  * need: shorter ones are not told apart from the noise of small VMs. */
 #define USUAL_START_US (500 * US_PER_MS)
 #define USUAL_MIN_US (20 * US_PER_MS)
+#define DEVIATION_MIN_SHARE 5
 
 uint64_t home_cell_id(uint64_t service, uint32_t region)
 {
@@ -18,11 +19,19 @@
 	return hash_bytes(&key, sizeof(key), 0);
 }
 
-int64_t home_usual_us(const struct home_cell *c)
+struct usual home_usual(const struct home_cell *c)
 {
-	double us = c->usual_us ? c->usual_us : USUAL_START_US;
+	struct usual u = { USUAL_START_US, USUAL_START_US / 2 };
 
-	return us < USUAL_MIN_US ? USUAL_MIN_US : (int64_t)us;
+	if (c->usual_us) {
+		u.latency_us = (int64_t)c->usual_us;
+		u.deviation_us = (int64_t)c->deviation_us;
+	}
+	if (u.latency_us < USUAL_MIN_US)
+		u.latency_us = USUAL_MIN_US;
+	if (u.deviation_us < u.latency_us / DEVIATION_MIN_SHARE)
+		u.deviation_us = u.latency_us / DEVIATION_MIN_SHARE;
+	return u;
 }
 
 static struct home_worker *find_worker(struct home_cell *c, uint64_t id)
--- a/home/choose.c
+++ b/home/choose.c
@@ -1,23 +1,25 @@
+#include <math.h>
+
 #include "home/home.h"
 
 /* Costs are in shares of a worker's slots. */
-#define COST_TROUBLE 1.0
-/* Another data centre of the region costs as much as two requests on a worker
- * of six slots. */
-#define COST_FAR 0.34
+#define COST_TROUBLE 3.0
+/* Bytes between data centres are billed: a worker there is used when the near
+ * ones are nearly full, late or in trouble. */
+#define COST_FAR 0.9
+/* A worker that got nothing for a while is preferred: what is known of it grows
+ * old, and a pool whose work is spread loses less when one worker turns gray.
+ * Enough to outweigh the way to another data centre. */
+#define IDLE_FROM_US (500 * US_PER_MS)
+#define IDLE_PER_S 1.0
+#define IDLE_MAX 1.2
 #define SPEED_MIN 0.5
 #define SPEED_MAX 4.0
 
-static bool is_troubled(const struct candidate *c, int64_t usual_us,
-			int64_t now_us)
-{
-	return track_trouble(c->track, usual_us, now_us) >= CHOOSE_TROUBLE_MAX;
-}
-
-static double speed(const struct candidate *c, int64_t usual_us)
+static double speed(const struct candidate *c, const struct usual *u)
 {
 	double s = c->track->latency_us ?
-			   c->track->latency_us / (double)usual_us :
+			   c->track->latency_us / (double)u->latency_us :
 			   1;
 
 	if (s < SPEED_MIN)
@@ -25,37 +27,62 @@
 	return s > SPEED_MAX ? SPEED_MAX : s;
 }
 
-static double cost(const struct candidate *c, int64_t usual_us, int64_t now_us)
+static double idle(const struct candidate *c, int64_t now_us)
+{
+	int64_t idle_us = now_us - c->track->sent_us - IDLE_FROM_US;
+	double gain = IDLE_PER_S * (double)idle_us / US_PER_S;
+
+	if (idle_us <= 0)
+		return 0;
+	return gain < IDLE_MAX ? gain : IDLE_MAX;
+}
+
+static double cost(const struct candidate *c, const struct usual *u,
+		   int64_t now_us)
 {
-	double load = track_load(c->track, usual_us, now_us) + 1;
+	double load = c->track->out_count + 1;
 
-	return load / c->slots * speed(c, usual_us) +
-	       COST_TROUBLE * track_trouble(c->track, usual_us, now_us) +
-	       (c->near ? 0 : COST_FAR);
+	return load / c->slots * speed(c, u) +
+	       COST_TROUBLE * track_trouble(c->track, u, now_us) +
+	       (c->near ? 0 : COST_FAR) - idle(c, now_us);
 }
 
-/* More workers in trouble than may be left alone: trouble that all share tells
- * nothing about one of them. */
-static bool may_avoid(const struct candidate *list, uint32_t count,
-		      int64_t usual_us, int64_t now_us)
+/* Trouble from which on a worker is left alone: the worst ones, and no more of
+ * them than the floor allows. */
+static double avoid_from(const struct candidate *list, uint32_t count,
+			 const struct usual *u, int64_t now_us)
 {
+	double worst[HOME_WORKERS_MAX];
 	uint32_t in = 0;
-	uint32_t troubled = 0;
+	uint32_t n = 0;
+	uint32_t allowed;
 
 	for (uint32_t i = 0; i < count; i++) {
+		double t;
+		uint32_t at;
+
 		if (list[i].out)
 			continue;
 		in++;
-		troubled += is_troubled(&list[i], usual_us, now_us);
+		t = track_trouble(list[i].track, u, now_us);
+		if (t < CHOOSE_TROUBLE_MAX)
+			continue;
+		for (at = n++; at && worst[at - 1] < t; at--)
+			worst[at] = worst[at - 1];
+		worst[at] = t;
 	}
-	return troubled * 100 <= in * CHOOSE_AVOID_PERCENT ||
-	       (troubled == 1 && in > 1);
+	allowed = in * CHOOSE_AVOID_PERCENT / 100;
+	if (!allowed && in > 1)
+		allowed = 1;
+	if (!n || !allowed)
+		return INFINITY;
+	return worst[n <= allowed ? n - 1 : allowed - 1];
 }
 
 int32_t choose_worker(const struct candidate *list, uint32_t count,
-		      int64_t usual_us, uint64_t random, int64_t now_us)
+		      const struct usual *u, uint64_t random, int64_t now_us)
 {
-	bool avoid = may_avoid(list, count, usual_us, now_us);
+	double avoid = avoid_from(list, count, u, now_us);
 	int32_t best = -1;
 	double best_cost = 0;
 
@@ -65,9 +92,9 @@
 		double k;
 
 		if (c->out || c->track->out_count >= c->slots ||
-		    (avoid && is_troubled(c, usual_us, now_us)))
+		    track_trouble(c->track, u, now_us) >= avoid)
 			continue;
-		k = cost(c, usual_us, now_us);
+		k = cost(c, u, now_us);
 		if (best < 0 || k < best_cost) {
 			best = (int32_t)i;
 			best_cost = k;
@@ -77,14 +104,14 @@
 }
 
 uint32_t choose_slots(const struct candidate *list, uint32_t count,
-		      int64_t usual_us, int64_t now_us)
+		      const struct usual *u, int64_t now_us)
 {
-	bool avoid = may_avoid(list, count, usual_us, now_us);
+	double avoid = avoid_from(list, count, u, now_us);
 	uint32_t slots = 0;
 
 	for (uint32_t i = 0; i < count; i++)
 		if (!list[i].out &&
-		    !(avoid && is_troubled(&list[i], usual_us, now_us)))
+		    track_trouble(list[i].track, u, now_us) < avoid)
 			slots += list[i].slots;
 	return slots;
 }
--- a/home/home.c
+++ b/home/home.c
@@ -15,7 +15,7 @@
 #define GRANT_EXTRA_US (2 * US_PER_S)
 #define LATENCY_WEIGHT 0.05
 /* Most requests take less than the usual time and so many deviations. */
-#define EXPECTED_DEVIATIONS 4.0
+#define EXPECTED_DEVIATIONS 3
 /* A refused caller comes back in no less: sooner, it would find the same
  * queue. */
 #define RETRY_MIN_MS 200
@@ -55,7 +55,7 @@
 		.kind = HOME_GRANT,
 		.worker = g->worker,
 		.expected_us =
-			(uint32_t)((double)home_usual_us(c) +
+			(uint32_t)((double)home_usual(c).latency_us +
 				   EXPECTED_DEVIATIONS * c->deviation_us),
 	};
 
@@ -139,9 +139,9 @@
 {
 	struct candidate list[HOME_WORKERS_MAX];
 	uint32_t n = home_candidates(g->cell, &g->ask, list);
+	struct usual u = home_usual(g->cell);
 
-	return choose_worker(list, n, home_usual_us(g->cell), g->key[1],
-			     h->duty.now_us);
+	return choose_worker(list, n, &u, g->key[1], h->duty.now_us);
 }
 
 struct fit {
@@ -184,13 +184,13 @@
 {
 	struct candidate list[HOME_WORKERS_MAX];
 	uint32_t n = home_candidates(c, ask, list);
-	int64_t usual_us = home_usual_us(c);
-	uint32_t slots = choose_slots(list, n, usual_us, h->duty.now_us);
+	struct usual u = home_usual(c);
+	uint32_t slots = choose_slots(list, n, &u, h->duty.now_us);
 	bool any = false;
 
 	for (uint32_t i = 0; i < n; i++)
 		any |= !list[i].out;
-	c->queue.service_us = usual_us / (slots ? slots : 1);
+	c->queue.service_us = u.latency_us / (slots ? slots : 1);
 	return any;
 }
 
@@ -269,7 +269,7 @@
 	g->ip = ip;
 	g->port = port;
 	g->cell = home_cell_get(h, m->service, m->region);
-	usual_us = home_usual_us(g->cell);
+	usual_us = home_usual(g->cell).latency_us;
 	g->item.rank = (enum rank)m->rank;
 	/* It must be sent early enough to end in time. */
 	g->item.deadline_us =
@@ -305,16 +305,16 @@
 {
 	struct home_cell *c = g->cell;
 	struct home_worker *w = worker_of(g);
+	struct usual u = home_usual(c);
 	double before;
 
 	if (w) {
-		before = track_trouble(&w->track, home_usual_us(c),
-				       h->duty.now_us);
+		before = track_trouble(&w->track, &u, h->duty.now_us);
 		track_end(&w->track, g->given_us, e, latency_us,
 			  h->duty.now_us);
 		if (before < CHOOSE_TROUBLE_MAX &&
-		    track_trouble(&w->track, home_usual_us(c),
-				  h->duty.now_us) >= CHOOSE_TROUBLE_MAX)
+		    track_trouble(&w->track, &u, h->duty.now_us) >=
+			    CHOOSE_TROUBLE_MAX)
 			log_write(LOG_WARN, "home",
 				  "worker in trouble worker=%s cell=%016llx "
 				  "event=%u out=%u",
--- a/home/home.h
+++ b/home/home.h
@@ -90,6 +90,7 @@
 struct track {
 	uint32_t out_count;
 	int64_t out_us[TRACK_OUT_MAX]; /**< when each was granted */
+	int64_t sent_us; /**< last grant */
 	double trouble; /**< of recent failures, at `trouble_us` */
 	int64_t trouble_us;
 	double latency_us; /**< smoothed, of whole answers; 0: none yet */
@@ -100,11 +101,18 @@
 /** `sent_us` is the time given to track_send(). */
 void track_end(struct track *t, int64_t sent_us, enum home_event e,
 	       int64_t latency_us, int64_t now_us);
-/** Failures weigh less with time; what is out for too long counts as one.
- * `usual_us` is what most requests of the cell take. */
-double track_trouble(const struct track *t, int64_t usual_us, int64_t now_us);
-/** Requests out, where one that is late counts for several. */
-double track_load(const struct track *t, int64_t usual_us, int64_t now_us);
+/** What requests of a cell usually take. */
+struct usual {
+	int64_t latency_us;
+	int64_t deviation_us; /**< mean deviation from it */
+};
+
+/** Failures weigh less with time; requests that are out for longer than most
+ * take count as well. 1 and more: the worker is more likely gray than sound.
+ * Load pattern: a worker hangs on most of its requests for some seconds, while
+ * its probes pass. */
+double track_trouble(const struct track *t, const struct usual *u,
+		     int64_t now_us);
 
 /* ---- choice of a worker (choose.c): plain state, time passed in ---- */
 
@@ -124,10 +132,10 @@
  * `random` breaks ties. Load pattern: part of the workers of a cell hang or
  * fail most of their requests while their probes pass. */
 int32_t choose_worker(const struct candidate *list, uint32_t count,
-		      int64_t usual_us, uint64_t random, int64_t now_us);
+		      const struct usual *u, uint64_t random, int64_t now_us);
 /** Slots of the workers that are not out and not in trouble. */
 uint32_t choose_slots(const struct candidate *list, uint32_t count,
-		      int64_t usual_us, int64_t now_us);
+		      const struct usual *u, int64_t now_us);
 
 /* ---- the duty ---- */
 
@@ -232,7 +240,7 @@
 /** Fills candidates for an ask; returns how many. */
 uint32_t home_candidates(const struct home_cell *c, const struct home_msg *ask,
 			 struct candidate *out);
-int64_t home_usual_us(const struct home_cell *c);
+struct usual home_usual(const struct home_cell *c);
 void home_arm(struct home *h, int64_t at_us);
 
 #endif
--- /dev/null
+++ b/home/home_measure.c
@@ -0,0 +1,43 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "home/replay.h"
+
+#define SEEDS 5
+
+int main(void)
+{
+	static const struct replay_policy *const policies[] = {
+		&replay_random, &replay_fewest, &replay_product
+	};
+
+	for (uint32_t i = 0; i < replay_pattern_count; i++) {
+		const struct replay_pattern *p = &replay_patterns[i];
+
+		printf("# %s\n", p->name);
+		for (uint32_t k = 0; k < 3; k++) {
+			struct replay_result sum = { 0 };
+			double n;
+
+			for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+				struct replay_result r =
+					replay_run(p, policies[k], seed);
+
+				sum.requests += r.requests;
+				sum.served += r.served;
+				sum.in_time += r.in_time;
+				sum.failed += r.failed;
+				sum.refused += r.refused;
+				sum.far += r.far;
+				sum.wait_ms += r.wait_ms / SEEDS;
+			}
+			n = sum.requests / 100.0;
+			printf("replay.%s: served %.2f in_time %.2f failed %.2f "
+			       "refused %.2f far %.2f percent wait %.1f ms\n",
+			       policies[k]->name, sum.served / n,
+			       sum.in_time / n, sum.failed / n, sum.refused / n,
+			       sum.far / n, sum.wait_ms);
+		}
+	}
+	return 0;
+}
--- /dev/null
+++ b/home/replay.c
@@ -0,0 +1,489 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "home/replay.h"
+
+#define EVENTS_MAX 16384
+#define US(ms) ((int64_t)((ms)*1000.0))
+
+enum event_kind {
+	ARRIVAL,
+	END,
+	TICK,
+};
+
+struct replay_call {
+	struct queue_item item;
+	int64_t arrived_us;
+	int64_t sent_us;
+	uint32_t dc;
+	uint32_t worker;
+	enum home_event end;
+	int64_t latency_us;
+};
+
+struct event {
+	int64_t at_us;
+	enum event_kind kind;
+	struct replay_call *call;
+};
+
+struct model {
+	const struct replay_pattern *pattern;
+	const struct replay_policy *policy;
+	struct replay_result result;
+	uint64_t random;
+	int64_t now_us;
+	struct event heap[EVENTS_MAX];
+	uint32_t events;
+	struct track tracks[REPLAY_WORKERS_MAX];
+	int64_t gray_until_us[REPLAY_WORKERS_MAX];
+	int64_t next_gray_us;
+	double usual_us;
+	double deviation_us;
+	struct rank_queue queue;
+	double wait_us;
+	double refusal_us;
+};
+
+const struct replay_pattern replay_patterns[] = {
+	{ "gray hangs, quiet day",
+	  19,
+	  6,
+	  6,
+	  40,
+	  1,
+	  0,
+	  0,
+	  460,
+	  0.8,
+	  8000,
+	  5000,
+	  REPLAY_HANGS,
+	  0.3,
+	  9,
+	  4.5,
+	  0.75,
+	  0,
+	  1,
+	  300 },
+	{ "gray hangs, narrow service times",
+	  12,
+	  6,
+	  6,
+	  30,
+	  1,
+	  0,
+	  0,
+	  320,
+	  0.3,
+	  4000,
+	  1500,
+	  REPLAY_HANGS,
+	  0.3,
+	  9,
+	  4.5,
+	  0.75,
+	  0,
+	  1,
+	  300 },
+	{ "gray errors, quiet day",
+	  19,
+	  6,
+	  6,
+	  40,
+	  1,
+	  0,
+	  0,
+	  460,
+	  0.8,
+	  8000,
+	  5000,
+	  REPLAY_ERRORS,
+	  0.3,
+	  9,
+	  4.5,
+	  0.75,
+	  0,
+	  1,
+	  300 },
+	{ "burst of the least urgent, gray hangs",
+	  19,
+	  6,
+	  6,
+	  95,
+	  2.4,
+	  30,
+	  7,
+	  460,
+	  0.8,
+	  8000,
+	  5000,
+	  REPLAY_HANGS,
+	  0.3,
+	  9,
+	  4.5,
+	  0.75,
+	  0,
+	  1,
+	  60 },
+	{ "part of the workers slow",
+	  12,
+	  6,
+	  6,
+	  60,
+	  1,
+	  0,
+	  0,
+	  460,
+	  0.3,
+	  6000,
+	  2500,
+	  REPLAY_SOUND,
+	  0,
+	  9,
+	  3,
+	  0,
+	  0.25,
+	  4,
+	  120 },
+	{ "burst beyond capacity",
+	  12,
+	  6,
+	  6,
+	  100,
+	  2,
+	  20,
+	  10,
+	  460,
+	  0.3,
+	  6000,
+	  2500,
+	  REPLAY_SOUND,
+	  0,
+	  9,
+	  3,
+	  0,
+	  0,
+	  1,
+	  60 },
+};
+const uint32_t replay_pattern_count =
+	sizeof(replay_patterns) / sizeof(replay_patterns[0]);
+
+/* ---- random numbers ---- */
+
+static double uniform(struct model *m)
+{
+	m->random = hash_bytes(&m->random, sizeof(m->random), 1);
+	return ((double)(m->random >> 11) + 0.5) / 9007199254740992.0;
+}
+
+static double normal(struct model *m)
+{
+	return sqrt(-2 * log(uniform(m))) * cos(2 * M_PI * uniform(m));
+}
+
+static int64_t service_us(struct model *m, uint32_t worker)
+{
+	const struct replay_pattern *p = m->pattern;
+	double mu = log(p->service_ms) - p->spread * p->spread / 2;
+	double ms = exp(mu + p->spread * normal(m));
+
+	if (worker < p->slow_share * p->workers)
+		ms *= p->slow_factor;
+	return US(ms);
+}
+
+/* ---- events ---- */
+
+static void push(struct model *m, int64_t at_us, enum event_kind k,
+		 struct replay_call *c)
+{
+	uint32_t i = m->events++;
+
+	if (i >= EVENTS_MAX)
+		abort();
+	while (i && m->heap[(i - 1) / 2].at_us > at_us) {
+		m->heap[i] = m->heap[(i - 1) / 2];
+		i = (i - 1) / 2;
+	}
+	m->heap[i] = (struct event){ at_us, k, c };
+}
+
+static struct event pop(struct model *m)
+{
+	struct event first = m->heap[0];
+	struct event last = m->heap[--m->events];
+	uint32_t i = 0;
+
+	for (;;) {
+		uint32_t child = 2 * i + 1;
+
+		if (child >= m->events)
+			break;
+		if (child + 1 < m->events &&
+		    m->heap[child + 1].at_us < m->heap[child].at_us)
+			child++;
+		if (m->heap[child].at_us >= last.at_us)
+			break;
+		m->heap[i] = m->heap[child];
+		i = child;
+	}
+	m->heap[i] = last;
+	return first;
+}
+
+/* ---- the home ---- */
+
+static struct usual usual(const struct model *m)
+{
+	struct usual u = { 500 * US_PER_MS, 250 * US_PER_MS };
+
+	if (m->usual_us) {
+		u.latency_us = (int64_t)m->usual_us;
+		u.deviation_us = (int64_t)m->deviation_us;
+	}
+	if (u.deviation_us < u.latency_us / 5)
+		u.deviation_us = u.latency_us / 5;
+	return u;
+}
+
+static void candidates(const struct model *m, uint32_t dc,
+		       struct candidate *out)
+{
+	for (uint32_t i = 0; i < m->pattern->workers; i++)
+		out[i] = (struct candidate){
+			.track = &m->tracks[i],
+			.slots = m->pattern->slots,
+			.near = i % m->pattern->data_centres == dc,
+		};
+}
+
+static int32_t choose(struct model *m, const struct replay_call *c)
+{
+	struct candidate list[REPLAY_WORKERS_MAX];
+	struct usual u = usual(m);
+
+	candidates(m, c->dc, list);
+	return m->policy->choose(list, m->pattern->workers, &u,
+				 (uint64_t)c->arrived_us, m->now_us);
+}
+
+static bool fits(const struct queue_item *i, void *arg)
+{
+	return choose(arg, az_container_of(i, struct replay_call, item)) >= 0;
+}
+
+static void note_refusal(struct model *m, struct replay_call *c)
+{
+	m->result.refused++;
+	m->refusal_us += (double)(m->now_us - c->arrived_us);
+	free(c);
+}
+
+static void give(struct model *m, struct replay_call *c, uint32_t w)
+{
+	const struct replay_pattern *p = m->pattern;
+	int64_t left_us = c->arrived_us + US(p->deadline_ms) - m->now_us;
+	bool fails =
+		m->gray_until_us[w] > m->now_us && uniform(m) < p->gray_fails;
+
+	c->worker = w;
+	c->sent_us = m->now_us;
+	m->wait_us += (double)(m->now_us - c->arrived_us);
+	m->result.far += w % p->data_centres != c->dc;
+	track_send(&m->tracks[w], m->now_us);
+	c->latency_us = service_us(m, w);
+	c->end = EVENT_ANSWERED;
+	if (fails && p->gray == REPLAY_ERRORS) {
+		c->latency_us = US(5);
+		c->end = EVENT_SERVER_ERROR;
+	} else if ((fails && p->gray == REPLAY_HANGS) ||
+		   c->latency_us > left_us) {
+		c->latency_us = left_us;
+		c->end = EVENT_TIMEOUT;
+	}
+	push(m, m->now_us + c->latency_us, END, c);
+}
+
+static void dispatch(struct model *m)
+{
+	struct queue_item *expired = NULL;
+	struct queue_item *i;
+
+	while ((i = rank_queue_pop(&m->queue, m->now_us, fits, m, &expired))) {
+		struct replay_call *c =
+			az_container_of(i, struct replay_call, item);
+
+		give(m, c, (uint32_t)choose(m, c));
+	}
+	while (expired) {
+		struct queue_item *next = expired->next;
+
+		note_refusal(
+			m, az_container_of(expired, struct replay_call, item));
+		expired = next;
+	}
+}
+
+static void estimate(struct model *m)
+{
+	struct candidate list[REPLAY_WORKERS_MAX];
+	struct usual u = usual(m);
+	uint32_t slots;
+
+	candidates(m, 0, list);
+	slots = choose_slots(list, m->pattern->workers, &u, m->now_us);
+	m->queue.service_us = u.latency_us / (slots ? slots : 1);
+}
+
+static void arrive(struct model *m)
+{
+	const struct replay_pattern *p = m->pattern;
+	struct replay_call *c = az_alloc(sizeof(*c));
+	double s = (double)m->now_us / US_PER_S;
+	double rate = p->requests_per_s;
+
+	m->result.requests++;
+	c->arrived_us = m->now_us;
+	c->dc = (uint32_t)(uniform(m) * p->data_centres);
+	c->item.rank = RANK_NORMAL;
+	c->item.deadline_us =
+		m->now_us + US(p->deadline_ms) - usual(m).latency_us;
+	estimate(m);
+	if (rank_queue_push(&m->queue, &c->item, m->now_us) != ERR_NONE)
+		note_refusal(m, c);
+	dispatch(m);
+	if (s >= p->burst_from_s && s < p->burst_from_s + p->burst_for_s)
+		rate *= p->burst;
+	if (s < p->seconds)
+		push(m, m->now_us + US(-1000 * log(uniform(m)) / rate), ARRIVAL,
+		     NULL);
+}
+
+static void note_latency(struct model *m, int64_t latency_us)
+{
+	double d = (double)latency_us - m->usual_us;
+
+	if (!m->usual_us) {
+		m->usual_us = (double)latency_us;
+		m->deviation_us = (double)latency_us / 2;
+		return;
+	}
+	m->usual_us += 0.05 * d;
+	m->deviation_us += 0.05 * (fabs(d) - m->deviation_us);
+}
+
+static void end(struct model *m, struct replay_call *c)
+{
+	const struct replay_pattern *p = m->pattern;
+
+	track_end(&m->tracks[c->worker], c->sent_us, c->end, c->latency_us,
+		  m->now_us);
+	if (c->end == EVENT_ANSWERED) {
+		note_latency(m, c->latency_us);
+		m->result.served++;
+		m->result.in_time +=
+			m->now_us - c->arrived_us <= US(p->target_ms);
+	} else {
+		m->result.failed++;
+	}
+	free(c);
+	dispatch(m);
+}
+
+/* The share of the workers that turns gray is drawn anew each time. */
+static void turn_gray(struct model *m)
+{
+	const struct replay_pattern *p = m->pattern;
+
+	if (m->now_us < m->next_gray_us)
+		return;
+	m->next_gray_us = m->now_us + US(1000 * p->gray_every_s);
+	for (uint32_t i = 0; i < p->workers; i++)
+		if (uniform(m) < p->gray_share)
+			m->gray_until_us[i] =
+				m->now_us + US(1000 * p->gray_for_s);
+}
+
+struct replay_result replay_run(const struct replay_pattern *p,
+				const struct replay_policy *policy,
+				uint64_t seed)
+{
+	struct queue_settings qs = { { 128, 128, 128 }, { 50, 30, 10 } };
+	struct model *m = az_alloc(sizeof(*m));
+	struct replay_result r;
+	uint32_t sent;
+
+	m->pattern = p;
+	m->policy = policy;
+	m->random = seed;
+	m->next_gray_us = US_PER_S;
+	rank_queue_init(&m->queue, &qs);
+	push(m, 1, ARRIVAL, NULL);
+	push(m, 1, TICK, NULL);
+	while (m->events) {
+		struct event e = pop(m);
+
+		m->now_us = e.at_us;
+		turn_gray(m);
+		if (e.kind == ARRIVAL)
+			arrive(m);
+		else if (e.kind == END)
+			end(m, e.call);
+		else
+			dispatch(m);
+		if (e.kind == TICK && (double)m->now_us < p->seconds * 2e6 &&
+		    m->events)
+			push(m, m->now_us + 50 * US_PER_MS, TICK, NULL);
+	}
+	r = m->result;
+	sent = r.served + r.failed;
+	r.wait_ms = sent ? m->wait_us / sent / 1000 : 0;
+	r.late_refusal_ms = r.refused ? m->refusal_us / r.refused / 1000 : 0;
+	free(m);
+	return r;
+}
+
+/* ---- policies ---- */
+
+static int32_t choose_random(const struct candidate *list, uint32_t count,
+			     const struct usual *u, uint64_t random,
+			     int64_t now_us)
+{
+	(void)u;
+	random = hash_bytes(&random, sizeof(random), (uint64_t)now_us);
+	for (uint32_t n = 0; n < count; n++) {
+		uint32_t i = (uint32_t)((n + random) % count);
+
+		if (!list[i].out && list[i].track->out_count < list[i].slots)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+static int32_t choose_fewest(const struct candidate *list, uint32_t count,
+			     const struct usual *u, uint64_t random,
+			     int64_t now_us)
+{
+	int32_t best = -1;
+
+	(void)u;
+	(void)now_us;
+	for (uint32_t n = 0; n < count; n++) {
+		uint32_t i = (uint32_t)((n + random) % count);
+
+		if (list[i].out || list[i].track->out_count >= list[i].slots)
+			continue;
+		if (best < 0 ||
+		    list[i].track->out_count < list[best].track->out_count)
+			best = (int32_t)i;
+	}
+	return best;
+}
+
+const struct replay_policy replay_product = { "product", choose_worker };
+const struct replay_policy replay_random = { "random", choose_random };
+const struct replay_policy replay_fewest = { "fewest out", choose_fewest };
