home: a quarter of the target is waited for a near worker; answers speak for a worker

Change: log odds of gray against sound, with recent answers on the other side; full near workers are waited for while the target allows it.

--- a/attempt/ask.c
+++ b/attempt/ask.c
@@ -84,9 +84,9 @@
 		send_datagram(a, m, l->home_ip, l->home_port);
 }
 
-static uint32_t left_ms(const struct attempts *a, const struct pending *p)
+static uint32_t ms_until(const struct attempts *a, int64_t at_us)
 {
-	int64_t left_us = p->request->deadline_us - a->duty.now_us;
+	int64_t left_us = at_us - a->duty.now_us;
 
 	return left_us > 0 ? (uint32_t)(left_us / US_PER_MS) : 0;
 }
@@ -112,7 +112,8 @@
 		.idempotent = p->request->idempotent,
 		.repeat = l->repeat,
 		.only_free = l->only_free,
-		.left_ms = left_ms(a, p),
+		.left_ms = ms_until(a, p->request->deadline_us),
+		.target_ms = ms_until(a, p->request->target_us),
 		.excluded_count = p->excluded_count,
 	};
 	bool far = l->region != a->settings.region;
--- a/home/choose.c
+++ b/home/choose.c
@@ -10,8 +10,8 @@
 /* A worker that got nothing for a while is preferred: what is known of it grows
  * old, and a pool whose work is spread loses less when one worker turns gray.
  * Enough to outweigh the way to another data centre. */
-#define IDLE_FROM_US (500 * US_PER_MS)
-#define IDLE_PER_S 1.0
+#define IDLE_FROM_US (1200 * US_PER_MS)
+#define IDLE_PER_S 4.0
 #define IDLE_MAX 1.2
 #define SPEED_MIN 0.5
 #define SPEED_MAX 4.0
@@ -115,3 +115,16 @@
 			slots += list[i].slots;
 	return slots;
 }
+
+void choose_keep_near(struct candidate *list, uint32_t count,
+		      const struct usual *u, int64_t now_us)
+{
+	bool any = false;
+
+	for (uint32_t i = 0; i < count && !any; i++)
+		any = list[i].near && !list[i].out &&
+		      track_trouble(list[i].track, u, now_us) <
+			      CHOOSE_TROUBLE_MAX;
+	for (uint32_t i = 0; any && i < count; i++)
+		list[i].out |= !list[i].near;
+}
--- a/home/home.c
+++ b/home/home.c
@@ -141,6 +141,8 @@
 	uint32_t n = home_candidates(g->cell, &g->ask, list);
 	struct usual u = home_usual(g->cell);
 
+	if (h->duty.now_us < g->far_from_us)
+		choose_keep_near(list, n, &u, h->duty.now_us);
 	return choose_worker(list, n, &u, g->key[1], h->duty.now_us);
 }
 
@@ -275,6 +277,9 @@
 	g->item.deadline_us =
 		h->duty.now_us +
 		(left_us > 2 * usual_us ? left_us - usual_us : left_us / 2);
+	g->far_from_us = h->duty.now_us + m->target_ms * US_PER_MS *
+						  CHOOSE_NEAR_WAIT_PERCENT /
+						  100;
 	g->until_us = h->duty.now_us + left_us + GRANT_EXTRA_US;
 	apr_hash_set(h->grants, g->key, sizeof(g->key), g);
 	home_arm(h, h->duty.now_us + SWEEP_US);
--- a/home/home.h
+++ b/home/home.h
@@ -61,6 +61,7 @@
 	bool repeat; /**< draws on the retry budget */
 	bool only_free; /**< refuse rather than queue */
 	uint32_t left_ms; /**< until the deadline */
+	uint32_t target_ms; /**< until the latency target; 0: none or past */
 	uint8_t excluded_count;
 	uint64_t excluded[HOME_EXCLUDED_MAX]; /**< workers not to grant */
 	/* GRANT, END */
@@ -93,6 +94,9 @@
 	int64_t sent_us; /**< last grant */
 	double trouble; /**< of recent failures, at `trouble_us` */
 	int64_t trouble_us;
+	double good; /**< recent answers, at `good_us`, by when they were sent
+		      */
+	int64_t good_us;
 	double latency_us; /**< smoothed, of whole answers; 0: none yet */
 	int64_t cold_until_us;
 };
@@ -133,6 +137,15 @@
  * fail most of their requests while their probes pass. */
 int32_t choose_worker(const struct candidate *list, uint32_t count,
 		      const struct usual *u, uint64_t random, int64_t now_us);
+/** Of the time until a request's target, this share may be spent waiting for a
+ * worker of its own data centre: bytes between data centres are billed, and an
+ * answer within the target is worth as much as an early one. */
+#define CHOOSE_NEAR_WAIT_PERCENT 25
+/** Takes the workers of other data centres out if one of the own data centre is
+ * in service and not in trouble, be it full. Load pattern: a burst fills the
+ * workers of one data centre while others have room. */
+void choose_keep_near(struct candidate *list, uint32_t count,
+		      const struct usual *u, int64_t now_us);
 /** Slots of the workers that are not out and not in trouble. */
 uint32_t choose_slots(const struct candidate *list, uint32_t count,
 		      const struct usual *u, int64_t now_us);
@@ -214,6 +227,7 @@
 	uint32_t position; /**< of the worker, once given */
 	uint64_t worker;
 	int64_t given_us;
+	int64_t far_from_us; /**< other data centres are used from then on */
 	int64_t until_us; /**< forgotten then */
 };
 
--- a/home/replay.c
+++ b/home/replay.c
@@ -267,6 +267,10 @@
 	struct usual u = usual(m);
 
 	candidates(m, c->dc, list);
+	if (m->policy->keeps_near &&
+	    m->now_us < c->arrived_us + US(m->pattern->target_ms) *
+						CHOOSE_NEAR_WAIT_PERCENT / 100)
+		choose_keep_near(list, m->pattern->workers, &u, m->now_us);
 	return m->policy->choose(list, m->pattern->workers, &u,
 				 (uint64_t)c->arrived_us, m->now_us);
 }
@@ -484,6 +488,7 @@
 	return best;
 }
 
-const struct replay_policy replay_product = { "product", choose_worker };
-const struct replay_policy replay_random = { "random", choose_random };
-const struct replay_policy replay_fewest = { "fewest out", choose_fewest };
+const struct replay_policy replay_product = { "product", choose_worker, true };
+const struct replay_policy replay_random = { "random", choose_random, false };
+const struct replay_policy replay_fewest = { "fewest out", choose_fewest,
+					     false };
--- a/home/replay.h
+++ b/home/replay.h
@@ -61,6 +61,7 @@
 	int32_t (*choose)(const struct candidate *list, uint32_t count,
 			  const struct usual *u, uint64_t random,
 			  int64_t now_us);
+	bool keeps_near;
 };
 
 /** The product's. */
--- a/home/track.c
+++ b/home/track.c
@@ -16,14 +16,15 @@
 #define TROUBLE_SHED 0.5
 /* A whole answer takes away this share. */
 #define TROUBLE_KEPT_ON_ANSWER 0.5
-/* Odds against a sound worker, as a logarithm, that make one unit of trouble:
- * one worker in ten is gray at a time. */
-#define LATE_ODDS 2.5
-/* A request that is out adds no suspicion before these odds. */
-#define LATE_ODDS_FREE 0.3
-#define LATE_ODDS_MAX 6.0
+/* One worker in ten is gray at a time; with odds of as much against that, the
+ * logarithm of which this is, a worker is in one unit of trouble. */
+#define LATE_ODDS 2.2
+#define LATE_TROUBLE_MAX 3.0
+/* A gray worker fails this share of its requests. */
+#define GRAY_FAILS 0.75
 /* Mean deviation to standard deviation. */
 #define SIGMAS_PER_DEVIATION 1.25
+#define STILL_OUT_MIN 0.002
 #define LATENCY_WEIGHT 0.2
 #define COLD_FACTOR 2.0
 
@@ -67,6 +68,20 @@
 	}
 }
 
+/* Halves with each usual time; the latency of this answer stands for it, as
+ * the cell's is not known here. */
+static void note_good(struct track *t, int64_t sent_us, int64_t latency_us,
+		      int64_t now_us)
+{
+	double half_us = t->latency_us ? t->latency_us : (double)latency_us;
+
+	if (half_us < 1)
+		half_us = 1;
+	t->good = t->good * exp2(-(double)(now_us - t->good_us) / half_us) +
+		  exp2(-(double)(now_us - sent_us) / half_us);
+	t->good_us = now_us;
+}
+
 /* A failure is evidence about the time at which the request was sent: one that
  * took long to show is old news. */
 void track_end(struct track *t, int64_t sent_us, enum home_event e,
@@ -76,6 +91,7 @@
 
 	remove_out(t, sent_us);
 	if (e == EVENT_ANSWERED) {
+		note_good(t, sent_us, latency_us, now_us);
 		trouble *= TROUBLE_KEPT_ON_ANSWER;
 		t->latency_us += t->latency_us ?
 					 LATENCY_WEIGHT * ((double)latency_us -
@@ -87,28 +103,35 @@
 	t->trouble_us = now_us;
 }
 
-/* Odds against a sound worker of a request that is out for so long. Lateness
- * fades too: a request that hangs since long ago says little about now. */
+/* Log odds of gray against sound that a request which is out for so long
+ * gives. Lateness fades: one that hangs since long ago says little about now.
+ */
 static double late_odds(const struct track *t, uint32_t i,
 			const struct usual *u, int64_t now_us)
 {
 	int64_t age_us = now_us - t->out_us[i];
 	double usual_us = (double)u->latency_us;
 	double sigma_us = SIGMAS_PER_DEVIATION * (double)u->deviation_us;
+	double still_out;
 	double odds;
 
 	if (now_us < t->cold_until_us)
 		usual_us *= COLD_FACTOR;
-	odds = -log(erfc(((double)age_us - usual_us) / sigma_us / M_SQRT2) / 2 +
-		    exp(-LATE_ODDS_MAX)) -
-	       LATE_ODDS_FREE;
-	if (odds <= 0)
-		return 0;
+	still_out = erfc(((double)age_us - usual_us) / sigma_us / M_SQRT2) / 2;
+	odds = log((GRAY_FAILS + (1 - GRAY_FAILS) * still_out) /
+		   (still_out + STILL_OUT_MIN));
 	return (double)age_us > 2 * usual_us ?
 		       fade(odds, age_us - (int64_t)(2 * usual_us)) :
 		       odds;
 }
 
+/* Answers speak for the worker at the time when their requests were sent. */
+static double good(const struct track *t, const struct usual *u, int64_t now_us)
+{
+	return t->good *
+	       exp2(-(double)(now_us - t->good_us) / (double)u->latency_us);
+}
+
 double track_trouble(const struct track *t, const struct usual *u,
 		     int64_t now_us)
 {
@@ -116,5 +139,10 @@
 
 	for (uint32_t i = 0; i < t->out_count; i++)
 		odds += late_odds(t, i, u, now_us);
-	return fade(t->trouble, now_us - t->trouble_us) + odds / LATE_ODDS;
+	odds += log(1 - GRAY_FAILS) * good(t, u, now_us);
+	odds /= LATE_ODDS;
+	if (odds < 0)
+		odds = 0;
+	return fade(t->trouble, now_us - t->trouble_us) +
+	       (odds < LATE_TROUBLE_MAX ? odds : LATE_TROUBLE_MAX);
 }
--- a/home/wire.c
+++ b/home/wire.c
@@ -35,6 +35,7 @@
 	if (!xdr_uint64_t(x, &m->service) || !xdr_uint32_t(x, &m->region) ||
 	    !xdr_uint32_t(x, &m->dc) || !code_u8(x, &m->rank, RANK_COUNT) ||
 	    !xdr_uint32_t(x, &flags) || !xdr_uint32_t(x, &m->left_ms) ||
+	    !xdr_uint32_t(x, &m->target_ms) ||
 	    !code_u8(x, &m->excluded_count, HOME_EXCLUDED_MAX + 1))
 		return false;
 	m->idempotent = flags & FLAG_IDEMPOTENT;
