--- a/attempt/ask.c
+++ b/attempt/ask.c
@@ -111,7 +111,8 @@
 		.rank = (uint8_t)p->request->rank,
 		.idempotent = p->request->idempotent,
 		.repeat = l->repeat,
-		.only_free = l->only_free,
+		.only_free = l->mode == ASK_ONLY_FREE,
+		.insists = l->mode == ASK_INSIST,
 		.left_ms = ms_until(a, p->request->deadline_us),
 		.target_ms = ms_until(a, p->request->target_us),
 		.excluded_count = p->excluded_count,
@@ -145,13 +146,13 @@
 }
 
 void leg_ask(struct attempts *a, struct leg *l, uint32_t region, bool repeat,
-	     bool only_free)
+	     enum ask_mode mode)
 {
 	l->state = LEG_ASKING;
 	l->sequence = ++a->next_sequence;
 	l->region = region;
 	l->repeat = repeat;
-	l->only_free = only_free;
+	l->mode = mode;
 	l->unanswered = 0;
 	l->cancelled = false;
 	l->asked_us = a->duty.now_us;
@@ -178,7 +179,7 @@
 	counter_add(a->fallbacks, 1);
 	suspect(a, l->home_ip);
 	tell(a, l, &cancel);
-	leg_ask(a, l, l->region, l->repeat, l->only_free);
+	leg_ask(a, l, l->region, l->repeat, l->mode);
 }
 
 void leg_ask_again(struct attempts *a, struct leg *l)
--- a/attempt/attempt.c
+++ b/attempt/attempt.c
@@ -6,6 +6,8 @@
 /* Larger than all requests that the daemon admits, so that results fit. */
 #define RING_SLOTS 32768
 #define REGIONS_MAX 8
+/* Asks between regions are billed; a full cell has room again about as soon. */
+#define FULL_CELL_US (200 * US_PER_MS)
 
 uint32_t attempts_in_flight(struct attempts *a)
 {
@@ -98,6 +100,24 @@
 	return false;
 }
 
+static bool is_full(const struct attempts *a, uint64_t cell)
+{
+	for (uint32_t i = 0; i < FULL_CELLS_MAX; i++)
+		if (a->full_cells[i].cell == cell &&
+		    a->full_cells[i].until_us > a->duty.now_us)
+			return true;
+	return false;
+}
+
+static void note_full(struct attempts *a, uint64_t cell)
+{
+	struct full_cell *f =
+		&a->full_cells[a->next_full_cell++ % FULL_CELLS_MAX];
+
+	f->cell = cell;
+	f->until_us = a->duty.now_us + FULL_CELL_US;
+}
+
 /* Another region with a worker of the service in service; 0 if there is none.
  */
 static uint32_t other_region(struct attempts *a, const struct pending *p)
@@ -114,7 +134,8 @@
 			&s->workers[(from + i) % s->worker_count];
 
 		if (w->admin == WORKER_IN_SERVICE &&
-		    w->region != a->settings.region && !was_tried(p, w->region))
+		    w->region != a->settings.region && !was_tried(p, w->region) &&
+		    !is_full(a, home_cell_id(p->service, w->region)))
 			region = w->region;
 	}
 	conf_release(conf);
@@ -141,11 +162,17 @@
 		return;
 	if (p->regions_tried < REGIONS_MAX)
 		p->regions[p->regions_tried++] = l->region;
-	region = is_local_refusal(k) ? other_region(a, p) : 0;
-	if (region)
-		leg_ask(a, l, region, l->repeat, true);
-	else
+	if (l->region != a->settings.region)
+		note_full(a, home_cell_id(p->service, l->region));
+	region = is_local_refusal(k) && !p->insisted ? other_region(a, p) : 0;
+	if (region) {
+		leg_ask(a, l, region, l->repeat, ASK_ONLY_FREE);
+	} else if (is_local_refusal(k) && !p->insisted) {
+		p->insisted = true;
+		leg_ask(a, l, a->settings.region, l->repeat, ASK_INSIST);
+	} else {
 		finish_refused(a, p, k, retry_ms);
+	}
 }
 
 /* ---- decisions ---- */
@@ -158,7 +185,8 @@
 	answer_free(p->last);
 	p->last = ans;
 	p->regions_tried = 0;
-	leg_ask(a, l, a->settings.region, p->arrived, false);
+	p->insisted = false;
+	leg_ask(a, l, a->settings.region, p->arrived, ASK_SOON);
 }
 
 void pending_decide(struct attempts *a, struct pending *p, struct answer *ans)
@@ -204,7 +232,7 @@
 	for (uint32_t i = 0; i < LEGS_MAX; i++)
 		if (p->legs[i].state == LEG_SENT)
 			pending_exclude(p, p->legs[i].worker);
-	leg_ask(a, l, a->settings.region, true, true);
+	leg_ask(a, l, a->settings.region, true, ASK_ONLY_FREE);
 }
 
 /* ---- submits and cancels ---- */
@@ -231,7 +259,7 @@
 	span_child(&p->request->span, &p->request->span);
 	apr_hash_set(a->pending, &p->id, sizeof(p->id), p);
 	attempts_arm(a, p->request->deadline_us);
-	leg_ask(a, &p->legs[0], a->settings.region, false, false);
+	leg_ask(a, &p->legs[0], a->settings.region, false, ASK_SOON);
 }
 
 static bool is_sent(const struct pending *p)
--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -87,6 +87,12 @@
 	LEG_SENT,
 };
 
+enum ask_mode {
+	ASK_SOON, /**< queue if the wait is short */
+	ASK_ONLY_FREE, /**< do not queue */
+	ASK_INSIST, /**< queue, as no other region has room */
+};
+
 /** One ask and the send that it leads to. */
 struct leg {
 	enum leg_state state;
@@ -94,7 +100,7 @@
 	uint64_t sequence; /**< of the ask; also the token of the send */
 	uint32_t region;
 	bool repeat;
-	bool only_free;
+	enum ask_mode mode;
 	bool local; /**< the home is this daemon */
 	uint32_t home_ip;
 	uint16_t home_port;
@@ -117,6 +123,7 @@
 	uint32_t tries;
 	uint32_t runs; /**< sends that may have run */
 	bool arrived; /**< a copy may have: others draw on the budget */
+	bool insisted;
 	uint32_t regions_tried;
 	uint64_t regions[8]; /**< asked and refused */
 	uint8_t excluded_count;
@@ -135,6 +142,13 @@
 	int64_t next_us;
 };
 
+/** A cell that had no room is not asked for a while by those far away. */
+struct full_cell {
+	uint64_t cell;
+	int64_t until_us;
+};
+
+#define FULL_CELLS_MAX 32
 #define SUSPECTS_MAX 16
 
 /** A home that did not answer is not asked for a while. */
@@ -164,6 +178,8 @@
 	struct suspect suspects[SUSPECTS_MAX];
 	struct bad_path bad_paths[BAD_PATHS_MAX];
 	uint32_t next_bad_path;
+	struct full_cell full_cells[FULL_CELLS_MAX];
+	uint32_t next_full_cell;
 	uint64_t next_id; /**< atomic */
 	uint64_t next_sequence;
 	int64_t armed_us;
@@ -184,7 +200,7 @@
 
 /** Asks the home of the service's cell in a region for a worker. */
 void leg_ask(struct attempts *a, struct leg *l, uint32_t region, bool repeat,
-	     bool only_free);
+	     enum ask_mode mode);
 /** Asks again, or this daemon's own home if the other one is silent. */
 void leg_ask_again(struct attempts *a, struct leg *l);
 /** Gives up what a leg waits for; a send is cancelled and its end awaited. */
--- a/cell/cell.h
+++ b/cell/cell.h
@@ -74,6 +74,12 @@
 				  bool (*fits)(const struct queue_item *i,
 					       void *arg),
 				  void *arg, struct queue_item **expired);
+/** Estimated time until a new item of rank `r` would be dispatched. */
+int64_t rank_queue_wait_us(const struct rank_queue *q, enum rank r);
+/** Takes out the items that will not be dispatched in time, as far as can be
+ * told: a refusal now lets their callers try again. */
+struct queue_item *rank_queue_take_hopeless(struct rank_queue *q,
+					    int64_t now_us);
 /** Takes one item out wherever it is; false if it is not in the queue. */
 bool rank_queue_remove(struct rank_queue *q, struct queue_item *i);
 uint32_t rank_queue_depth(const struct rank_queue *q);
--- a/cell/queue.c
+++ b/cell/queue.c
@@ -4,6 +4,8 @@
 
 /* A share is served when its rank has saved up this much credit. */
 #define CREDIT_FULL 100
+/* An estimate of the wait that is this much too long still counts as right. */
+#define HOPELESS_PERCENT 130
 /* Weight of a new sample of the time between dispatches: 1/16. */
 #define SMOOTH_SHIFT 4
 
@@ -24,7 +26,7 @@
 
 /* Time until a new item of rank `r` would be dispatched: all that is as urgent
  * goes first, slowed by the shares of the lower ranks that wait. */
-static int64_t expected_wait_us(const struct rank_queue *q, enum rank r)
+int64_t rank_queue_wait_us(const struct rank_queue *q, enum rank r)
 {
 	int64_t ahead = 0;
 	int64_t share_percent = 100;
@@ -48,7 +50,7 @@
 	if (i->deadline_us <= now_us)
 		return ERR_DEADLINE_NOT_RUN;
 	if (q->depth[r] >= q->settings.limit[r] ||
-	    now_us + expected_wait_us(q, r) > i->deadline_us)
+	    now_us + rank_queue_wait_us(q, r) > i->deadline_us)
 		return ERR_OVERLOADED;
 	i->enqueued_us = now_us;
 	i->next = NULL;
@@ -181,3 +183,33 @@
 	note_dispatch(q, now_us);
 	return i;
 }
+
+struct queue_item *rank_queue_take_hopeless(struct rank_queue *q,
+					    int64_t now_us)
+{
+	struct queue_item *hopeless = NULL;
+
+	for (uint32_t r = 0; r < RANK_COUNT; r++) {
+		struct queue_item *prev = NULL;
+		struct queue_item *i = q->head[r];
+		int64_t wait_us = rank_queue_wait_us(q, (enum rank)r) -
+				  (int64_t)q->depth[r] * q->service_us;
+
+		while (i) {
+			struct queue_item *next = i->next;
+
+			wait_us += q->service_us;
+			if (now_us + wait_us * 100 / HOPELESS_PERCENT >
+			    i->deadline_us) {
+				unlink_item(q, prev, i);
+				i->next = hopeless;
+				hopeless = i;
+				wait_us -= q->service_us;
+			} else {
+				prev = i;
+			}
+			i = next;
+		}
+	}
+	return hopeless;
+}
--- a/home/choose.c
+++ b/home/choose.c
@@ -13,6 +13,7 @@
 #define IDLE_FROM_US (1200 * US_PER_MS)
 #define IDLE_PER_S 4.0
 #define IDLE_MAX 1.2
+#define HUNG_DEVIATIONS 3
 #define SPEED_MIN 0.5
 #define SPEED_MAX 4.0
 
@@ -103,6 +104,18 @@
 	return best;
 }
 
+/* Slots that requests which hang have taken away. */
+static uint32_t hung(const struct track *t, const struct usual *u,
+		     int64_t now_us)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < t->out_count; i++)
+		n += now_us - t->out_us[i] >
+		     u->latency_us + HUNG_DEVIATIONS * u->deviation_us;
+	return n;
+}
+
 uint32_t choose_slots(const struct candidate *list, uint32_t count,
 		      const struct usual *u, int64_t now_us)
 {
@@ -112,7 +125,11 @@
 	for (uint32_t i = 0; i < count; i++)
 		if (!list[i].out &&
 		    track_trouble(list[i].track, u, now_us) < avoid)
-			slots += list[i].slots;
+		{
+			uint32_t n = hung(list[i].track, u, now_us);
+
+			slots += n < list[i].slots ? list[i].slots - n : 0;
+		}
 	return slots;
 }
 
--- a/home/home.c
+++ b/home/home.c
@@ -14,6 +14,11 @@
 /* An end that is later than the request's deadline by more is not coming. */
 #define GRANT_EXTRA_US (2 * US_PER_S)
 #define LATENCY_WEIGHT 0.05
+/* A wait that is longer than this share of the time until the target is worth
+ * a question to another region, whose bytes are the dearest. */
+#define QUEUE_TARGET_PERCENT 40
+/* The same for requests without a target. */
+#define QUEUE_WAIT_US US_PER_S
 /* Most requests take less than the usual time and so many deviations. */
 #define EXPECTED_DEVIATIONS 3
 /* A refused caller comes back in no less: sooner, it would find the same
@@ -196,6 +201,25 @@
 	return any;
 }
 
+/* What cannot be served any more is refused now and not at its deadline. Load
+ * pattern: a burst beyond capacity, or workers that turn gray behind a queue.
+ */
+static void refuse_hopeless(struct home *h, struct home_cell *c)
+{
+	const struct home_msg anybody = { .kind = HOME_ASK };
+	struct queue_item *i;
+
+	estimate(h, c, &anybody);
+	i = rank_queue_take_hopeless(&c->queue, h->duty.now_us);
+	while (i) {
+		struct queue_item *next = i->next;
+
+		refuse(h, az_container_of(i, struct grant, item),
+		       ERR_OVERLOADED);
+		i = next;
+	}
+}
+
 /* ---- asks ---- */
 
 static bool take_retry(struct home *h, struct home_cell *c,
@@ -224,6 +248,17 @@
 		tell_queued(h, g);
 }
 
+/* Another region may have a worker at once. */
+static bool is_long_wait(const struct home_cell *c, const struct grant *g)
+{
+	int64_t max_us = g->ask.target_ms * US_PER_MS * QUEUE_TARGET_PERCENT /
+			 100;
+
+	if (!g->ask.target_ms)
+		max_us = QUEUE_WAIT_US;
+	return rank_queue_wait_us(&c->queue, g->item.rank) > max_us;
+}
+
 static void admit(struct home *h, struct grant *g)
 {
 	struct home_cell *c = g->cell;
@@ -243,6 +278,10 @@
 		refuse(h, g, ERR_OVERLOADED);
 		return;
 	}
+	if (!g->ask.insists && is_long_wait(c, g)) {
+		refuse(h, g, ERR_OVERLOADED);
+		return;
+	}
 	k = rank_queue_push(&c->queue, &g->item, h->duty.now_us);
 	if (k != ERR_NONE) {
 		refuse(h, g, k);
@@ -495,6 +534,7 @@
 			continue;
 		home_cell_get(h, c->service, c->region);
 		dispatch(h, c);
+		refuse_hopeless(h, c);
 	}
 	if (apr_hash_count(h->grants))
 		home_arm(h, h->sweep_us);
--- a/home/home.h
+++ b/home/home.h
@@ -60,6 +60,8 @@
 	bool idempotent;
 	bool repeat; /**< draws on the retry budget */
 	bool only_free; /**< refuse rather than queue */
+	bool insists; /**< queue however long the wait, as nobody else has room
+		       */
 	uint32_t left_ms; /**< until the deadline */
 	uint32_t target_ms; /**< until the latency target; 0: none or past */
 	uint8_t excluded_count;
