feed: entries are held after an outage only when many are missing

Change: a list after an outage drops what is missing, unless over 30 % of the service's entries are; deletions that are told are taken at once.

--- a/attempt/attempt.c
+++ b/attempt/attempt.c
@@ -134,7 +134,8 @@
 			&s->workers[(from + i) % s->worker_count];
 
 		if (w->admin == WORKER_IN_SERVICE &&
-		    w->region != a->settings.region && !was_tried(p, w->region) &&
+		    w->region != a->settings.region &&
+		    !was_tried(p, w->region) &&
 		    !is_full(a, home_cell_id(p->service, w->region)))
 			region = w->region;
 	}
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -172,7 +172,7 @@
 		break;
 	case NEWS_REMOVE:
 		log_write(LOG_INFO, "feed", "worker gone worker=%s", n->text);
-		if (feed_table_remove(f->workers, n->text, now_us))
+		if (feed_table_remove(f->workers, n->text))
 			want_build(f);
 		break;
 	case NEWS_LOST:
--- a/feed/feed.h
+++ b/feed/feed.h
@@ -32,6 +32,10 @@
  * return, if the worker lives; the rest is for the way of the news. */
 #define FEED_HOLD_US (2500 * US_PER_MS)
 
+/** When the source comes back, so many of a service's entries that are missing
+ * have lapsed; fewer are of workers that left meanwhile. */
+#define FEED_LAPSED_PERCENT 30
+
 struct feed_entry {
 	struct feed_worker worker;
 	int64_t gone_at_us; /**< dropped then unless it is told again; 0: there
@@ -50,10 +54,10 @@
 /** True if it changes what a snapshot says. An older revision of the same boot
  * changes nothing. */
 bool feed_table_put(struct feed_table *t, const struct feed_worker *w);
-/** True if the worker is dropped at once. While the source was away within the
- * last FEED_HOLD_US the entry may have lapsed and is held. */
-bool feed_table_remove(struct feed_table *t, const char *name, int64_t now_us);
-/** The source's whole list: others are removed as by feed_table_remove(). */
+/** True if there was such a worker. */
+bool feed_table_remove(struct feed_table *t, const char *name);
+/** The source's whole list: others are dropped, or held for FEED_HOLD_US if
+ * the source has just come back and they are many. */
 bool feed_table_replace(struct feed_table *t, const struct feed_worker *list,
 			uint32_t count, int64_t now_us);
 void feed_table_source_lost(struct feed_table *t);
--- a/feed/table.c
+++ b/feed/table.c
@@ -74,27 +74,13 @@
 	return changed;
 }
 
-static bool remove_entry(struct feed_table *t, struct feed_entry *e,
-			 int64_t now_us)
-{
-	int64_t until_us = t->source_back_us + FEED_HOLD_US;
-
-	if (t->source_away)
-		until_us = now_us + FEED_HOLD_US;
-	if (t->source_away || (t->source_back_us && now_us < until_us)) {
-		if (!e->gone_at_us)
-			e->gone_at_us = until_us;
-		return false;
-	}
-	drop(t, e);
-	return true;
-}
-
-bool feed_table_remove(struct feed_table *t, const char *name, int64_t now_us)
+bool feed_table_remove(struct feed_table *t, const char *name)
 {
 	struct feed_entry *e = find(t, name);
 
-	return e && remove_entry(t, e, now_us);
+	if (e)
+		drop(t, e);
+	return e != NULL;
 }
 
 static bool is_listed(const struct feed_worker *list, uint32_t count,
@@ -106,20 +92,52 @@
 	return false;
 }
 
+/* True if so many of a service's workers are missing that their entries have
+ * lapsed rather than that they all left. */
+static bool many_missing(const struct feed_table *t, const char *service,
+			 const struct feed_worker *list, uint32_t count)
+{
+	uint32_t known = 0;
+	uint32_t missing = 0;
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
+		const struct feed_entry *e = apr_hash_this_val(i);
+
+		if (strcmp(e->worker.service, service) != 0)
+			continue;
+		known++;
+		missing += !is_listed(list, count, e->worker.name);
+	}
+	return missing * 100 > known * FEED_LAPSED_PERCENT;
+}
+
 bool feed_table_replace(struct feed_table *t, const struct feed_worker *list,
 			uint32_t count, int64_t now_us)
 {
+	bool hold =
+		t->source_back_us && now_us < t->source_back_us + FEED_HOLD_US;
 	bool changed = false;
 	apr_hash_index_t *i;
 
 	for (uint32_t n = 0; n < count; n++)
 		changed |= feed_table_put(t, &list[n]);
+	for (i = apr_hash_first(NULL, t->by_name); hold && i;
+	     i = apr_hash_next(i)) {
+		struct feed_entry *e = apr_hash_this_val(i);
+
+		if (!e->gone_at_us && !is_listed(list, count, e->worker.name) &&
+		    many_missing(t, e->worker.service, list, count))
+			e->gone_at_us = t->source_back_us + FEED_HOLD_US;
+	}
 	/* APR allows the current entry to be removed during a walk. */
 	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
 		struct feed_entry *e = apr_hash_this_val(i);
 
-		if (!is_listed(list, count, e->worker.name))
-			changed |= remove_entry(t, e, now_us);
+		if (e->gone_at_us || is_listed(list, count, e->worker.name))
+			continue;
+		drop(t, e);
+		changed = true;
 	}
 	return changed;
 }
@@ -131,18 +149,10 @@
 
 void feed_table_source_back(struct feed_table *t, int64_t now_us)
 {
-	apr_hash_index_t *i;
-
 	if (!t->source_away)
 		return;
 	t->source_away = false;
 	t->source_back_us = now_us;
-	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
-		struct feed_entry *e = apr_hash_this_val(i);
-
-		if (e->gone_at_us)
-			e->gone_at_us = now_us + FEED_HOLD_US;
-	}
 }
 
 bool feed_table_expire(struct feed_table *t, int64_t now_us, int64_t *next_us)
@@ -154,7 +164,7 @@
 	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
 		struct feed_entry *e = apr_hash_this_val(i);
 
-		if (!e->gone_at_us || t->source_away)
+		if (!e->gone_at_us)
 			continue;
 		if (e->gone_at_us <= now_us) {
 			drop(t, e);
--- a/home/choose.c
+++ b/home/choose.c
@@ -124,8 +124,7 @@
 
 	for (uint32_t i = 0; i < count; i++)
 		if (!list[i].out &&
-		    track_trouble(list[i].track, u, now_us) < avoid)
-		{
+		    track_trouble(list[i].track, u, now_us) < avoid) {
 			uint32_t n = hung(list[i].track, u, now_us);
 
 			slots += n < list[i].slots ? list[i].slots - n : 0;
--- a/home/home.c
+++ b/home/home.c
@@ -251,8 +251,8 @@
 /* Another region may have a worker at once. */
 static bool is_long_wait(const struct home_cell *c, const struct grant *g)
 {
-	int64_t max_us = g->ask.target_ms * US_PER_MS * QUEUE_TARGET_PERCENT /
-			 100;
+	int64_t max_us =
+		g->ask.target_ms * US_PER_MS * QUEUE_TARGET_PERCENT / 100;
 
 	if (!g->ask.target_ms)
 		max_us = QUEUE_WAIT_US;
