home, feed: tests; floor counted exactly, no nested walk of the workers' table

Cause: the new tests found that workers with equal trouble were all avoided, below the floor, and that a nested walk of an APR hash lost held entries.

--- a/feed/feed.h
+++ b/feed/feed.h
@@ -38,6 +38,7 @@
 
 struct feed_entry {
 	struct feed_worker worker;
+	bool listed; /**< in the list that is being taken */
 	int64_t gone_at_us; /**< dropped then unless it is told again; 0: there
 			     */
 };
--- /dev/null
+++ b/feed/feed_test.c
@@ -0,0 +1,192 @@
+#include <string.h>
+#include <time.h>
+#include <CUnit/Basic.h>
+#include <apr_general.h>
+
+#include "feed/feed.h"
+
+static const char base[] = "[data_centre a1]\nregion = a\n"
+			   "[service stock]\nbare = yes\n"
+			   "[service ledger]\nbare = yes\n"
+			   "[route stock]\npath = /stock\nmethods = *\n"
+			   "service = stock\nidempotent = yes\n";
+
+static struct feed_worker worker(const char *name, uint16_t port,
+				 uint64_t revision)
+{
+	struct feed_worker w = { .ip = 0x7f000001,
+				 .port = port,
+				 .slots = 6,
+				 .boot = 1,
+				 .revision = revision };
+
+	strcpy(w.name, name);
+	strcpy(w.service, "stock");
+	strcpy(w.data_centre, "a1");
+	return w;
+}
+
+/* ---- table ---- */
+
+/* Guards against older news that undo newer ones, and against a restarted
+ * worker that is taken for the one before it. */
+static void test_newer_entries_win(void)
+{
+	struct feed_table *t = feed_table_create();
+	struct feed_worker w = worker("w1", 1, 5);
+
+	CU_ASSERT(feed_table_put(t, &w));
+	CU_ASSERT(!feed_table_put(t, &w));
+	w.leaving = true;
+	w.revision = 6;
+	CU_ASSERT(feed_table_put(t, &w));
+	w.leaving = false;
+	w.revision = 5;
+	CU_ASSERT(!feed_table_put(t, &w));
+	w.boot = 2;
+	w.revision = 7;
+	CU_ASSERT(feed_table_put(t, &w));
+	CU_ASSERT(feed_table_remove(t, "w1"));
+	CU_ASSERT(!feed_table_remove(t, "w1"));
+	feed_table_destroy(t);
+}
+
+static uint32_t after_outage(uint32_t known, uint32_t listed, int64_t later_us)
+{
+	struct feed_table *t = feed_table_create();
+	struct feed_worker list[10];
+	int64_t next_us;
+	uint32_t n;
+
+	for (uint32_t i = 0; i < known; i++) {
+		char name[8] = { 'w', (char)('0' + i), 0 };
+
+		list[i] = worker(name, (uint16_t)(i + 1), i + 1);
+		feed_table_put(t, &list[i]);
+	}
+	feed_table_source_lost(t);
+	feed_table_source_back(t, US_PER_S);
+	feed_table_replace(t, list, listed, US_PER_S);
+	feed_table_expire(t, US_PER_S + later_us, &next_us);
+	n = feed_table_size(t);
+	feed_table_destroy(t);
+	return n;
+}
+
+/* Guards against a daemon that was cut off and goes on using a worker that left
+ * meanwhile (akl-gate scale-2, DRAIN). */
+static void test_few_missing_after_an_outage_have_left(void)
+{
+	CU_ASSERT_EQUAL(after_outage(10, 8, 0), 8);
+}
+
+/* Guards against a service without workers when the store comes back and has
+ * lost their entries for a while. */
+static void test_many_missing_after_an_outage_are_held(void)
+{
+	CU_ASSERT_EQUAL(after_outage(10, 2, 0), 10);
+	CU_ASSERT_EQUAL(after_outage(10, 2, FEED_HOLD_US), 2);
+}
+
+/* Guards against work for the old worker of an address that is used again. */
+static void test_newest_entry_has_the_address(void)
+{
+	struct feed_table *t = feed_table_create();
+	struct feed_worker old = worker("old", 1, 1);
+	struct feed_worker new = worker("new", 1, 2);
+	struct buf out = { 0 };
+
+	strcpy(new.service, "ledger");
+	feed_table_put(t, &old);
+	feed_table_put(t, &new);
+	feed_table_print(t, base, &out);
+	buf_append(&out, "", 1);
+	CU_ASSERT_PTR_NOT_NULL(strstr((char *)out.data, "[worker ledger/new]"));
+	CU_ASSERT_PTR_NULL(strstr((char *)out.data, "[worker stock/old]"));
+	buf_free(&out);
+	feed_table_destroy(t);
+}
+
+/* ---- the duty ---- */
+
+static struct feed *feed;
+static struct conf_current *current;
+static struct timer_service *timers;
+
+/* Waits for a snapshot in which the service has so many workers. */
+static bool wait_for(const char *service, uint32_t workers)
+{
+	for (uint32_t i = 0; i < 1000; i++) {
+		struct timespec ts = { 0, 10000000 };
+		struct conf *c = conf_current_get(current);
+		const struct conf_service *s = conf_find_service(c, service);
+		bool good = s && s->worker_count == workers;
+
+		conf_release(c);
+		if (good)
+			return true;
+		nanosleep(&ts, NULL);
+	}
+	return false;
+}
+
+static bool has_service(const char *service)
+{
+	struct conf *c = conf_current_get(current);
+	bool has = conf_find_service(c, service) != NULL;
+
+	conf_release(c);
+	return has;
+}
+
+/* Guards against a configuration that goes back, one that does not pass the
+ * checks and takes the workers with it, and news that are lost. */
+static void test_versions_only_rise(void)
+{
+	struct feed_worker w[2] = { worker("w1", 1, 1), worker("w2", 2, 2) };
+
+	feed_set_configuration(feed, 5, base);
+	feed_put_workers(feed, w, 1);
+	CU_ASSERT(wait_for("stock", 1));
+	feed_set_configuration(feed, 4, "[service other]\n");
+	feed_set_configuration(feed, 6, "[nonsense\n");
+	feed_put_workers(feed, &w[1], 1);
+	CU_ASSERT(wait_for("stock", 2));
+	CU_ASSERT(!has_service("other"));
+	feed_set_configuration(feed, 7,
+			       "[data_centre a1]\nregion = a\n"
+			       "[service other]\n[service stock]\n");
+	feed_remove_worker(feed, "w2");
+	CU_ASSERT(wait_for("stock", 1));
+	CU_ASSERT(wait_for("other", 0));
+	feed_replace_workers(feed, w, 2);
+	CU_ASSERT(wait_for("stock", 2));
+}
+
+int main(void)
+{
+	struct feed_settings fs;
+	apr_pool_t *pool;
+	CU_pSuite s;
+
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	log_set_level(LOG_ERROR);
+	timers = timer_service_create(pool);
+	timer_service_start(timers);
+	current = conf_current_create(pool);
+	fs.current = current;
+	feed = feed_create(&fs, timers);
+	feed_start(feed);
+	CU_initialize_registry();
+	s = CU_add_suite("feed", NULL, NULL);
+	CU_add_test(s, "newer", test_newer_entries_win);
+	CU_add_test(s, "left", test_few_missing_after_an_outage_have_left);
+	CU_add_test(s, "lapsed", test_many_missing_after_an_outage_are_held);
+	CU_add_test(s, "address", test_newest_entry_has_the_address);
+	CU_add_test(s, "versions", test_versions_only_rise);
+	CU_basic_run_tests();
+	feed_stop(feed);
+	timer_service_stop(timers);
+	return CU_get_number_of_failures() != 0;
+}
--- a/feed/table.c
+++ b/feed/table.c
@@ -94,51 +94,59 @@
 
 /* True if so many of a service's workers are missing that their entries have
  * lapsed rather than that they all left. */
-static bool many_missing(const struct feed_table *t, const char *service,
-			 const struct feed_worker *list, uint32_t count)
+static bool many_missing(struct feed_entry *const *all, uint32_t count,
+			 const char *service)
 {
 	uint32_t known = 0;
 	uint32_t missing = 0;
-	apr_hash_index_t *i;
-
-	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
-		const struct feed_entry *e = apr_hash_this_val(i);
 
-		if (strcmp(e->worker.service, service) != 0)
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(all[i]->worker.service, service) != 0)
 			continue;
 		known++;
-		missing += !is_listed(list, count, e->worker.name);
+		missing += !all[i]->listed;
 	}
 	return missing * 100 > known * FEED_LAPSED_PERCENT;
 }
 
+/* All entries, as a walk of the table must not be nested. */
+static struct feed_entry **entries(const struct feed_table *t)
+{
+	struct feed_entry **all =
+		az_alloc((feed_table_size(t) + 1) * sizeof(*all));
+	uint32_t n = 0;
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i))
+		all[n++] = apr_hash_this_val(i);
+	return all;
+}
+
 bool feed_table_replace(struct feed_table *t, const struct feed_worker *list,
 			uint32_t count, int64_t now_us)
 {
 	bool hold =
 		t->source_back_us && now_us < t->source_back_us + FEED_HOLD_US;
 	bool changed = false;
-	apr_hash_index_t *i;
+	struct feed_entry **all;
+	uint32_t n;
 
-	for (uint32_t n = 0; n < count; n++)
-		changed |= feed_table_put(t, &list[n]);
-	for (i = apr_hash_first(NULL, t->by_name); hold && i;
-	     i = apr_hash_next(i)) {
-		struct feed_entry *e = apr_hash_this_val(i);
-
-		if (!e->gone_at_us && !is_listed(list, count, e->worker.name) &&
-		    many_missing(t, e->worker.service, list, count))
-			e->gone_at_us = t->source_back_us + FEED_HOLD_US;
-	}
-	/* APR allows the current entry to be removed during a walk. */
-	for (i = apr_hash_first(NULL, t->by_name); i; i = apr_hash_next(i)) {
-		struct feed_entry *e = apr_hash_this_val(i);
-
-		if (e->gone_at_us || is_listed(list, count, e->worker.name))
-			continue;
-		drop(t, e);
-		changed = true;
-	}
+	for (uint32_t i = 0; i < count; i++)
+		changed |= feed_table_put(t, &list[i]);
+	all = entries(t);
+	n = feed_table_size(t);
+	for (uint32_t i = 0; i < n; i++)
+		all[i]->listed = is_listed(list, count, all[i]->worker.name);
+	for (uint32_t i = 0; hold && i < n; i++)
+		if (!all[i]->listed && !all[i]->gone_at_us &&
+		    many_missing(all, n, all[i]->worker.service))
+			all[i]->gone_at_us = t->source_back_us + FEED_HOLD_US;
+	for (uint32_t i = 0; i < n; i++)
+		if (!all[i]->listed && !all[i]->gone_at_us) {
+			drop(t, all[i]);
+			changed = true;
+		}
+	free(all);
 	return changed;
 }
 
--- a/home/choose.c
+++ b/home/choose.c
@@ -1,5 +1,3 @@
-#include <math.h>
-
 #include "home/home.h"
 
 /* Costs are in shares of a worker's slots. */
@@ -48,52 +46,52 @@
 	       (c->near ? 0 : COST_FAR) - idle(c, now_us);
 }
 
-/* Trouble from which on a worker is left alone: the worst ones, and no more of
- * them than the floor allows. */
-static double avoid_from(const struct candidate *list, uint32_t count,
-			 const struct usual *u, int64_t now_us)
+/* Marks the workers to leave alone: the worst ones, and no more of them than
+ * the floor allows. */
+static void mark_avoided(const struct candidate *list, uint32_t count,
+			 const struct usual *u, int64_t now_us, bool *avoided)
 {
-	double worst[HOME_WORKERS_MAX];
+	double trouble[HOME_WORKERS_MAX];
 	uint32_t in = 0;
-	uint32_t n = 0;
 	uint32_t allowed;
 
 	for (uint32_t i = 0; i < count; i++) {
-		double t;
-		uint32_t at;
-
-		if (list[i].out)
-			continue;
-		in++;
-		t = track_trouble(list[i].track, u, now_us);
-		if (t < CHOOSE_TROUBLE_MAX)
-			continue;
-		for (at = n++; at && worst[at - 1] < t; at--)
-			worst[at] = worst[at - 1];
-		worst[at] = t;
+		avoided[i] = false;
+		trouble[i] = list[i].out ?
+				     0 :
+				     track_trouble(list[i].track, u, now_us);
+		in += !list[i].out;
 	}
 	allowed = in * CHOOSE_AVOID_PERCENT / 100;
 	if (!allowed && in > 1)
 		allowed = 1;
-	if (!n || !allowed)
-		return INFINITY;
-	return worst[n <= allowed ? n - 1 : allowed - 1];
+	for (; allowed; allowed--) {
+		uint32_t worst = 0;
+
+		for (uint32_t i = 1; i < count; i++)
+			if (trouble[i] > trouble[worst])
+				worst = i;
+		if (!count || trouble[worst] < CHOOSE_TROUBLE_MAX)
+			return;
+		avoided[worst] = true;
+		trouble[worst] = 0;
+	}
 }
 
 int32_t choose_worker(const struct candidate *list, uint32_t count,
 		      const struct usual *u, uint64_t random, int64_t now_us)
 {
-	double avoid = avoid_from(list, count, u, now_us);
+	bool avoided[HOME_WORKERS_MAX];
 	int32_t best = -1;
 	double best_cost = 0;
 
+	mark_avoided(list, count, u, now_us, avoided);
 	for (uint32_t n = 0; n < count; n++) {
 		uint32_t i = (uint32_t)((n + random) % count);
 		const struct candidate *c = &list[i];
 		double k;
 
-		if (c->out || c->track->out_count >= c->slots ||
-		    track_trouble(c->track, u, now_us) >= avoid)
+		if (c->out || c->track->out_count >= c->slots || avoided[i])
 			continue;
 		k = cost(c, u, now_us);
 		if (best < 0 || k < best_cost) {
@@ -119,16 +117,16 @@
 uint32_t choose_slots(const struct candidate *list, uint32_t count,
 		      const struct usual *u, int64_t now_us)
 {
-	double avoid = avoid_from(list, count, u, now_us);
+	bool avoided[HOME_WORKERS_MAX];
 	uint32_t slots = 0;
 
-	for (uint32_t i = 0; i < count; i++)
-		if (!list[i].out &&
-		    track_trouble(list[i].track, u, now_us) < avoid) {
-			uint32_t n = hung(list[i].track, u, now_us);
+	mark_avoided(list, count, u, now_us, avoided);
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t n = hung(list[i].track, u, now_us);
 
-			slots += n < list[i].slots ? list[i].slots - n : 0;
-		}
+		if (!list[i].out && !avoided[i] && n < list[i].slots)
+			slots += list[i].slots - n;
+	}
 	return slots;
 }
 
--- /dev/null
+++ b/home/home_test.c
@@ -0,0 +1,297 @@
+#include <math.h>
+#include <string.h>
+#include <CUnit/Basic.h>
+#include <apr_general.h>
+
+#include "home/home.h"
+#include "home/replay.h"
+
+static const struct usual usual = { 400 * US_PER_MS, 100 * US_PER_MS };
+
+/* ---- evidence ---- */
+
+/* Guards against a worker that hangs and keeps getting work until its first
+ * request has timed out. */
+static void test_late_requests_are_trouble(void)
+{
+	struct track t = { 0 };
+
+	track_send(&t, 0);
+	track_send(&t, 10 * US_PER_MS);
+	CU_ASSERT(track_trouble(&t, &usual, 200 * US_PER_MS) < 0.5);
+	CU_ASSERT(track_trouble(&t, &usual, 900 * US_PER_MS) >=
+		  CHOOSE_TROUBLE_MAX);
+}
+
+/* Guards against a busy sound worker that is taken for a gray one because many
+ * of its requests are out. */
+static void test_answers_speak_for_a_busy_worker(void)
+{
+	struct track t = { 0 };
+	int64_t now_us = 0;
+
+	for (uint32_t i = 0; i < 200; i++) {
+		now_us = i * 100 * US_PER_MS;
+		track_send(&t, now_us);
+		if (i >= 4)
+			track_end(&t, now_us - 400 * US_PER_MS, EVENT_ANSWERED,
+				  400 * US_PER_MS, now_us);
+		CU_ASSERT(track_trouble(&t, &usual, now_us) <
+			  CHOOSE_TROUBLE_MAX);
+	}
+	CU_ASSERT_EQUAL(t.out_count, 4);
+}
+
+/* Guards against a worker that stays avoided for good, and against old news: a
+ * request that was sent long ago tells nothing about now. */
+static void test_trouble_fades(void)
+{
+	struct track t = { 0 };
+
+	track_send(&t, 0);
+	track_end(&t, 0, EVENT_BROKEN, 0, US_PER_MS);
+	CU_ASSERT(track_trouble(&t, &usual, US_PER_MS) >= CHOOSE_TROUBLE_MAX);
+	CU_ASSERT(track_trouble(&t, &usual, 10 * US_PER_S) < 0.3);
+	memset(&t, 0, sizeof(t));
+	track_send(&t, 0);
+	track_end(&t, 0, EVENT_TIMEOUT, 8 * US_PER_S, 8 * US_PER_S);
+	CU_ASSERT(track_trouble(&t, &usual, 8 * US_PER_S) < 0.5);
+}
+
+/* Guards against work given up by its caller that counts against the worker. */
+static void test_unused_grants_are_no_evidence(void)
+{
+	struct track t = { 0 };
+
+	track_send(&t, 0);
+	track_end(&t, 0, EVENT_UNUSED, 0, US_PER_MS);
+	CU_ASSERT_EQUAL(t.out_count, 0);
+	CU_ASSERT(track_trouble(&t, &usual, US_PER_MS) < 0.01);
+}
+
+/* ---- choice ---- */
+
+#define WORKERS 10
+
+static struct track tracks[WORKERS];
+static struct candidate list[WORKERS];
+
+static void reset(void)
+{
+	memset(tracks, 0, sizeof(tracks));
+	for (uint32_t i = 0; i < WORKERS; i++)
+		list[i] = (struct candidate){ &tracks[i], 6, false, true };
+}
+
+static void fail(uint32_t i, int64_t now_us)
+{
+	track_send(&tracks[i], now_us);
+	track_end(&tracks[i], now_us, EVENT_BROKEN, 0, now_us);
+}
+
+/* Guards against ejections below the floor: with half of the workers in
+ * trouble, seven of ten must still be used. */
+static void test_floor_is_kept(void)
+{
+	bool used[WORKERS] = { false };
+	uint32_t count = 0;
+	int64_t now_us = US_PER_S;
+
+	reset();
+	for (uint32_t i = 0; i < WORKERS / 2; i++)
+		fail(i, now_us);
+	for (uint32_t n = 0; n < WORKERS * 6; n++) {
+		int32_t w = choose_worker(list, WORKERS, &usual, n, now_us);
+
+		if (w < 0)
+			break;
+		used[w] = true;
+		track_send(&tracks[w], now_us);
+	}
+	for (uint32_t i = 0; i < WORKERS; i++)
+		count += used[i];
+	CU_ASSERT(count >= 7);
+}
+
+/* Guards against a pool of which a part gets nothing while work is little. */
+static void test_idle_worker_is_preferred(void)
+{
+	int64_t now_us = 10 * US_PER_S;
+
+	reset();
+	for (uint32_t i = 0; i < WORKERS; i++)
+		tracks[i].sent_us = now_us;
+	list[3].near = false;
+	tracks[3].sent_us = now_us - 2 * US_PER_S;
+	CU_ASSERT_EQUAL(choose_worker(list, WORKERS, &usual, 0, now_us), 3);
+}
+
+/* Guards against bytes to another data centre while a near worker is about to
+ * be free, and against waiting for near ones that are in trouble. */
+static void test_full_near_worker_is_waited_for(void)
+{
+	int64_t now_us = 10 * US_PER_S;
+
+	reset();
+	for (uint32_t i = 1; i < WORKERS; i++)
+		list[i].near = false;
+	for (uint32_t i = 0; i < 6; i++)
+		track_send(&tracks[0], now_us);
+	CU_ASSERT(choose_worker(list, WORKERS, &usual, 0, now_us) > 0);
+	choose_keep_near(list, WORKERS, &usual, now_us);
+	CU_ASSERT_EQUAL(choose_worker(list, WORKERS, &usual, 0, now_us), -1);
+	reset();
+	for (uint32_t i = 1; i < WORKERS; i++)
+		list[i].near = false;
+	fail(0, now_us);
+	choose_keep_near(list, WORKERS, &usual, now_us);
+	CU_ASSERT(choose_worker(list, WORKERS, &usual, 0, now_us) > 0);
+}
+
+/* Guards against estimates that count slots which hanging requests hold. */
+static void test_hung_slots_do_not_count(void)
+{
+	reset();
+	for (uint32_t i = 0; i < 4; i++)
+		track_send(&tracks[0], 0);
+	CU_ASSERT_EQUAL(choose_slots(list, 1, &usual, 100 * US_PER_MS), 6);
+	CU_ASSERT_EQUAL(choose_slots(list, 1, &usual, 2 * US_PER_S), 2);
+}
+
+/* ---- the queue ---- */
+
+/* Guards against requests that wait until their deadline although it was known
+ * that their turn would not come. */
+static void test_hopeless_work_is_taken_out_early(void)
+{
+	struct queue_settings s = { { 16, 16, 16 }, { 0, 0, 0 } };
+	struct queue_item items[10];
+	struct queue_item *hopeless;
+	struct rank_queue q;
+	uint32_t n = 0;
+
+	rank_queue_init(&q, &s);
+	q.service_us = 1;
+	for (uint32_t i = 0; i < 10; i++) {
+		items[i] =
+			(struct queue_item){ NULL, RANK_NORMAL, 0, US_PER_S };
+		CU_ASSERT_EQUAL(rank_queue_push(&q, &items[i], 0), ERR_NONE);
+	}
+	q.service_us = 300 * US_PER_MS;
+	for (hopeless = rank_queue_take_hopeless(&q, 0); hopeless;
+	     hopeless = hopeless->next)
+		n++;
+	CU_ASSERT(n >= 5 && n <= 7);
+	CU_ASSERT_EQUAL(rank_queue_depth(&q), 10 - n);
+	CU_ASSERT_PTR_EQUAL(q.head[RANK_NORMAL], &items[0]);
+}
+
+/* ---- encoding ---- */
+
+static struct fleet_keys keys(uint8_t byte)
+{
+	struct fleet_keys k = { .count = 1 };
+
+	k.keys[0].id = 1;
+	memset(k.keys[0].secret, byte, sizeof(k.keys[0].secret));
+	return k;
+}
+
+/* Guards against fields that do not cross, forged and cut datagrams. */
+static void test_messages_cross_whole(void)
+{
+	struct home_msg ask = { .kind = HOME_ASK,
+				.asker = 1,
+				.sequence = 2,
+				.service = 3,
+				.region = 4,
+				.dc = 5,
+				.rank = RANK_BULK,
+				.idempotent = true,
+				.insists = true,
+				.left_ms = 6,
+				.target_ms = 7,
+				.excluded_count = 2,
+				.excluded = { 8, 9 } };
+	struct fleet_keys k = keys(1);
+	struct fleet_keys other = keys(2);
+	uint8_t data[HOME_DATAGRAM_MAX_BYTES];
+	struct home_msg back;
+	uint32_t n = home_encode(&ask, &k, data);
+
+	CU_ASSERT(n > 0);
+	CU_ASSERT_EQUAL(home_decode(data, n, &k, &back), AZ_OK);
+	CU_ASSERT_EQUAL(memcmp(&ask, &back, sizeof(ask)), 0);
+	CU_ASSERT_EQUAL(home_decode(data, n, &other, &back), AZ_DENIED);
+	for (uint32_t cut = 0; cut < n; cut++)
+		CU_ASSERT_NOT_EQUAL(home_decode(data, cut, &k, &back), AZ_OK);
+	data[n - 1] ^= 1;
+	CU_ASSERT_EQUAL(home_decode(data, n, &k, &back), AZ_DENIED);
+	other.count = 0;
+	CU_ASSERT_EQUAL(home_encode(&ask, &other, data), 0);
+}
+
+/* ---- load patterns ---- */
+
+static double served(const struct replay_pattern *p,
+		     const struct replay_policy *policy)
+{
+	double all = 0;
+	double good = 0;
+
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		struct replay_result r = replay_run(p, policy, seed);
+
+		all += r.requests;
+		good += r.served;
+		CU_ASSERT_EQUAL(r.served + r.failed + r.refused, r.requests);
+	}
+	return good / all;
+}
+
+/* Guards against a choice that serves less than a simple one when workers hang
+ * or fail for seconds at a time. */
+static void test_gray_workers_cost_less_than_with_simple_choices(void)
+{
+	for (uint32_t i = 0; i < 3; i++) {
+		const struct replay_pattern *p = &replay_patterns[i];
+		double product = served(p, &replay_product);
+
+		CU_ASSERT(product > served(p, &replay_random));
+		CU_ASSERT(product > 0.96);
+	}
+}
+
+/* Guards against refusals of a load that the workers can bear. */
+static void test_quiet_load_is_not_refused(void)
+{
+	struct replay_result r =
+		replay_run(&replay_patterns[0], &replay_product, 7);
+
+	CU_ASSERT_EQUAL(r.refused, 0);
+	CU_ASSERT(r.far * 10 < r.requests);
+}
+
+int main(void)
+{
+	CU_pSuite s;
+
+	apr_initialize();
+	CU_initialize_registry();
+	s = CU_add_suite("home", NULL, NULL);
+	CU_add_test(s, "late", test_late_requests_are_trouble);
+	CU_add_test(s, "busy", test_answers_speak_for_a_busy_worker);
+	CU_add_test(s, "fades", test_trouble_fades);
+	CU_add_test(s, "unused", test_unused_grants_are_no_evidence);
+	CU_add_test(s, "floor", test_floor_is_kept);
+	CU_add_test(s, "idle", test_idle_worker_is_preferred);
+	CU_add_test(s, "near", test_full_near_worker_is_waited_for);
+	CU_add_test(s, "hung", test_hung_slots_do_not_count);
+	CU_add_test(s, "hopeless", test_hopeless_work_is_taken_out_early);
+	CU_add_test(s, "messages", test_messages_cross_whole);
+	CU_add_test(s, "gray",
+		    test_gray_workers_cost_less_than_with_simple_choices);
+	CU_add_test(s, "quiet", test_quiet_load_is_not_refused);
+	CU_basic_run_tests();
+	return CU_get_number_of_failures() != 0;
+}
