--- a/front/front_test.c
+++ b/front/front_test.c
@@ -1,8 +1,13 @@
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <CUnit/Basic.h>
 #include <apr_general.h>
 
+#include "attempt/attempt.h"
 #include "front/front.h"
 
 static struct conf *conf;
@@ -139,6 +144,270 @@
 	limiter_destroy(l);
 }
 
+/* ---- heads ---- */
+
+static enum error_kind bytes(const char *text)
+{
+	return head_check_bytes((const uint8_t *)text, (uint32_t)strlen(text));
+}
+
+/* Guards against heads that two readers take apart differently. */
+static void test_ambiguous_bytes_are_refused(void)
+{
+	CU_ASSERT_EQUAL(bytes("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), ERR_NONE);
+	CU_ASSERT_EQUAL(bytes("GET / HTTP/1.1\nHost: a\r\n\r\n"),
+			ERR_BAD_REQUEST);
+	CU_ASSERT_EQUAL(bytes("GET / HTTP/1.1\r\nHost: a\rb: c\r\n\r\n"),
+			ERR_BAD_REQUEST);
+	CU_ASSERT_EQUAL(bytes("GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n"),
+			ERR_BAD_REQUEST);
+	CU_ASSERT_EQUAL(bytes("GET /\x01 HTTP/1.1\r\n\r\n"), ERR_BAD_REQUEST);
+}
+
+/* Guards against a head's end that falls between two reads. */
+static void test_head_end_is_found_across_reads(void)
+{
+	const char text[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\nrest";
+	uint32_t end = (uint32_t)(strstr(text, "rest") - text);
+
+	for (uint32_t held = 0; held < end; held++) {
+		CU_ASSERT_EQUAL(head_end((const uint8_t *)text, held, 0), 0);
+		CU_ASSERT_EQUAL(
+			head_end((const uint8_t *)text, sizeof(text) - 1, held),
+			end);
+	}
+}
+
+/* ---- over sockets ---- */
+
+static apr_pool_t *pool;
+static struct timer_service *timers;
+static struct conf_current *current;
+static struct membership *membership;
+static struct upstream *up;
+static struct home *home;
+static struct attempts *attempts;
+static struct front *front;
+static uint16_t front_port;
+static uint16_t worker_port;
+static int32_t worker;
+
+static int32_t listen_anywhere(uint16_t *port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sa);
+	int32_t fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (bind(fd, (struct sockaddr *)&sa, len) || listen(fd, 16))
+		abort();
+	getsockname(fd, (struct sockaddr *)&sa, &len);
+	*port = ntohs(sa.sin_port);
+	return fd;
+}
+
+static int32_t dial(void)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons(front_port),
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int32_t fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)))
+		abort();
+	return fd;
+}
+
+static void say(int32_t fd, const char *text)
+{
+	if (write(fd, text, strlen(text)) < 0)
+		abort();
+}
+
+/* Reads until the text is there, or the end; true if it is there. */
+static bool hear(int32_t fd, const char *text, char *all, size_t size)
+{
+	size_t used = strlen(all);
+
+	while (!strstr(all, text)) {
+		ssize_t n = read(fd, all + used, size - used - 1);
+
+		if (n <= 0)
+			return false;
+		used += (size_t)n;
+		all[used] = '\0';
+	}
+	return true;
+}
+
+#define READ                                   \
+	"GET /read/%s HTTP/1.1\r\nHost: a\r\n" \
+	"Azurehold-Organisation: open\r\n\r\n"
+
+/* Guards against bytes behind an ambiguous request that are read as another
+ * one, and a connection that stays open after it. */
+static void test_nothing_is_read_behind_a_bad_request(void)
+{
+	static const char *const bad[] = {
+		"POST /bare HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n",
+		"POST /bare HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+		"Content-Length: 6\r\n\r\n",
+		"GET /read HTTP/1.1\r\n\r\n",
+		"GET /read HTTP/1.1\nHost: a\n\n",
+		"nonsense\r\n\r\n",
+	};
+
+	for (uint32_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		int32_t fd = dial();
+		char all[4096] = "";
+
+		say(fd, bad[i]);
+		say(fd, "GET " HEALTH_PATH " HTTP/1.1\r\nHost: a\r\n\r\n");
+		CU_ASSERT(!hear(fd, "HTTP/1.1 200", all, sizeof(all)));
+		CU_ASSERT_PTR_NOT_NULL(strstr(all, "HTTP/1.1 400"));
+		CU_ASSERT_PTR_NOT_NULL(strstr(all, "Connection: close"));
+		close(fd);
+	}
+}
+
+static void answer(int32_t fd, const char *body)
+{
+	char text[256];
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		 strlen(body), body);
+	say(fd, text);
+}
+
+/* Guards against pipelined requests that wait for one another, and answers that
+ * overtake: the second request is answered first by its worker. */
+static void test_pipelined_requests_run_side_by_side(void)
+{
+	int32_t fd = dial();
+	char all[4096] = "";
+	char heard[2][2048] = { "", "" };
+	char text[512];
+	int32_t at[2];
+
+	snprintf(text, sizeof(text), READ READ, "one", "two");
+	say(fd, text);
+	for (uint32_t i = 0; i < 2; i++) {
+		at[i] = accept(worker, NULL, NULL);
+		CU_ASSERT(hear(at[i], "\r\n\r\n", heard[i], 2048));
+	}
+	/* Connections come in any order. */
+	for (uint32_t i = 0; i < 2; i++)
+		if (strstr(heard[i], "/read/two"))
+			answer(at[i], "second");
+	for (uint32_t i = 0; i < 2; i++)
+		if (strstr(heard[i], "/read/one"))
+			answer(at[i], "first");
+	CU_ASSERT(hear(fd, "second", all, sizeof(all)));
+	CU_ASSERT_PTR_NOT_NULL(strstr(all, "first"));
+	CU_ASSERT(strstr(all, "first") < strstr(all, "second"));
+	close(fd);
+	close(at[0]);
+	close(at[1]);
+}
+
+/* Guards against a worker that goes on working for a caller that has left. */
+static void test_callers_leaving_reaches_the_worker(void)
+{
+	int32_t fd = dial();
+	char heard[2048] = "";
+	char text[256];
+	char byte;
+	int32_t at;
+
+	snprintf(text, sizeof(text), READ, "left");
+	say(fd, text);
+	at = accept(worker, NULL, NULL);
+	CU_ASSERT(hear(at, "\r\n\r\n", heard, sizeof(heard)));
+	close(fd);
+	CU_ASSERT(read(at, &byte, 1) <= 0);
+	close(at);
+}
+
+/* Guards against a daemon without a configuration that denies a route: it has
+ * to say that nothing has run. */
+static void test_no_configuration_is_no_404(void)
+{
+	struct conf *c = conf_current_get(current);
+	int32_t fd = dial();
+	char all[4096] = "";
+	char text[256];
+
+	conf_current_set(current, conf_empty());
+	snprintf(text, sizeof(text), READ, "x");
+	say(fd, text);
+	CU_ASSERT(hear(fd, "HTTP/1.1 503", all, sizeof(all)));
+	conf_current_set(current, c);
+	close(fd);
+}
+
+static void start_parts(void)
+{
+	struct member_settings ms = { .self = { .ip = INADDR_LOOPBACK,
+						.peer_port = 1,
+						.dc = conf_place_id("a1"),
+						.region = conf_place_id("a"),
+						.name = "d1" } };
+	struct home_settings hs = { .incarnation = 1, .retry_slack = 10 };
+	struct attempt_settings as = { .incarnation = 1,
+				       .dc = conf_place_id("a1"),
+				       .region = conf_place_id("a") };
+	struct front_settings fs = { .ip = INADDR_LOOPBACK,
+				     .in_flight_max = 100 };
+	struct conf_errors errors = { 0 };
+	struct buf all = { 0 };
+	struct conf *c;
+
+	worker = listen_anywhere(&worker_port);
+	buf_printf(&all,
+		   "[data_centre a1]\nregion = a\n[service s]\n"
+		   "[worker s/w1]\naddress = 127.0.0.1:%u\ndata_centre = a1\n"
+		   "[route read]\npath = /read\nmethods = GET\nservice = s\n"
+		   "idempotent = yes\nattempts = 1\n[organisation open]\n",
+		   worker_port);
+	buf_append(&all, "", 1);
+	if (conf_parse("t", (char *)all.data, NULL, NULL, &c, &errors))
+		abort();
+	buf_free(&all);
+	timers = timer_service_create(pool);
+	current = conf_current_create(pool);
+	conf_current_set(current, c);
+	membership = membership_create(&ms, timers, pool);
+	up = upstream_create(timers, pool);
+	hs.conf = as.conf = fs.conf = current;
+	hs.membership = as.membership = fs.membership = membership;
+	as.home = home = home_create(&hs, timers);
+	as.upstream = up;
+	fs.attempts = attempts = attempts_create(&as, timers);
+	close(listen_anywhere(&front_port));
+	fs.port = front_port;
+	front = front_create(&fs, timers, pool);
+	timer_service_start(timers);
+	membership_start(membership);
+	upstream_start(up);
+	home_start(home);
+	attempts_start(attempts);
+	if (front_start(front) != AZ_OK)
+		abort();
+	front_set_ready(front);
+}
+
+static void stop_parts(void)
+{
+	front_stop(front);
+	attempts_stop(attempts);
+	upstream_stop(up);
+	home_stop(home);
+	membership_stop(membership);
+	timer_service_stop(timers);
+}
+
 int main(void)
 {
 	CU_pSuite s;
@@ -151,6 +420,9 @@
 				errors.list[i].reason);
 		return 1;
 	}
+	apr_pool_create(&pool, NULL);
+	log_set_level(LOG_ERROR);
+	start_parts();
 	CU_initialize_registry();
 	s = CU_add_suite("front", NULL, NULL);
 	CU_add_test(s, "checks", test_organisation_and_route_are_checked);
@@ -160,7 +432,14 @@
 	CU_add_test(s, "refusal", test_refusal_of_a_ticket_proves_nothing);
 	CU_add_test(s, "limit", test_limit_holds_the_rate);
 	CU_add_test(s, "limits apart", test_limits_are_apart);
+	CU_add_test(s, "bytes", test_ambiguous_bytes_are_refused);
+	CU_add_test(s, "end of head", test_head_end_is_found_across_reads);
+	CU_add_test(s, "framing", test_nothing_is_read_behind_a_bad_request);
+	CU_add_test(s, "pipeline", test_pipelined_requests_run_side_by_side);
+	CU_add_test(s, "leaving", test_callers_leaving_reaches_the_worker);
+	CU_add_test(s, "no configuration", test_no_configuration_is_no_404);
 	CU_basic_run_tests();
+	stop_parts();
 	conf_release(conf);
 	return CU_get_number_of_failures() != 0;
 }
