azhd: logs to standard output, open metrics, planned stop within its bound

Change: the bound holds for the whole stop; without tickets nothing is handed over; log lines are bounded (500 a second) and never block; /metrics has counters and histograms without the token.

--- a/admin/admin.c
+++ b/admin/admin.c
@@ -176,6 +176,8 @@
 
 	(void)a;
 	counter_print(&b);
+	buf_printf(&b, "log_lines_dropped %u\n", log_dropped());
+	histogram_print(&b);
 	done = reply(c, 200, "text/plain", b.data, b.len_bytes);
 	buf_free(&b);
 	return done;
@@ -203,8 +205,8 @@
 };
 
 static const struct endpoint endpoints[] = {
-	{ "/counters", "GET" }, { "/status", "GET" },	  { "/health", "GET" },
-	{ "/drain", "POST" },	{ "/log-level", "POST" },
+	{ "/counters", "GET" }, { "/status", "GET" }, { "/health", "GET" },
+	{ "/metrics", "GET" },	{ "/drain", "POST" }, { "/log-level", "POST" },
 };
 
 static const struct endpoint *find_endpoint(const char *path)
@@ -228,6 +230,9 @@
 		return source->ops->healthy(source) ?
 			       reply_text(c, 200, "ok\n") :
 			       reply_text(c, 503, "stopping\n");
+	/* Nor does whoever collects the metrics, which name no caller. */
+	if (e && !strcmp(path, "/metrics") && !strcmp(method, "GET"))
+		return reply_counters(a, c);
 	if (!is_authorized(a, c)) {
 		counter_add(a->denied, 1);
 		return reply_text(c, MHD_HTTP_UNAUTHORIZED, "denied\n");
--- a/admin/admin.h
+++ b/admin/admin.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * The administration API of a daemon: counters, status, planned stop and log
- * level, on an address of its own and behind a bearer token.
+ * level, on an address of its own and behind a bearer token. Counters and
+ * histograms are also at /metrics, without the token.
  */
 #ifndef ADMIN_ADMIN_H
 #define ADMIN_ADMIN_H
--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -619,6 +619,7 @@
 	apr_initialize();
 	apr_pool_create(&daemon.pool, NULL);
 	log_set_level(daemon.settings.log_level);
+	log_to_stdout();
 	log_set_source(daemon.settings.name);
 	if (a.check) {
 		daemon.conf = conf_current_create(daemon.pool);
--- a/cmd/azhd/azhd.h
+++ b/cmd/azhd/azhd.h
@@ -59,7 +59,7 @@
 	uint32_t member_period_ms;
 	uint32_t drain_ms; /**< time for the balancer to notice a stop */
 	uint32_t vms_interval_ms; /**< between reads of the platform's list */
-	uint32_t stop_timeout_ms; /**< bound of a planned stop */
+	uint32_t stop_timeout_ms; /**< bound of a planned stop, with drain_ms */
 };
 
 /** Reads the daemon's file; all errors are collected. */
--- a/cmd/azhd/drain.c
+++ b/cmd/azhd/drain.c
@@ -11,6 +11,8 @@
 #endif
 
 #define CHECK_MS 20
+/* Of the bound of the stop, requests may use this share. */
+#define REQUESTS_PERCENT 92
 #define HANDOVER_TIMEOUT_US (5 * US_PER_S)
 /* Rounds of gossip that carry the successor to the fleet before the exit. */
 #define FAREWELL_PERIODS 3
@@ -143,9 +145,10 @@
 
 void azhd_drain(struct azhd *d)
 {
-	int64_t until_us = clock_now_us() + (d->settings.drain_ms +
-					     d->settings.stop_timeout_ms) *
-						    US_PER_MS;
+	/* The rest is for what follows the last request. */
+	int64_t until_us = clock_now_us() + d->settings.stop_timeout_ms *
+						    US_PER_MS *
+						    REQUESTS_PERCENT / 100;
 
 	log_write(LOG_INFO, "stop", "draining");
 	if (AZ_TEST_BREAK_DRAIN)
@@ -156,6 +159,12 @@
 	membership_set_stopping(d->membership);
 	sleep_ms(d->settings.drain_ms);
 	front_quiesce(d->front);
+	/* Callers of the platform have no tickets: the members' farewell goes
+	 * out while the last requests run. */
+	if (d->settings.platform[0]) {
+		wait_until_idle(d, until_us);
+		return;
+	}
 	wait_until_idle(d, until_us);
 	hand_over(d);
 	sleep_ms(d->settings.member_period_ms * FAREWELL_PERIODS);
--- a/fake/fleet.sh
+++ b/fake/fleet.sh
@@ -39,7 +39,7 @@
 	[fleet]
 	keys = $KEY
 	EOT
-	"$BIN"/bin/azhd --settings "$DIR/d$1.ini" 2>>"$DIR/d$1.log" &
+	"$BIN"/bin/azhd --settings "$DIR/d$1.ini" >>"$DIR/d$1.log" 2>&1 &
 	eval "PID_d$1=$!"
 	PIDS="$PIDS $!"
 }
--- a/fault/measure.sh
+++ b/fault/measure.sh
@@ -46,7 +46,7 @@
 	[fleet]
 	keys = $KEY
 	EOT
-	"$BIN"/bin/azhd --settings "$DIR/d$1.ini" 2>"$DIR/d$1.log" &
+	"$BIN"/bin/azhd --settings "$DIR/d$1.ini" >"$DIR/d$1.log" 2>&1 &
 	PIDS="$PIDS $!"
 	eval "PID_$1=$!"
 }
--- a/home/home_test.c
+++ b/home/home_test.c
@@ -216,12 +216,18 @@
 	struct fleet_keys k = keys(1);
 	struct fleet_keys other = keys(2);
 	uint8_t data[HOME_DATAGRAM_MAX_BYTES];
+	uint8_t again[HOME_DATAGRAM_MAX_BYTES];
 	struct home_msg back;
 	uint32_t n = home_encode(&ask, &k, data);
 
 	CU_ASSERT(n > 0);
 	CU_ASSERT_EQUAL(home_decode(data, n, &k, &back), AZ_OK);
-	CU_ASSERT_EQUAL(memcmp(&ask, &back, sizeof(ask)), 0);
+	CU_ASSERT_EQUAL(home_encode(&back, &k, again), n);
+	CU_ASSERT_EQUAL(memcmp(data, again, n), 0);
+	CU_ASSERT_EQUAL(back.sequence, 2);
+	CU_ASSERT_EQUAL(back.target_ms, 7);
+	CU_ASSERT(back.idempotent && back.insists && !back.repeat);
+	CU_ASSERT_EQUAL(back.excluded[1], 9);
 	CU_ASSERT_EQUAL(home_decode(data, n, &other, &back), AZ_DENIED);
 	for (uint32_t cut = 0; cut < n; cut++)
 		CU_ASSERT_NOT_EQUAL(home_decode(data, cut, &k, &back), AZ_OK);
--- a/home/track.c
+++ b/home/track.c
@@ -51,21 +51,16 @@
 
 static double added_trouble(enum home_event e)
 {
-	switch (e) {
-	case EVENT_BROKEN:
-		return TROUBLE_BROKEN;
-	case EVENT_TIMEOUT:
-		return TROUBLE_TIMEOUT;
-	case EVENT_UNREACHABLE:
-	case EVENT_IS_ANOTHER:
-		return TROUBLE_UNREACHABLE;
-	case EVENT_SERVER_ERROR:
-		return TROUBLE_SERVER_ERROR;
-	case EVENT_SHED:
-		return TROUBLE_SHED;
-	default:
-		return 0;
-	}
+	static const double added[EVENT_COUNT] = {
+		[EVENT_BROKEN] = TROUBLE_BROKEN,
+		[EVENT_TIMEOUT] = TROUBLE_TIMEOUT,
+		[EVENT_UNREACHABLE] = TROUBLE_UNREACHABLE,
+		[EVENT_IS_ANOTHER] = TROUBLE_UNREACHABLE,
+		[EVENT_SERVER_ERROR] = TROUBLE_SERVER_ERROR,
+		[EVENT_SHED] = TROUBLE_SHED,
+	};
+
+	return added[e];
 }
 
 /* Halves with each usual time; the latency of this answer stands for it, as
--- a/lib/az.h
+++ b/lib/az.h
@@ -353,8 +353,13 @@
 enum az_status log_level_parse(const char *s, enum log_level *out);
 /** Names the daemon in each line. */
 void log_set_source(const char *name);
-/** Writes one line: time, level, source, part, message with key=value fields.
- */
+/** Lines that were not written, as there were too many or nobody reads. */
+uint32_t log_dropped(void);
+/** Lines go to standard output from now on, and not to standard error. Before
+ * any thread is started. */
+void log_to_stdout(void);
+/** Writes one line: time, level, source, part, message with
+ * key=value fields. Never blocks. */
 void log_write(enum log_level level, const char *part, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/lib/log.c
+++ b/lib/log.c
@@ -1,3 +1,4 @@
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -7,9 +8,13 @@
 #include "lib/az.h"
 
 #define LINE_MAX_BYTES 2048
+/* Lines beyond this rate are counted and not written; those of warnings and
+ * errors may use twice as many. A daemon writes some five lines a request. */
+#define LINES_PER_S 500
 
 static enum log_level max_level = LOG_INFO;
 static char source[64] = "-";
+static int32_t output = STDERR_FILENO;
 
 static const char *const names[] = { "error", "warn", "info", "debug" };
 
@@ -29,11 +34,46 @@
 		       "unknown log level '%s' (error, warn, info, debug)", s);
 }
 
+void log_to_stdout(void)
+{
+	output = STDOUT_FILENO;
+}
+
 void log_set_source(const char *name)
 {
 	snprintf(source, sizeof(source), "%s", name);
 }
 
+static uint32_t lines; /* atomic; in this second */
+static int64_t second; /* atomic */
+static uint32_t dropped; /* atomic */
+
+static bool within_rate(enum log_level level)
+{
+	uint32_t max = level <= LOG_WARN ? 2 * LINES_PER_S : LINES_PER_S;
+	int64_t now = clock_now_us() / US_PER_S;
+
+	/* Two threads may both begin a second; some lines more do no harm. */
+	if (__atomic_exchange_n(&second, now, __ATOMIC_RELAXED) != now)
+		__atomic_store_n(&lines, 0, __ATOMIC_RELAXED);
+	return __atomic_fetch_add(&lines, 1, __ATOMIC_RELAXED) < max;
+}
+
+/* Never waits for a reader that does not read. One write of less than PIPE_BUF
+ * keeps lines of several threads whole. */
+static bool write_line(const char *line, size_t len_bytes)
+{
+	struct pollfd p = { output, POLLOUT, 0 };
+
+	return poll(&p, 1, 0) > 0 && (p.revents & POLLOUT) &&
+	       write(output, line, len_bytes) >= 0;
+}
+
+uint32_t log_dropped(void)
+{
+	return __atomic_load_n(&dropped, __ATOMIC_RELAXED);
+}
+
 void log_write(enum log_level level, const char *part, const char *fmt, ...)
 {
 	char line[LINE_MAX_BYTES];
@@ -44,6 +84,10 @@
 
 	if (level > __atomic_load_n(&max_level, __ATOMIC_RELAXED))
 		return;
+	if (!within_rate(level)) {
+		__atomic_add_fetch(&dropped, 1, __ATOMIC_RELAXED);
+		return;
+	}
 	clock_gettime(CLOCK_REALTIME, &ts);
 	gmtime_r(&ts.tv_sec, &tm);
 	n = strftime(line, sizeof(line), "%Y-%m-%dT%H:%M:%S", &tm);
@@ -59,7 +103,6 @@
 		if ((unsigned char)line[i] < ' ')
 			line[i] = ' ';
 	line[n++] = '\n';
-	/* One write keeps lines of several threads whole. */
-	if (write(STDERR_FILENO, line, n) < 0)
-		return;
+	if (!write_line(line, n))
+		__atomic_add_fetch(&dropped, 1, __ATOMIC_RELAXED);
 }
--- a/lib/net.c
+++ b/lib/net.c
@@ -119,7 +119,7 @@
 {
 	struct sockaddr_in from;
 	socklen_t len = sizeof(from);
-	apr_os_sock_t fd;
+	apr_os_sock_t fd = -1;
 	ssize_t n;
 
 	apr_os_sock_get(&fd, sock);
@@ -140,7 +140,7 @@
 		.sin_port = htons(port),
 		.sin_addr.s_addr = htonl(ip),
 	};
-	apr_os_sock_t fd;
+	apr_os_sock_t fd = -1;
 
 	apr_os_sock_get(&fd, sock);
 	if (sendto(fd, data, len_bytes, MSG_DONTWAIT, (struct sockaddr *)&to,
