feed: two daemons of a data centre watch the store and tell the others

Change: two watchers a data centre, by rendezvous, tell the others in a signed datagram how far they have got; these fetch the whole state over peer/. Who hears nothing for 1.6 s, or cannot fetch, watches for itself.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -9,6 +9,8 @@
 
 #include "cmd/azhd/azhd.h"
 
+/* The platform gives a range of ports; membership has the last one. */
+#define RELAY_PORT_OFFSET 1
 #define READY_CHECK_NS 50000000
 /* Eight comparisons of departed members within the data centre, one beyond. */
 #define SETTLE_PERIODS 32
@@ -91,7 +93,9 @@
 {
 	struct azhd *d = az_container_of(h, struct azhd, handler);
 
-	if (d->conf_duty)
+	if (d->feed)
+		feed_serve(d->feed, reply);
+	else if (d->conf_duty)
 		conf_duty_serve(d->conf_duty, proc == PEER_CONF_GET, body,
 				reply);
 	else
@@ -247,6 +251,8 @@
 	membership_set_keys(d->membership, keys);
 	home_set_keys(d->home, keys);
 	attempts_set_keys(d->attempts, keys);
+	if (d->relay)
+		relay_set_keys(d->relay, keys);
 }
 
 static void on_shared_text(struct platform_listener *l, const char *text)
@@ -269,8 +275,36 @@
 	struct azhd *d = az_container_of(l, struct azhd, listener);
 
 	membership_set_digest(d->membership, digest);
+	if (d->relay)
+		relay_note(d->relay, digest);
+}
+
+static void on_adopted(struct feed_listener *l, uint64_t digest)
+{
+	struct azhd *d = az_container_of(l, struct azhd, feed_listener);
+
+	platform_source_adopt(d->source_of_conf, digest);
 }
 
+static const struct feed_listener_ops feed_listener_ops = { on_adopted };
+
+static void set_watch_active(struct relay_watch *w, bool active)
+{
+	struct azhd *d = az_container_of(w, struct azhd, relay_watch);
+
+	platform_source_set_active(d->source_of_conf, active);
+}
+
+static bool is_watch_away(struct relay_watch *w)
+{
+	struct azhd *d = az_container_of(w, struct azhd, relay_watch);
+
+	return platform_source_is_away(d->source_of_conf);
+}
+
+static const struct relay_watch_ops relay_watch_ops = { set_watch_active,
+							is_watch_away };
+
 static const struct platform_listener_ops listener_ops = { on_shared_text,
 							   on_news };
 
@@ -298,7 +332,18 @@
 
 static enum az_status create_source(struct azhd *d)
 {
-	struct feed_settings fs = { d->conf };
+	struct feed_settings fs = { d->conf, &d->feed_listener };
+	struct member me = self(d);
+	struct relay_settings rs = {
+		.ip = d->settings.peer.ip,
+		.port = (uint16_t)(d->settings.peer.port + RELAY_PORT_OFFSET),
+		.member_id = me.id,
+		.incarnation = d->incarnation,
+		.dc = me.dc,
+		.membership = d->membership,
+		.peer = d->peer,
+		.watch = &d->relay_watch,
+	};
 	struct platform_source_settings ps = {
 		.proposed_text = d->proposed_key,
 		.listener = &d->listener,
@@ -311,6 +356,8 @@
 		return AZ_OK;
 	random_key(d->proposed_key);
 	d->listener.ops = &listener_ops;
+	d->feed_listener.ops = &feed_listener_ops;
+	d->relay_watch.ops = &relay_watch_ops;
 	upstream_set_dialect(d->upstream, &platform_worker_dialect);
 	d->feed = feed_create(&fs, d->timers);
 	ps.feed = d->feed;
@@ -318,6 +365,10 @@
 		d->source_of_conf = platform_source_create(&ps, d->pool);
 	if (!d->source_of_conf)
 		return AZ_IO;
+	rs.feed = d->feed;
+	d->relay = relay_create(&rs, d->timers);
+	if (!d->relay)
+		return AZ_IO;
 	d->digest_listener.ops = &digest_ops;
 	membership_listen_digest(d->membership, &d->digest_listener);
 	return AZ_OK;
@@ -382,6 +433,8 @@
 		st = attempts_start(d->attempts);
 	if (st == AZ_OK && d->feed)
 		st = feed_start(d->feed);
+	if (st == AZ_OK && d->relay)
+		st = relay_start(d->relay);
 	if (st == AZ_OK && d->source_of_conf)
 		st = platform_source_start(d->source_of_conf);
 	if (st == AZ_OK && d->settings.keys.count)
@@ -401,6 +454,8 @@
 	front_stop(d->front);
 	if (d->conf_duty)
 		conf_duty_stop(d->conf_duty);
+	if (d->relay)
+		relay_stop(d->relay);
 	if (d->source_of_conf)
 		platform_source_stop(d->source_of_conf);
 	if (d->feed)
--- a/cmd/azhd/azhd.h
+++ b/cmd/azhd/azhd.h
@@ -9,6 +9,7 @@
 #include "attempt/attempt.h"
 #include "conf/conf.h"
 #include "feed/feed.h"
+#include "feed/relay.h"
 #include "front/front.h"
 #include "home/home.h"
 #include "lib/az.h"
@@ -69,6 +70,8 @@
 	struct admin_source source;
 	struct platform_listener listener;
 	struct digest_listener digest_listener;
+	struct feed_listener feed_listener;
+	struct relay_watch relay_watch;
 	char proposed_key[FLEET_KEY_TEXT_BYTES];
 	int32_t stopping; /**< atomic */
 	struct azhd_settings settings;
@@ -81,6 +84,7 @@
 	struct peer *peer;
 	struct home *home;
 	struct attempts *attempts;
+	struct relay *relay; /**< NULL without the platform */
 	struct feed *feed; /**< NULL without the platform */
 	struct platform_source *source_of_conf; /**< same */
 	struct ticket_duty *ticket;
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -11,6 +11,7 @@
 	struct duty duty;
 	struct feed_settings settings;
 	struct feed_table *workers;
+	uint64_t digest; /**< how far the source or others have told */
 	uint64_t version; /**< of `text`; 0: none */
 	char *text;
 	char *good_text; /**< last that passed the checks */
@@ -101,6 +102,9 @@
 	NEWS_REMOVE,
 	NEWS_LOST,
 	NEWS_BACK,
+	NEWS_DIGEST,
+	NEWS_ADOPT,
+	NEWS_SERVE,
 };
 
 struct news {
@@ -110,10 +114,13 @@
 	char *text; /**< configuration, or the name of a worker */
 	struct feed_worker *workers;
 	uint32_t count;
+	struct feed_state state;
+	struct reply_to *reply;
 };
 
 static void news_free(struct news *n)
 {
+	feed_state_free(&n->state);
 	free(n->text);
 	free(n->workers);
 	free(n);
@@ -136,6 +143,38 @@
 	want_build(f);
 }
 
+static void serve(const struct feed *f, struct reply_to *reply)
+{
+	struct answer *a = answer_new(ERR_NONE);
+
+	feed_state_print(f->digest, f->version, f->text, f->workers, &a->body);
+	reply->ops->answer(reply, a);
+}
+
+/* The halves of a digest are the configuration's and the workers'. */
+static void adopt(struct feed *f, struct news *n)
+{
+	struct feed_state *s = &n->state;
+	struct feed_listener *l = f->settings.listener;
+
+	if (s->text && s->version > f->version) {
+		n->version = s->version;
+		n->text = s->text;
+		s->text = NULL;
+		take_configuration(f, n);
+	}
+	if ((uint32_t)s->digest >= (uint32_t)f->digest &&
+	    feed_table_replace(f->workers, s->workers, s->count,
+			       f->duty.now_us))
+		want_build(f);
+	if ((uint32_t)s->digest < (uint32_t)f->digest ||
+	    s->digest >> 32 < f->digest >> 32)
+		return;
+	f->digest = s->digest;
+	if (l)
+		l->ops->adopted(l, f->digest);
+}
+
 static void put_workers(struct feed *f, const struct news *n)
 {
 	for (uint32_t i = 0; i < n->count; i++) {
@@ -181,6 +220,15 @@
 	case NEWS_BACK:
 		feed_table_source_back(f->workers, now_us);
 		break;
+	case NEWS_DIGEST:
+		f->digest = n->version;
+		break;
+	case NEWS_ADOPT:
+		adopt(f, n);
+		break;
+	case NEWS_SERVE:
+		serve(f, n->reply);
+		break;
 	}
 	/* Held entries need a look when their time has come. */
 	if (!f->build_at_us) {
@@ -192,8 +240,12 @@
 
 static void news_drop(struct msg *m)
 {
+	struct news *n = az_container_of(m, struct news, msg);
+
 	log_write(LOG_ERROR, "feed", "news dropped, as the ring is full");
-	news_free(az_container_of(m, struct news, msg));
+	if (n->reply)
+		reply_refuse(n->reply, ERR_OVERLOADED);
+	news_free(n);
 }
 
 static const struct msg_ops news_ops = { "feed-news", news_run, news_drop };
@@ -251,6 +303,34 @@
 	push(f, news_new(NEWS_REMOVE, name));
 }
 
+void feed_note_digest(struct feed *f, uint64_t digest)
+{
+	struct news *n = news_new(NEWS_DIGEST, NULL);
+
+	n->version = digest;
+	push(f, n);
+}
+
+void feed_serve(struct feed *f, struct reply_to *reply)
+{
+	struct news *n = news_new(NEWS_SERVE, NULL);
+
+	n->reply = reply;
+	push(f, n);
+}
+
+enum az_status feed_adopt(struct feed *f, const struct buf *data)
+{
+	struct news *n = news_new(NEWS_ADOPT, NULL);
+	enum az_status s = feed_state_parse(data, &n->state);
+
+	if (s == AZ_OK)
+		push(f, n);
+	else
+		news_free(n);
+	return s;
+}
+
 void feed_source_lost(struct feed *f)
 {
 	push(f, news_new(NEWS_LOST, NULL));
--- a/feed/feed.h
+++ b/feed/feed.h
@@ -72,12 +72,41 @@
 void feed_table_print(const struct feed_table *t, const char *text,
 		      struct buf *out);
 
+/* ---- state as one text (state.c) ---- */
+
+/** All that a feed holds. */
+struct feed_state {
+	uint64_t digest;
+	uint64_t version;
+	char *text; /**< of the configuration; owned, may be NULL */
+	uint32_t count;
+	struct feed_worker *workers; /**< owned */
+};
+
+void feed_state_print(uint64_t digest, uint64_t version, const char *text,
+		      const struct feed_table *workers, struct buf *out);
+/** AZ_INVALID if it is malformed; then `out` owns nothing. */
+enum az_status feed_state_parse(const struct buf *data, struct feed_state *out);
+void feed_state_free(struct feed_state *s);
+
 /* ---- the duty ---- */
 
 struct feed;
 
+struct feed_listener;
+
+struct feed_listener_ops {
+	/** Another daemon's state was taken, from the feed's thread. */
+	void (*adopted)(struct feed_listener *l, uint64_t digest);
+};
+
+struct feed_listener {
+	const struct feed_listener_ops *ops;
+};
+
 struct feed_settings {
 	struct conf_current *current;
+	struct feed_listener *listener; /**< or NULL */
 };
 
 struct feed *feed_create(const struct feed_settings *s,
@@ -93,6 +122,13 @@
 void feed_replace_workers(struct feed *f, const struct feed_worker *list,
 			  uint32_t count);
 void feed_remove_worker(struct feed *f, const char *name);
+/** All news up to `digest` were told before. Any thread. */
+void feed_note_digest(struct feed *f, uint64_t digest);
+/** Answers with all that the feed holds, for feed_adopt(). Any thread. */
+void feed_serve(struct feed *f, struct reply_to *reply);
+/** Takes what another daemon's feed_serve() gave, unless this daemon has got
+ * farther. AZ_INVALID if it cannot be read. Any thread. */
+enum az_status feed_adopt(struct feed *f, const struct buf *data);
 /** The source of workers stopped answering, or answers again. Any thread. */
 void feed_source_lost(struct feed *f);
 void feed_source_back(struct feed *f);
--- a/feed/feed_test.c
+++ b/feed/feed_test.c
@@ -165,7 +165,7 @@
 
 int main(void)
 {
-	struct feed_settings fs;
+	struct feed_settings fs = { 0 };
 	apr_pool_t *pool;
 	CU_pSuite s;
 
--- /dev/null
+++ b/feed/relay.h
@@ -0,0 +1,72 @@
+/**
+ * @file
+ * Spares calls to the source: two daemons of a data centre watch it and tell
+ * the others of their data centre, which fetch what is new from them. A daemon
+ * that hears nothing watches for itself.
+ */
+#ifndef FEED_RELAY_H
+#define FEED_RELAY_H
+
+#include "feed/feed.h"
+#include "member/member.h"
+#include "peer/peer.h"
+
+/** Daemons of a data centre that watch the source. */
+#define RELAY_WATCHERS 2
+
+/* ---- decisions (role.c): plain state, time passed in ---- */
+
+/** News are repeated this often; three that are missed in a row are silence. */
+#define RELAY_PERIOD_US (500 * US_PER_MS)
+#define RELAY_SILENCE_US (1600 * US_PER_MS)
+
+struct relay_role {
+	bool chosen; /**< one of the watchers of its data centre */
+	int64_t heard_us; /**< last news of a watcher that reaches the source */
+	uint32_t failures; /**< fetches that failed in a row */
+};
+
+/** True if this daemon is to watch the source itself. */
+bool relay_watches(const struct relay_role *r, int64_t now_us);
+/** True if `theirs` tells of anything that `ours` does not: the halves of a
+ * digest count apart. */
+bool relay_is_news(uint64_t ours, uint64_t theirs);
+
+/* ---- the duty ---- */
+
+struct relay;
+struct relay_watch;
+
+struct relay_watch_ops {
+	/** Starts or stops watching the source. Any thread. */
+	void (*set_active)(struct relay_watch *w, bool active);
+	/** The source does not answer this daemon. */
+	bool (*is_away)(struct relay_watch *w);
+};
+
+struct relay_watch {
+	const struct relay_watch_ops *ops;
+};
+
+struct relay_settings {
+	uint32_t ip;
+	uint16_t port; /**< UDP; the same on all daemons */
+	uint64_t member_id;
+	uint64_t incarnation;
+	uint32_t dc;
+	struct membership *membership;
+	struct peer *peer;
+	struct feed *feed;
+	struct relay_watch *watch;
+};
+
+struct relay *relay_create(const struct relay_settings *s,
+			   struct timer_service *timers);
+enum az_status relay_start(struct relay *r);
+void relay_stop(struct relay *r);
+void relay_set_keys(struct relay *r, const struct fleet_keys *keys);
+/** The source or another daemon has told this daemon up to `digest`. Any
+ * thread. */
+void relay_note(struct relay *r, uint64_t digest);
+
+#endif
--- a/target/attempt/decide.d
+++ b/target/attempt/decide.d
@@ -9,8 +9,8 @@
  /usr/include/apr-1.0/apr_inherit.h /usr/include/apr-1.0/apr_perms_set.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- home/home.h /usr/include/apr-1.0/apr_hash.h cell/cell.h health/health.h \
- member/member.h upstream/upstream.h peer/peer.h ticket/ticket.h
+ home/home.h /usr/include/apr-1.0/apr_hash.h member/member.h peer/peer.h \
+ ticket/ticket.h upstream/upstream.h
 attempt/attempt.h:
 conf/conf.h:
 lib/az.h:
@@ -35,9 +35,7 @@
 /usr/include/apr-1.0/apr_thread_proc.h:
 home/home.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-health/health.h:
 member/member.h:
-upstream/upstream.h:
 peer/peer.h:
 ticket/ticket.h:
+upstream/upstream.h:
--- a/target/cmd/azhd/azhd.d
+++ b/target/cmd/azhd/azhd.d
@@ -12,9 +12,9 @@
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
  conf/conf.h attempt/attempt.h home/home.h \
- /usr/include/apr-1.0/apr_hash.h cell/cell.h health/health.h \
- member/member.h upstream/upstream.h peer/peer.h ticket/ticket.h \
- feed/feed.h front/front.h platform/platform.h route/route.h
+ /usr/include/apr-1.0/apr_hash.h member/member.h peer/peer.h \
+ ticket/ticket.h upstream/upstream.h feed/feed.h feed/relay.h \
+ front/front.h platform/platform.h
 /usr/include/apr-1.0/apr_general.h:
 /usr/include/apr-1.0/apr.h:
 /usr/include/apr-1.0/apr_pools.h:
@@ -43,13 +43,11 @@
 attempt/attempt.h:
 home/home.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-health/health.h:
 member/member.h:
-upstream/upstream.h:
 peer/peer.h:
 ticket/ticket.h:
+upstream/upstream.h:
 feed/feed.h:
+feed/relay.h:
 front/front.h:
 platform/platform.h:
-route/route.h:
--- a/target/cmd/azhd/drain.d
+++ b/target/cmd/azhd/drain.d
@@ -10,9 +10,9 @@
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
  conf/conf.h attempt/attempt.h home/home.h \
- /usr/include/apr-1.0/apr_hash.h cell/cell.h health/health.h \
- member/member.h upstream/upstream.h peer/peer.h ticket/ticket.h \
- feed/feed.h front/front.h platform/platform.h route/route.h
+ /usr/include/apr-1.0/apr_hash.h member/member.h peer/peer.h \
+ ticket/ticket.h upstream/upstream.h feed/feed.h feed/relay.h \
+ front/front.h platform/platform.h
 cmd/azhd/azhd.h:
 admin/admin.h:
 lib/az.h:
@@ -39,13 +39,11 @@
 attempt/attempt.h:
 home/home.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-health/health.h:
 member/member.h:
-upstream/upstream.h:
 peer/peer.h:
 ticket/ticket.h:
+upstream/upstream.h:
 feed/feed.h:
+feed/relay.h:
 front/front.h:
 platform/platform.h:
-route/route.h:
--- a/target/cmd/azhd/status.d
+++ b/target/cmd/azhd/status.d
@@ -11,9 +11,9 @@
  /usr/include/apr-1.0/apr_perms_set.h /usr/include/apr-1.0/apr_poll.h \
  /usr/include/apr-1.0/apr_network_io.h /usr/include/apr-1.0/apr_pools.h \
  /usr/include/apr-1.0/apr_thread_proc.h conf/conf.h attempt/attempt.h \
- home/home.h /usr/include/apr-1.0/apr_hash.h cell/cell.h health/health.h \
- member/member.h upstream/upstream.h peer/peer.h ticket/ticket.h \
- feed/feed.h front/front.h platform/platform.h route/route.h
+ home/home.h /usr/include/apr-1.0/apr_hash.h member/member.h peer/peer.h \
+ ticket/ticket.h upstream/upstream.h feed/feed.h feed/relay.h \
+ front/front.h platform/platform.h
 /usr/include/apr-1.0/apr_strings.h:
 /usr/include/apr-1.0/apr.h:
 /usr/include/apr-1.0/apr_errno.h:
@@ -41,13 +41,11 @@
 attempt/attempt.h:
 home/home.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-health/health.h:
 member/member.h:
-upstream/upstream.h:
 peer/peer.h:
 ticket/ticket.h:
+upstream/upstream.h:
 feed/feed.h:
+feed/relay.h:
 front/front.h:
 platform/platform.h:
-route/route.h:
--- a/target/conf/links.d
+++ b/target/conf/links.d
@@ -9,8 +9,8 @@
  /usr/include/apr-1.0/apr_inherit.h /usr/include/apr-1.0/apr_perms_set.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- member/member.h peer/peer.h /usr/include/apr-1.0/apr_hash.h cell/cell.h \
- health/health.h upstream/upstream.h ticket/ticket.h
+ member/member.h peer/peer.h /usr/include/apr-1.0/apr_hash.h \
+ ticket/ticket.h
 conf/conf.h:
 lib/az.h:
 /usr/include/apr-1.0/apr_network_io.h:
@@ -35,7 +35,4 @@
 member/member.h:
 peer/peer.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-health/health.h:
-upstream/upstream.h:
 ticket/ticket.h:
--- a/target/front/conn.d
+++ b/target/front/conn.d
@@ -14,8 +14,8 @@
  /usr/include/apr-1.0/apr_network_io.h /usr/include/apr-1.0/apr_poll.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
  conf/conf.h member/member.h ticket/ticket.h attempt/attempt.h \
- home/home.h /usr/include/apr-1.0/apr_hash.h cell/cell.h health/health.h \
- upstream/upstream.h peer/peer.h
+ home/home.h /usr/include/apr-1.0/apr_hash.h peer/peer.h \
+ upstream/upstream.h
 /usr/include/apr-1.0/apr_portable.h:
 /usr/include/apr-1.0/apr.h:
 /usr/include/apr-1.0/apr_pools.h:
@@ -49,7 +49,5 @@
 attempt/attempt.h:
 home/home.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-health/health.h:
-upstream/upstream.h:
 peer/peer.h:
+upstream/upstream.h:
--- a/target/front/exchange.d
+++ b/target/front/exchange.d
@@ -10,8 +10,8 @@
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
  conf/conf.h member/member.h ticket/ticket.h attempt/attempt.h \
- home/home.h /usr/include/apr-1.0/apr_hash.h cell/cell.h health/health.h \
- upstream/upstream.h peer/peer.h
+ home/home.h /usr/include/apr-1.0/apr_hash.h peer/peer.h \
+ upstream/upstream.h
 front/front.h:
 lib/az.h:
 /usr/include/apr-1.0/apr_network_io.h:
@@ -39,7 +39,5 @@
 attempt/attempt.h:
 home/home.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-health/health.h:
-upstream/upstream.h:
 peer/peer.h:
+upstream/upstream.h:
--- a/target/home/choose.d
+++ b/target/home/choose.d
@@ -4,14 +4,13 @@
  /usr/include/apr-1.0/apr_general.h /usr/include/apr-1.0/apr_want.h \
  /usr/include/apr-1.0/apr_allocator.h \
  /usr/include/apr-1.0/apr_thread_mutex.h /usr/include/apr-1.0/apr_time.h \
- cell/cell.h lib/az.h /usr/include/apr-1.0/apr_network_io.h \
+ conf/conf.h lib/az.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_file_io.h /usr/include/apr-1.0/apr_file_info.h \
  /usr/include/apr-1.0/apr_user.h /usr/include/apr-1.0/apr_tables.h \
  /usr/include/apr-1.0/apr_inherit.h /usr/include/apr-1.0/apr_perms_set.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- conf/conf.h health/health.h member/member.h upstream/upstream.h \
- peer/peer.h ticket/ticket.h
+ member/member.h peer/peer.h ticket/ticket.h
 home/home.h:
 /usr/include/apr-1.0/apr_hash.h:
 /usr/include/apr-1.0/apr_pools.h:
@@ -22,7 +21,7 @@
 /usr/include/apr-1.0/apr_allocator.h:
 /usr/include/apr-1.0/apr_thread_mutex.h:
 /usr/include/apr-1.0/apr_time.h:
-cell/cell.h:
+conf/conf.h:
 lib/az.h:
 /usr/include/apr-1.0/apr_network_io.h:
 /usr/include/apr-1.0/apr_file_io.h:
@@ -35,9 +34,6 @@
 /usr/include/apr-1.0/apr_network_io.h:
 /usr/include/apr-1.0/apr_pools.h:
 /usr/include/apr-1.0/apr_thread_proc.h:
-conf/conf.h:
-health/health.h:
 member/member.h:
-upstream/upstream.h:
 peer/peer.h:
 ticket/ticket.h:
--- a/target/home/wire.d
+++ b/target/home/wire.d
@@ -5,14 +5,13 @@
  /usr/include/apr-1.0/apr_general.h /usr/include/apr-1.0/apr_want.h \
  /usr/include/apr-1.0/apr_allocator.h \
  /usr/include/apr-1.0/apr_thread_mutex.h /usr/include/apr-1.0/apr_time.h \
- cell/cell.h lib/az.h /usr/include/apr-1.0/apr_network_io.h \
+ conf/conf.h lib/az.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_file_io.h /usr/include/apr-1.0/apr_file_info.h \
  /usr/include/apr-1.0/apr_user.h /usr/include/apr-1.0/apr_tables.h \
  /usr/include/apr-1.0/apr_inherit.h /usr/include/apr-1.0/apr_perms_set.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- conf/conf.h health/health.h member/member.h upstream/upstream.h \
- peer/peer.h ticket/ticket.h
+ member/member.h peer/peer.h ticket/ticket.h
 /usr/include/tirpc/rpc/types.h:
 /usr/include/tirpc/netconfig.h:
 /usr/include/tirpc/rpc/xdr.h:
@@ -26,7 +25,7 @@
 /usr/include/apr-1.0/apr_allocator.h:
 /usr/include/apr-1.0/apr_thread_mutex.h:
 /usr/include/apr-1.0/apr_time.h:
-cell/cell.h:
+conf/conf.h:
 lib/az.h:
 /usr/include/apr-1.0/apr_network_io.h:
 /usr/include/apr-1.0/apr_file_io.h:
@@ -39,9 +38,6 @@
 /usr/include/apr-1.0/apr_network_io.h:
 /usr/include/apr-1.0/apr_pools.h:
 /usr/include/apr-1.0/apr_thread_proc.h:
-conf/conf.h:
-health/health.h:
 member/member.h:
-upstream/upstream.h:
 peer/peer.h:
 ticket/ticket.h:
--- a/target/member/member.d
+++ b/target/member/member.d
@@ -10,8 +10,7 @@
  /usr/include/apr-1.0/apr_thread_mutex.h member/member.h lib/az.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- peer/peer.h /usr/include/apr-1.0/apr_hash.h cell/cell.h conf/conf.h \
- health/health.h upstream/upstream.h ticket/ticket.h
+ peer/peer.h /usr/include/apr-1.0/apr_hash.h ticket/ticket.h
 /usr/include/apr-1.0/apr_network_io.h:
 /usr/include/apr-1.0/apr.h:
 /usr/include/apr-1.0/apr_pools.h:
@@ -36,8 +35,4 @@
 /usr/include/apr-1.0/apr_thread_proc.h:
 peer/peer.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-conf/conf.h:
-health/health.h:
-upstream/upstream.h:
 ticket/ticket.h:
--- a/target/member/wire.d
+++ b/target/member/wire.d
@@ -10,8 +10,7 @@
  /usr/include/apr-1.0/apr_inherit.h /usr/include/apr-1.0/apr_perms_set.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- peer/peer.h /usr/include/apr-1.0/apr_hash.h cell/cell.h conf/conf.h \
- health/health.h upstream/upstream.h ticket/ticket.h
+ peer/peer.h /usr/include/apr-1.0/apr_hash.h ticket/ticket.h
 /usr/include/tirpc/rpc/types.h:
 /usr/include/tirpc/netconfig.h:
 /usr/include/tirpc/rpc/xdr.h:
@@ -38,8 +37,4 @@
 /usr/include/apr-1.0/apr_thread_proc.h:
 peer/peer.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-conf/conf.h:
-health/health.h:
-upstream/upstream.h:
 ticket/ticket.h:
--- a/target/peer/auth.d
+++ b/target/peer/auth.d
@@ -10,8 +10,7 @@
  /usr/include/apr-1.0/apr_inherit.h /usr/include/apr-1.0/apr_perms_set.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- cell/cell.h conf/conf.h health/health.h member/member.h \
- upstream/upstream.h ticket/ticket.h
+ ticket/ticket.h
 peer/peer.h:
 /usr/include/apr-1.0/apr_hash.h:
 /usr/include/apr-1.0/apr_pools.h:
@@ -34,9 +33,4 @@
 /usr/include/apr-1.0/apr_network_io.h:
 /usr/include/apr-1.0/apr_pools.h:
 /usr/include/apr-1.0/apr_thread_proc.h:
-cell/cell.h:
-conf/conf.h:
-health/health.h:
-member/member.h:
-upstream/upstream.h:
 ticket/ticket.h:
--- a/target/peer/conn.d
+++ b/target/peer/conn.d
@@ -9,8 +9,7 @@
  /usr/include/apr-1.0/apr_perms_set.h peer/peer.h lib/az.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- cell/cell.h conf/conf.h health/health.h member/member.h \
- upstream/upstream.h ticket/ticket.h
+ ticket/ticket.h
 /usr/include/apr-1.0/apr_hash.h:
 /usr/include/apr-1.0/apr_pools.h:
 /usr/include/apr-1.0/apr.h:
@@ -33,9 +32,4 @@
 /usr/include/apr-1.0/apr_network_io.h:
 /usr/include/apr-1.0/apr_pools.h:
 /usr/include/apr-1.0/apr_thread_proc.h:
-cell/cell.h:
-conf/conf.h:
-health/health.h:
-member/member.h:
-upstream/upstream.h:
 ticket/ticket.h:
--- a/target/peer/rpc.d
+++ b/target/peer/rpc.d
@@ -20,8 +20,7 @@
  /usr/include/apr-1.0/apr_inherit.h /usr/include/apr-1.0/apr_perms_set.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- cell/cell.h conf/conf.h health/health.h member/member.h \
- upstream/upstream.h ticket/ticket.h
+ ticket/ticket.h
 /usr/include/tirpc/rpc/rpc.h:
 /usr/include/tirpc/rpc/types.h:
 /usr/include/tirpc/netconfig.h:
@@ -64,9 +63,4 @@
 /usr/include/apr-1.0/apr_network_io.h:
 /usr/include/apr-1.0/apr_pools.h:
 /usr/include/apr-1.0/apr_thread_proc.h:
-cell/cell.h:
-conf/conf.h:
-health/health.h:
-member/member.h:
-upstream/upstream.h:
 ticket/ticket.h:
--- a/target/ticket/present.d
+++ b/target/ticket/present.d
@@ -9,9 +9,8 @@
  /usr/include/apr-1.0/apr_inherit.h /usr/include/apr-1.0/apr_perms_set.h \
  /usr/include/apr-1.0/apr_poll.h /usr/include/apr-1.0/apr_network_io.h \
  /usr/include/apr-1.0/apr_pools.h /usr/include/apr-1.0/apr_thread_proc.h \
- peer/peer.h /usr/include/apr-1.0/apr_hash.h cell/cell.h conf/conf.h \
- health/health.h upstream/upstream.h ticket/ticket.h attempt/attempt.h \
- home/home.h
+ peer/peer.h /usr/include/apr-1.0/apr_hash.h ticket/ticket.h \
+ attempt/attempt.h conf/conf.h home/home.h upstream/upstream.h
 member/member.h:
 lib/az.h:
 /usr/include/apr-1.0/apr_network_io.h:
@@ -35,10 +34,8 @@
 /usr/include/apr-1.0/apr_thread_proc.h:
 peer/peer.h:
 /usr/include/apr-1.0/apr_hash.h:
-cell/cell.h:
-conf/conf.h:
-health/health.h:
-upstream/upstream.h:
 ticket/ticket.h:
 attempt/attempt.h:
+conf/conf.h:
 home/home.h:
+upstream/upstream.h:
