--- a/front/exchange.c
+++ b/front/exchange.c
@@ -4,6 +4,13 @@
 #include "front/front.h"
 #include "attempt/attempt.h"
 
+/* A refused caller reaches another daemon on its next connection. */
+#define RETRY_ELSEWHERE_US (50 * US_PER_MS)
+/* Those that this daemon refuses for itself come back spread over as long
+ * again: a daemon that starts knows its configuration in about half a second.
+ */
+#define RETRY_HERE_US (250 * US_PER_MS)
+
 void exchange_free(struct exchange *x)
 {
 	x->front->body_bytes -= x->body.len_bytes;
@@ -122,6 +129,13 @@
 	x->answer = answer_new(k);
 	if (k != ERR_NONE && !refusal_proves_not_run(k, x->has_ticket))
 		x->answer->outcome = OUTCOME_UNKNOWN;
+	/* Another daemon can take it at once, or this one soon. */
+	if (error_info(k)->retryable && x->answer->outcome == OUTCOME_NOT_RUN)
+		x->answer->retry_after_us =
+			k == ERR_STOPPING ?
+				RETRY_ELSEWHERE_US :
+				RETRY_HERE_US +
+					(int64_t)(random_u64() % RETRY_HERE_US);
 }
 
 struct answer_msg {
