--- /dev/null
+++ b/feed/relay_test.c
@@ -0,0 +1,84 @@
+#include <stdlib.h>
+#include <string.h>
+#include <CUnit/Basic.h>
+#include <apr_general.h>
+
+#include "feed/relay.h"
+
+/* Guards against a daemon that relies on watchers which are gone, cut off or
+ * do not reach the source themselves: those say nothing. */
+static void test_silence_makes_a_daemon_watch(void)
+{
+	struct relay_role r = { .heard_us = US_PER_S };
+
+	CU_ASSERT(!relay_watches(&r, US_PER_S + RELAY_SILENCE_US));
+	CU_ASSERT(relay_watches(&r, US_PER_S + RELAY_SILENCE_US + 1));
+	r.failures = 2;
+	CU_ASSERT(relay_watches(&r, US_PER_S));
+	r = (struct relay_role){ 0 };
+	CU_ASSERT(relay_watches(&r, 0));
+	r = (struct relay_role){ .chosen = true, .heard_us = US_PER_S };
+	CU_ASSERT(relay_watches(&r, US_PER_S));
+}
+
+/* Guards against news of one kind that hide behind the other's. */
+static void test_each_half_counts(void)
+{
+	CU_ASSERT(!relay_is_news(0x500000005, 0x500000005));
+	CU_ASSERT(relay_is_news(0x500000005, 0x600000004));
+	CU_ASSERT(relay_is_news(0x500000005, 0x400000006));
+	CU_ASSERT(!relay_is_news(0x500000005, 0x400000004));
+}
+
+/* Guards against workers or a configuration that change between daemons, and
+ * malformed states that are taken. */
+static void test_state_crosses_whole(void)
+{
+	struct feed_table *t = feed_table_create();
+	struct feed_worker w = { .name = "w1",
+				 .service = "stock",
+				 .data_centre = "a1",
+				 .ip = 0x7f000001,
+				 .port = 8080,
+				 .slots = 6,
+				 .leaving = true,
+				 .boot = 1767225600000,
+				 .cold_ms = 300,
+				 .revision = 9 };
+	struct feed_state s;
+	struct buf out = { 0 };
+
+	feed_table_put(t, &w);
+	feed_state_print(7, 3, "[service stock]\n", t, &out);
+	CU_ASSERT_EQUAL(feed_state_parse(&out, &s), AZ_OK);
+	CU_ASSERT_EQUAL(s.digest, 7);
+	CU_ASSERT_EQUAL(s.version, 3);
+	CU_ASSERT_STRING_EQUAL(s.text, "[service stock]\n");
+	CU_ASSERT_EQUAL_FATAL(s.count, 1);
+	CU_ASSERT_STRING_EQUAL(s.workers[0].name, "w1");
+	CU_ASSERT_EQUAL(s.workers[0].port, 8080);
+	CU_ASSERT_EQUAL(s.workers[0].boot, 1767225600000);
+	CU_ASSERT(s.workers[0].leaving);
+	feed_state_free(&s);
+	for (; out.len_bytes; out.len_bytes--) {
+		struct buf less = { out.data, out.len_bytes - 1, 0 };
+
+		CU_ASSERT_EQUAL(feed_state_parse(&less, &s), AZ_INVALID);
+	}
+	buf_free(&out);
+	feed_table_destroy(t);
+}
+
+int main(void)
+{
+	CU_pSuite s;
+
+	apr_initialize();
+	CU_initialize_registry();
+	s = CU_add_suite("relay", NULL, NULL);
+	CU_add_test(s, "silence", test_silence_makes_a_daemon_watch);
+	CU_add_test(s, "halves", test_each_half_counts);
+	CU_add_test(s, "state", test_state_crosses_whole);
+	CU_basic_run_tests();
+	return CU_get_number_of_failures() != 0;
+}
--- a/home/home_test.c
+++ b/home/home_test.c
@@ -186,6 +186,27 @@
 	CU_ASSERT_PTR_EQUAL(q.head[RANK_NORMAL], &items[0]);
 }
 
+/* Guards against repeats beyond the fleet's budget, also by homes that come and
+ * go: an empty bucket allows none. */
+static void test_repeats_are_a_share_of_first_asks(void)
+{
+	struct retry_budget b;
+	uint32_t repeats = 0;
+
+	retry_budget_init(&b, 10);
+	CU_ASSERT(!retry_budget_take(&b));
+	for (uint32_t i = 0; i < 100; i++) {
+		retry_budget_request(&b, 20);
+		repeats += retry_budget_take(&b);
+	}
+	CU_ASSERT_EQUAL(repeats, 20);
+	for (uint32_t i = 0; i < 1000; i++)
+		retry_budget_request(&b, 20);
+	for (repeats = 0; retry_budget_take(&b); repeats++)
+		;
+	CU_ASSERT_EQUAL(repeats, 10);
+}
+
 /* ---- encoding ---- */
 
 static struct fleet_keys keys(uint8_t byte)
@@ -294,6 +315,7 @@
 	CU_add_test(s, "near", test_full_near_worker_is_waited_for);
 	CU_add_test(s, "hung", test_hung_slots_do_not_count);
 	CU_add_test(s, "hopeless", test_hopeless_work_is_taken_out_early);
+	CU_add_test(s, "budget", test_repeats_are_a_share_of_first_asks);
 	CU_add_test(s, "messages", test_messages_cross_whole);
 	CU_add_test(s, "gray",
 		    test_gray_workers_cost_less_than_with_simple_choices);
