--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -439,10 +439,11 @@
 		st = platform_source_start(d->source_of_conf);
 	if (st == AZ_OK && d->settings.keys.count)
 		set_keys(d, &d->settings.keys);
-	if (st == AZ_OK && d->admin)
-		st = admin_start(d->admin);
 	if (st == AZ_OK)
 		st = front_start(d->front);
+	/* Last, as who asks it for the status may then send requests. */
+	if (st == AZ_OK && d->admin)
+		st = admin_start(d->admin);
 	return st;
 }
 
