--- a/lib/net.c
+++ b/lib/net.c
@@ -117,7 +117,7 @@
 uint32_t net_receive(apr_socket_t *sock, uint8_t *data, uint32_t cap_bytes,
 		     uint32_t *ip, uint16_t *port)
 {
-	struct sockaddr_in from;
+	struct sockaddr_in from = { 0 };
 	socklen_t len = sizeof(from);
 	apr_os_sock_t fd = -1;
 	ssize_t n;
