--- a/attempt/attempt.c
+++ b/attempt/attempt.c
@@ -520,3 +520,20 @@
 {
 	duty_stop(&a->duty);
 }
+
+void attempts_destroy(struct attempts *a)
+{
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, a->pending); i; i = apr_hash_next(i)) {
+		struct pending *p = apr_hash_this_val(i);
+
+		answer_free(p->last);
+		request_free(p->request);
+		free(p);
+	}
+	for (i = apr_hash_first(NULL, a->untold); i; i = apr_hash_next(i))
+		free(apr_hash_this_val(i));
+	duty_destroy(&a->duty);
+	free(a);
+}
--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -66,6 +66,8 @@
 				 struct timer_service *timers);
 enum az_status attempts_start(struct attempts *a);
 void attempts_stop(struct attempts *a);
+/** Once stopped, and when no worker's result can arrive any more. */
+void attempts_destroy(struct attempts *a);
 void attempts_set_keys(struct attempts *a, const struct fleet_keys *keys);
 /** Takes ownership of `q`; `reply` gets exactly one answer. Returns the id that
  * names it in a cancel. Any thread. */
--- a/attempt/attempt_test.c
+++ b/attempt/attempt_test.c
@@ -296,6 +296,11 @@
 	home_stop(home);
 	membership_stop(membership);
 	timer_service_stop(timers);
+	attempts_destroy(attempts);
+	upstream_destroy(up);
+	home_destroy(home);
+	membership_destroy(membership);
+	apr_pool_destroy(pool);
 }
 
 int main(void)
--- a/feed/feed_test.c
+++ b/feed/feed_test.c
@@ -188,5 +188,6 @@
 	CU_basic_run_tests();
 	feed_stop(feed);
 	timer_service_stop(timers);
+	apr_pool_destroy(pool);
 	return CU_get_number_of_failures() != 0;
 }
--- a/front/front.c
+++ b/front/front.c
@@ -175,3 +175,8 @@
 	duty_stop(&f->duty);
 	limiter_destroy(f->limiter);
 }
+
+void front_destroy(struct front *f)
+{
+	duty_destroy(&f->duty);
+}
--- a/front/front.h
+++ b/front/front.h
@@ -189,6 +189,8 @@
 /** Open connections of callers. */
 uint32_t front_connections(struct front *f);
 void front_stop(struct front *f);
+/** Once stopped, and when no answer can arrive any more. */
+void front_destroy(struct front *f);
 
 /* ---- between the files of this slice ---- */
 
--- a/home/home.c
+++ b/home/home.c
@@ -648,3 +648,9 @@
 {
 	duty_stop(&h->duty);
 }
+
+void home_destroy(struct home *h)
+{
+	duty_destroy(&h->duty);
+	free(h);
+}
--- a/home/home.h
+++ b/home/home.h
@@ -244,6 +244,8 @@
 			 struct timer_service *timers);
 enum az_status home_start(struct home *h);
 void home_stop(struct home *h);
+/** Once stopped, and when nobody can ask any more. */
+void home_destroy(struct home *h);
 void home_set_keys(struct home *h, const struct fleet_keys *keys);
 /** What the status page shows of a cell homed here. */
 struct home_info {
