--- a/front/conn.c
+++ b/front/conn.c
@@ -341,15 +341,10 @@
 	c->phase = x->head.keep_alive ? PHASE_HEAD : PHASE_DEAF;
 	c->due_us = 0;
 	if (c->balancer_only) {
-		bool health = !strcmp(head_target(&x->head), HEALTH_PATH);
-
 		x->close_after = true;
-		exchange_refuse(
-			x, !health		       ? ERR_UNKNOWN_ROUTE :
-			   front_is_stopping(c->front) ? ERR_STOPPING :
-			   __atomic_load_n(&c->front->ready, __ATOMIC_ACQUIRE) ?
-							 ERR_NONE :
-							 ERR_NOT_CONFIGURED);
+		exchange_refuse(x, strcmp(head_target(&x->head), HEALTH_PATH) ?
+					   ERR_UNKNOWN_ROUTE :
+					   front_health(c->front));
 		return;
 	}
 	exchange_submit(x);
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -190,15 +190,6 @@
 	__atomic_add_fetch(&x->front->in_flight, 1, __ATOMIC_RELAXED);
 }
 
-static enum error_kind health(const struct exchange *x)
-{
-	if (front_is_stopping(x->front))
-		return ERR_STOPPING;
-	return __atomic_load_n(&x->front->ready, __ATOMIC_ACQUIRE) ?
-		       ERR_NONE :
-		       ERR_NOT_CONFIGURED;
-}
-
 static void ticket_status(struct exchange *x, const char *text)
 {
 	struct ticket t;
@@ -300,7 +291,7 @@
 	span_start(&x->span, head_value(&x->head, "traceparent"));
 	if (f->dialect == front_own_dialect.ops) {
 		if (!strcmp(path, HEALTH_PATH)) {
-			exchange_refuse(x, health(x));
+			exchange_refuse(x, front_health(f));
 			return;
 		}
 		if (!strncmp(path, TICKET_PATH, strlen(TICKET_PATH)) &&
--- a/front/front.c
+++ b/front/front.c
@@ -33,6 +33,15 @@
 	return __atomic_load_n(&f->quiesced, __ATOMIC_ACQUIRE);
 }
 
+enum error_kind front_health(const struct front *f)
+{
+	if (front_is_stopping(f))
+		return ERR_STOPPING;
+	return __atomic_load_n(&f->ready, __ATOMIC_ACQUIRE) ?
+		       ERR_NONE :
+		       ERR_NOT_CONFIGURED;
+}
+
 void front_set_ready(struct front *f)
 {
 	__atomic_store_n(&f->ready, 1, __ATOMIC_RELEASE);
--- a/front/front.h
+++ b/front/front.h
@@ -246,6 +246,8 @@
 
 bool front_is_stopping(const struct front *f);
 bool front_is_quiesced(const struct front *f);
+/** What the balancer's health check is answered; ERR_NONE: ready. */
+enum error_kind front_health(const struct front *f);
 /** A request is whole: it is refused or passed on. */
 void exchange_submit(struct exchange *x);
 /** Gives the exchange its answer without passing it on. */
