One sealing of datagrams, one way to set a duty's value; dead parts removed

Cause: read of the whole change. Keys were set by three copies of one message (attempt/, home/, feed/relay.c), and datagrams sealed by two copies of magic number, key id and MAC. Change: duty_assign() in lib/, fleet_seal() and fleet_open() in peer/auth.c; the choice that let a queued ask through is kept and not made again; limits are read once for a head; attempts_is_bad_path(), first_byte_us and heard_digest, which nobody read, are gone. Behaviour stays as it is. The twin in member/wire.c, which also has a mode without keys, is left.

--- a/attempt/ask.c
+++ b/attempt/ask.c
@@ -45,15 +45,6 @@
 	oldest->until_us = a->duty.now_us + SUSPECT_US;
 }
 
-bool attempts_is_bad_path(const struct attempts *a, uint64_t worker)
-{
-	for (uint32_t i = 0; i < BAD_PATHS_MAX; i++)
-		if (a->bad_paths[i].worker == worker &&
-		    a->bad_paths[i].until_us > a->duty.now_us)
-			return true;
-	return false;
-}
-
 void attempts_note_bad_path(struct attempts *a, uint64_t worker)
 {
 	struct bad_path *b = &a->bad_paths[a->next_bad_path++ % BAD_PATHS_MAX];
--- a/attempt/attempt.c
+++ b/attempt/attempt.c
@@ -451,35 +451,9 @@
 
 static const struct duty_ops duty_ops = { "attempt", on_timer, on_stop };
 
-/* ---- keys ---- */
-
-struct keys_msg {
-	struct msg msg;
-	struct fleet_keys keys;
-};
-
-static void keys_run(struct msg *m, struct duty *to)
-{
-	struct keys_msg *k = az_container_of(m, struct keys_msg, msg);
-
-	az_container_of(to, struct attempts, duty)->keys = k->keys;
-	free(k);
-}
-
-static void keys_drop(struct msg *m)
-{
-	free(az_container_of(m, struct keys_msg, msg));
-}
-
-static const struct msg_ops keys_ops = { "attempt-keys", keys_run, keys_drop };
-
 void attempts_set_keys(struct attempts *a, const struct fleet_keys *keys)
 {
-	struct keys_msg *k = az_alloc(sizeof(*k));
-
-	k->msg.ops = &keys_ops;
-	k->keys = *keys;
-	duty_send(&a->duty, &k->msg);
+	duty_assign(&a->duty, &a->keys, keys, sizeof(*keys));
 }
 
 struct attempts *attempts_create(const struct attempt_settings *s,
--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -216,7 +216,6 @@
 		      uint16_t port, bool local);
 /** Sends untold ends again; returns the next time, or INT64_MAX. */
 int64_t attempts_tell_again(struct attempts *a, int64_t now_us);
-bool attempts_is_bad_path(const struct attempts *a, uint64_t worker);
 void attempts_note_bad_path(struct attempts *a, uint64_t worker);
 
 /* send.c */
--- a/feed/relay.c
+++ b/feed/relay.c
@@ -7,8 +7,6 @@
 
 #define RING_SLOTS 1024
 #define MAGIC 0x415a4e31U /* "AZN1" */
-#define MAC_AT 8
-#define SIGNED_AT (MAC_AT + FLEET_MAC_BYTES)
 #define NEWS_MAX_BYTES 64
 #define FETCH_TIMEOUT_US (800 * US_PER_MS)
 
@@ -21,7 +19,6 @@
 	bool active;
 	bool fetching;
 	uint64_t digest; /**< how far this daemon has got */
-	uint64_t heard_digest; /**< how far a watcher has got */
 	struct counter *fetches;
 	struct counter *failures;
 };
@@ -44,39 +41,30 @@
 		       uint8_t out[NEWS_MAX_BYTES])
 {
 	struct news copy = *n;
-	uint32_t head[2] = { htonl(MAGIC) };
 	uint32_t len_bytes;
 	XDR x;
 
 	if (!k->count)
 		return 0;
-	xdrmem_create(&x, (char *)out + SIGNED_AT, NEWS_MAX_BYTES - SIGNED_AT,
-		      XDR_ENCODE);
+	xdrmem_create(&x, (char *)out + FLEET_SEALED_AT,
+		      NEWS_MAX_BYTES - FLEET_SEALED_AT, XDR_ENCODE);
 	if (!code(&x, &copy))
 		return 0;
-	len_bytes = SIGNED_AT + xdr_getpos(&x);
-	head[1] = htonl(fleet_sign(k, out + SIGNED_AT, len_bytes - SIGNED_AT,
-				   out + MAC_AT));
-	memcpy(out, head, sizeof(head));
+	len_bytes = FLEET_SEALED_AT + xdr_getpos(&x);
+	fleet_seal(k, MAGIC, out, len_bytes);
 	return len_bytes;
 }
 
 static bool decode(const uint8_t *data, uint32_t len_bytes,
 		   const struct fleet_keys *k, struct news *out)
 {
-	uint32_t head[2];
 	XDR x;
 
-	if (len_bytes < SIGNED_AT)
+	if (fleet_open(k, MAGIC, data, len_bytes) != AZ_OK)
 		return false;
-	memcpy(head, data, sizeof(head));
-	if (ntohl(head[0]) != MAGIC ||
-	    !fleet_verify(k, ntohl(head[1]), data + SIGNED_AT,
-			  len_bytes - SIGNED_AT, data + MAC_AT))
-		return false;
-	xdrmem_create(&x, (char *)data + SIGNED_AT, len_bytes - SIGNED_AT,
-		      XDR_DECODE);
-	return code(&x, out) && xdr_getpos(&x) == len_bytes - SIGNED_AT;
+	xdrmem_create(&x, (char *)data + FLEET_SEALED_AT,
+		      len_bytes - FLEET_SEALED_AT, XDR_DECODE);
+	return code(&x, out) && xdr_getpos(&x) == len_bytes - FLEET_SEALED_AT;
 }
 
 /* ---- telling ---- */
@@ -234,8 +222,6 @@
 
 struct note {
 	struct msg msg;
-	bool has_keys;
-	struct fleet_keys keys;
 	uint64_t digest;
 };
 
@@ -244,13 +230,9 @@
 	struct note *n = az_container_of(m, struct note, msg);
 	struct relay *r = az_container_of(to, struct relay, duty);
 
-	if (n->has_keys) {
-		r->keys = n->keys;
-	} else {
-		r->digest = n->digest;
-		if (r->role.chosen)
-			tell_data_centre(r);
-	}
+	r->digest = n->digest;
+	if (r->role.chosen)
+		tell_data_centre(r);
 	free(n);
 }
 
@@ -272,12 +254,7 @@
 
 void relay_set_keys(struct relay *r, const struct fleet_keys *keys)
 {
-	struct note *n = az_alloc(sizeof(*n));
-
-	n->msg.ops = &note_ops;
-	n->has_keys = true;
-	n->keys = *keys;
-	duty_send(&r->duty, &n->msg);
+	duty_assign(&r->duty, &r->keys, keys, sizeof(*keys));
 }
 
 /* ---- the duty ---- */
--- a/front/conn.c
+++ b/front/conn.c
@@ -436,7 +436,7 @@
 				uint32_t len_bytes)
 {
 	uint32_t held = c->in.len_bytes;
-	uint32_t max = limits(c->front).header_bytes;
+	struct conf_limits l = limits(c->front);
 	uint32_t end;
 
 	if (!held) {
@@ -454,7 +454,7 @@
 	}
 	buf_append(&c->in, data, len_bytes);
 	end = head_end(c->in.data, c->in.len_bytes, held);
-	if ((end ? end : c->in.len_bytes) > max) {
+	if ((end ? end : c->in.len_bytes) > l.header_bytes) {
 		c->in.len_bytes = 0;
 		refuse_and_stop(c, exchange_new(c), ERR_HEADERS_TOO_LARGE);
 		return len_bytes;
--- a/home/home.c
+++ b/home/home.c
@@ -151,20 +151,23 @@
 	return choose_worker(list, n, &u, g->key[1], h->duty.now_us);
 }
 
+/** Keeps the choice for the item that fits. */
 struct fit {
 	struct home *home;
+	int32_t position;
 };
 
 static bool fits(const struct queue_item *i, void *arg)
 {
-	const struct fit *f = arg;
+	struct fit *f = arg;
 
-	return choose(f->home, az_container_of(i, struct grant, item)) >= 0;
+	f->position = choose(f->home, az_container_of(i, struct grant, item));
+	return f->position >= 0;
 }
 
 static void dispatch(struct home *h, struct home_cell *c)
 {
-	struct fit f = { h };
+	struct fit f = { h, -1 };
 	struct queue_item *expired = NULL;
 	struct queue_item *i;
 
@@ -172,7 +175,7 @@
 				   &expired))) {
 		struct grant *g = az_container_of(i, struct grant, item);
 
-		give(h, g, (uint32_t)choose(h, g));
+		give(h, g, (uint32_t)f.position);
 	}
 	while (expired) {
 		struct queue_item *next = expired->next;
@@ -583,35 +586,9 @@
 
 static const struct duty_ops duty_ops = { "home", on_timer, on_stop };
 
-/* ---- keys ---- */
-
-struct keys_msg {
-	struct msg msg;
-	struct fleet_keys keys;
-};
-
-static void keys_run(struct msg *m, struct duty *to)
-{
-	struct keys_msg *k = az_container_of(m, struct keys_msg, msg);
-
-	az_container_of(to, struct home, duty)->keys = k->keys;
-	free(k);
-}
-
-static void keys_drop(struct msg *m)
-{
-	free(az_container_of(m, struct keys_msg, msg));
-}
-
-static const struct msg_ops keys_ops = { "home-keys", keys_run, keys_drop };
-
 void home_set_keys(struct home *h, const struct fleet_keys *keys)
 {
-	struct keys_msg *k = az_alloc(sizeof(*k));
-
-	k->msg.ops = &keys_ops;
-	k->keys = *keys;
-	duty_send(&h->duty, &k->msg);
+	duty_assign(&h->duty, &h->keys, keys, sizeof(*keys));
 }
 
 struct home *home_create(const struct home_settings *s,
--- a/home/wire.c
+++ b/home/wire.c
@@ -10,8 +10,6 @@
 #include "home/home.h"
 
 #define MAGIC 0x415a4831U /* "AZH1" */
-#define MAC_AT 8
-#define SIGNED_AT (MAC_AT + FLEET_MAC_BYTES)
 #define FLAG_IDEMPOTENT 1U
 #define FLAG_REPEAT 2U
 #define FLAG_ONLY_FREE 4U
@@ -83,18 +81,6 @@
 	return code_body(x, m);
 }
 
-static void put_u32(uint8_t *out, uint32_t v)
-{
-	for (uint32_t i = 0; i < 4; i++)
-		out[i] = (uint8_t)(v >> (24 - 8 * i));
-}
-
-static uint32_t get_u32(const uint8_t *in)
-{
-	return (uint32_t)in[0] << 24 | (uint32_t)in[1] << 16 |
-	       (uint32_t)in[2] << 8 | in[3];
-}
-
 uint32_t home_encode(const struct home_msg *m, const struct fleet_keys *keys,
 		     uint8_t out[HOME_DATAGRAM_MAX_BYTES])
 {
@@ -104,31 +90,28 @@
 
 	if (!keys->count)
 		return 0;
-	xdrmem_create(&x, (char *)out + SIGNED_AT,
-		      HOME_DATAGRAM_MAX_BYTES - SIGNED_AT, XDR_ENCODE);
+	xdrmem_create(&x, (char *)out + FLEET_SEALED_AT,
+		      HOME_DATAGRAM_MAX_BYTES - FLEET_SEALED_AT, XDR_ENCODE);
 	if (!code(&x, &copy))
 		return 0;
-	len_bytes = SIGNED_AT + xdr_getpos(&x);
-	put_u32(out, MAGIC);
-	put_u32(out + 4, fleet_sign(keys, out + SIGNED_AT,
-				    len_bytes - SIGNED_AT, out + MAC_AT));
+	len_bytes = FLEET_SEALED_AT + xdr_getpos(&x);
+	fleet_seal(keys, MAGIC, out, len_bytes);
 	return len_bytes;
 }
 
 enum az_status home_decode(const uint8_t *data, uint32_t len_bytes,
 			   const struct fleet_keys *keys, struct home_msg *out)
 {
+	enum az_status st;
 	XDR x;
 
 	memset(out, 0, sizeof(*out));
-	if (len_bytes < SIGNED_AT || get_u32(data) != MAGIC)
-		return az_fail(AZ_INVALID, "no datagram of a home");
-	if (!fleet_verify(keys, get_u32(data + 4), data + SIGNED_AT,
-			  len_bytes - SIGNED_AT, data + MAC_AT))
-		return az_fail(AZ_DENIED, "wrong MAC");
-	xdrmem_create(&x, (char *)data + SIGNED_AT, len_bytes - SIGNED_AT,
-		      XDR_DECODE);
-	if (!code(&x, out) || xdr_getpos(&x) != len_bytes - SIGNED_AT)
+	st = fleet_open(keys, MAGIC, data, len_bytes);
+	if (st != AZ_OK)
+		return st;
+	xdrmem_create(&x, (char *)data + FLEET_SEALED_AT,
+		      len_bytes - FLEET_SEALED_AT, XDR_DECODE);
+	if (!code(&x, out) || xdr_getpos(&x) != len_bytes - FLEET_SEALED_AT)
 		return az_fail(AZ_INVALID, "malformed datagram of a home");
 	return AZ_OK;
 }
--- a/lib/az.h
+++ b/lib/az.h
@@ -328,6 +328,9 @@
 void duty_destroy(struct duty *d);
 /** Pushes `m`; on AZ_FULL the message is dropped through its vtable. */
 enum az_status duty_send(struct duty *d, struct msg *m);
+/** Copies `bytes` of `from` to `to`, which only the duty's thread uses, in that
+ * thread and after what was sent before. */
+void duty_assign(struct duty *d, void *to, const void *from, uint32_t bytes);
 /** Asks for on_timer() at `at_us`; replaces an earlier request. */
 void duty_arm(struct duty *d, int64_t at_us);
 /** Waits on a socket for APR_POLLIN, APR_POLLOUT or both; 0 stops waiting.
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 #include <apr_portable.h>
 
 #include "lib/az.h"
@@ -144,6 +145,40 @@
 	return s;
 }
 
+struct assign_msg {
+	struct msg msg;
+	void *to;
+	uint32_t bytes;
+	uint8_t value[];
+};
+
+static void assign_run(struct msg *m, struct duty *to)
+{
+	struct assign_msg *a = az_container_of(m, struct assign_msg, msg);
+
+	(void)to;
+	memcpy(a->to, a->value, a->bytes);
+	free(a);
+}
+
+static void assign_drop(struct msg *m)
+{
+	free(az_container_of(m, struct assign_msg, msg));
+}
+
+static const struct msg_ops assign_ops = { "assign", assign_run, assign_drop };
+
+void duty_assign(struct duty *d, void *to, const void *from, uint32_t bytes)
+{
+	struct assign_msg *a = az_alloc(sizeof(*a) + bytes);
+
+	a->msg.ops = &assign_ops;
+	a->to = to;
+	a->bytes = bytes;
+	memcpy(a->value, from, bytes);
+	duty_send(d, &a->msg);
+}
+
 void duty_arm(struct duty *d, int64_t at_us)
 {
 	timer_arm(d->timers, d->timer_id, at_us);
--- a/peer/auth.c
+++ b/peer/auth.c
@@ -88,3 +88,37 @@
 	}
 	return false;
 }
+
+#define SEAL_MAC_AT 8
+
+static void put_u32(uint8_t *out, uint32_t v)
+{
+	for (uint32_t i = 0; i < 4; i++)
+		out[i] = (uint8_t)(v >> (24 - 8 * i));
+}
+
+static uint32_t get_u32(const uint8_t *in)
+{
+	return (uint32_t)in[0] << 24 | (uint32_t)in[1] << 16 |
+	       (uint32_t)in[2] << 8 | in[3];
+}
+
+void fleet_seal(const struct fleet_keys *k, uint32_t magic, uint8_t *data,
+		uint32_t len_bytes)
+{
+	put_u32(data, magic);
+	put_u32(data + 4,
+		fleet_sign(k, data + FLEET_SEALED_AT,
+			   len_bytes - FLEET_SEALED_AT, data + SEAL_MAC_AT));
+}
+
+enum az_status fleet_open(const struct fleet_keys *k, uint32_t magic,
+			  const uint8_t *data, uint32_t len_bytes)
+{
+	if (len_bytes < FLEET_SEALED_AT || get_u32(data) != magic)
+		return az_fail(AZ_INVALID, "no datagram of this kind");
+	if (!fleet_verify(k, get_u32(data + 4), data + FLEET_SEALED_AT,
+			  len_bytes - FLEET_SEALED_AT, data + SEAL_MAC_AT))
+		return az_fail(AZ_DENIED, "wrong MAC");
+	return AZ_OK;
+}
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -49,6 +49,17 @@
 bool fleet_verify(const struct fleet_keys *k, uint32_t key_id, const void *data,
 		  size_t len_bytes, const uint8_t mac[FLEET_MAC_BYTES]);
 
+/** Where the contents of a sealed datagram begin. */
+#define FLEET_SEALED_AT (8 + FLEET_MAC_BYTES)
+
+/** Puts a magic number, a key id and a MAC over the rest before the contents,
+ * which end at `len_bytes`. There must be a key. */
+void fleet_seal(const struct fleet_keys *k, uint32_t magic, uint8_t *data,
+		uint32_t len_bytes);
+/** AZ_INVALID if it is no such datagram, AZ_DENIED if the MAC is wrong. */
+enum az_status fleet_open(const struct fleet_keys *k, uint32_t magic,
+			  const uint8_t *data, uint32_t len_bytes);
+
 /* ---- records (rpc.c) ---- */
 
 /** State of one connection's authentication; both ends hold the same. */
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -64,7 +64,6 @@
 	struct buf value;
 	bool in_value;
 	struct worker_signs signs;
-	int64_t first_byte_us;
 	bool not_ours; /**< the answer read belongs to another request */
 	bool whole;
 	bool too_large;
@@ -171,7 +170,6 @@
 	}
 	r->connect_us = c->connect_us;
 	r->total_us = clock_now_us() - c->started_us;
-	r->first_byte_us = c->first_byte_us;
 	r->fresh = c->fresh;
 	r->draining = c->signs.leaving;
 	r->signs = c->signs;
@@ -427,8 +425,6 @@
 		conn_fail(c, c->answer ? UPSTREAM_TRUNCATED : UPSTREAM_CLOSED);
 		return;
 	}
-	if (!c->first_byte_us)
-		c->first_byte_us = clock_now_us() - c->started_us;
 	used = parse(c, data, n);
 	if (c->whole && !c->not_ours) {
 		/* Bytes after the answer belong to no request of ours. */
@@ -559,7 +555,6 @@
 	c->started_us = clock_now_us();
 	c->connect_us = 0;
 	c->whole = c->not_ours = c->too_large = c->unframed = false;
-	c->first_byte_us = 0;
 	memset(&c->signs, 0, sizeof(c->signs));
 	answer_free(c->answer);
 	c->answer = NULL;
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -86,7 +86,6 @@
 	struct answer *answer; /**< owned by the receiver; NULL unless OK */
 	int64_t connect_us; /**< 0 on a reused connection */
 	int64_t total_us;
-	int64_t first_byte_us; /**< from the start to the first byte; 0: none */
 	bool fresh;
 	bool draining; /**< the worker said that it is leaving */
 	struct worker_signs signs;
