Planned stop: no request is taken behind another, ready answers go out at the bound

A daemon got SIGTERM at 25.3 s, a read sent at 26.8 s ran and was answered by its worker at 27.7 s, and its connection closed at 30.8 s, at the bound of the stop, without an answer. Reads of this kind come in pipelines: an answer that is ready waits behind one whose worker hangs.

Ruled out: a lost answer of the worker (the run ended 200 ok, the daemon exited at its bound, not idle).

Change: while the daemon stops, a request that arrives behind an unanswered one of its connection is left unread, so that its caller sends it again; at the bound idempotent requests are given up with 504, which frees the answers behind them; a request counts as in flight until its answer is on the connection, so that the process does not end between the two. A request that was never sent and is given up says not-run.

--- a/attempt/attempt.c
+++ b/attempt/attempt.c
@@ -271,18 +271,21 @@
 	return false;
 }
 
-/* Work that must not repeat is not broken off at its worker: the caller cannot
- * learn any more whether it was done, so it is at least not left half done. */
+/* The caller has left, or this daemon stops. Work that must not repeat is not
+ * broken off at its worker: the caller cannot learn any more whether it was
+ * done, so it is at least not left half done. */
 static void cancel(struct attempts *a, uint64_t id)
 {
 	struct pending *p = apr_hash_get(a->pending, &id, sizeof(id));
 
 	if (!p || !p->reply || (is_sent(p) && !p->request->idempotent))
 		return;
-	log_write(LOG_INFO, "attempt", "caller left id=%s sent=%s",
+	log_write(LOG_INFO, "attempt", "given up id=%s sent=%s",
 		  p->request->correlation ? p->request->correlation : "-",
 		  is_sent(p) ? "yes" : "no");
-	pending_finish(a, p, answer_new(ERR_DEADLINE_UNKNOWN));
+	pending_finish(
+		a, p,
+		answer_new(p->runs ? ERR_DEADLINE_UNKNOWN : ERR_STOPPING));
 }
 
 static void submit_run(struct msg *m, struct duty *to)
--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -73,7 +73,8 @@
  * names it in a cancel. Any thread. */
 uint64_t attempt_submit(struct attempts *a, struct request *q,
 			struct reply_to *reply);
-/** The caller has left: what runs is given up, the answer still comes. */
+/** The caller has left, or the daemon stops: what may be broken off is given
+ * up, the answer still comes. */
 void attempt_cancel(struct attempts *a, uint64_t id);
 /** Requests not yet answered. Any thread. */
 uint32_t attempts_in_flight(struct attempts *a);
--- a/cmd/azhd/drain.c
+++ b/cmd/azhd/drain.c
@@ -13,6 +13,8 @@
 #define CHECK_MS 20
 /* Of the bound of the stop, requests may use this share. */
 #define REQUESTS_PERCENT 92
+/* After the bound, for answers that were held up by others before them. */
+#define GIVE_UP_US (150 * US_PER_MS)
 #define HANDOVER_TIMEOUT_US (5 * US_PER_S)
 /* Rounds of gossip that carry the successor to the fleet before the exit. */
 #define FAREWELL_PERIODS 3
@@ -32,6 +34,12 @@
 
 static void wait_until_idle(struct azhd *d, int64_t until_us)
 {
+	while (in_flight(d) && clock_now_us() < until_us)
+		sleep_ms(CHECK_MS);
+	if (in_flight(d)) {
+		front_give_up(d->front);
+		until_us += GIVE_UP_US;
+	}
 	while (in_flight(d) && clock_now_us() < until_us)
 		sleep_ms(CHECK_MS);
 	if (in_flight(d))
--- a/front/conn.c
+++ b/front/conn.c
@@ -466,9 +466,22 @@
 	return end - held;
 }
 
+/* A stopping daemon may not live to answer what is behind another request. Left
+ * unread behind an answer that closes, it is sent again elsewhere. */
+static bool leaves_unread(const struct front_conn *c)
+{
+	return c->phase == PHASE_HEAD && c->first && !c->balancer_only &&
+	       front_is_stopping(c->front);
+}
+
 static void take(struct front_conn *c, const uint8_t *data, uint32_t len_bytes)
 {
 	while (len_bytes && c->phase <= PHASE_BODY) {
+		if (leaves_unread(c)) {
+			c->phase = PHASE_DEAF;
+			c->in.len_bytes = 0;
+			return;
+		}
 		uint32_t n = c->phase == PHASE_HEAD ?
 				     take_head_bytes(c, data, len_bytes) :
 				     take_body(c, data, len_bytes);
@@ -600,6 +613,15 @@
 	return next_us;
 }
 
+void front_conns_give_up(struct front *f)
+{
+	for (struct front_conn *c = f->conns; c; c = c->next)
+		for (struct exchange *x = c->first; x; x = x->next)
+			if (x->submitted && !x->answer && x->attempt_id)
+				attempt_cancel(f->settings.attempts,
+					       x->attempt_id);
+}
+
 void front_conns_close(struct front *f)
 {
 	while (f->conns)
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -147,10 +147,12 @@
 static void answer_run(struct msg *m, struct duty *to)
 {
 	struct answer_msg *a = az_container_of(m, struct answer_msg, msg);
+	struct front *f = az_container_of(to, struct front, duty);
 
-	(void)to;
 	a->exchange->answer = a->answer;
 	front_conn_answered(a->exchange);
+	/* Not before the answer is on its connection: a stop waits for it. */
+	__atomic_sub_fetch(&f->in_flight, 1, __ATOMIC_RELAXED);
 	free(a);
 }
 
@@ -159,6 +161,7 @@
 {
 	struct answer_msg *a = az_container_of(m, struct answer_msg, msg);
 
+	__atomic_sub_fetch(&a->exchange->front->in_flight, 1, __ATOMIC_RELAXED);
 	answer_free(a->answer);
 	free(a);
 }
@@ -170,13 +173,11 @@
 {
 	struct exchange *x = az_container_of(to, struct exchange, reply);
 	struct answer_msg *m = az_alloc(sizeof(*m));
-	struct front *f = x->front;
 
 	m->msg.ops = &answer_ops;
 	m->exchange = x;
 	m->answer = a;
-	__atomic_sub_fetch(&f->in_flight, 1, __ATOMIC_RELAXED);
-	duty_send(&f->duty, &m->msg);
+	duty_send(&x->front->duty, &m->msg);
 }
 
 static const struct reply_ops reply_ops = { on_answer };
--- a/front/front.c
+++ b/front/front.c
@@ -83,35 +83,53 @@
 
 static const struct duty_ops duty_ops = { "front", on_timer, on_stop };
 
-struct quiesce_msg {
+/** Lets the front's thread look at all connections. */
+struct conns_msg {
 	struct msg msg;
+	void (*act)(struct front *f);
 };
 
-static void quiesce_run(struct msg *m, struct duty *to)
+static void conns_run(struct msg *m, struct duty *to)
 {
-	struct front *f = az_container_of(to, struct front, duty);
+	struct conns_msg *c = az_container_of(m, struct conns_msg, msg);
 
-	on_timer(&f->duty, f->duty.now_us);
-	free(az_container_of(m, struct quiesce_msg, msg));
+	c->act(az_container_of(to, struct front, duty));
+	free(c);
 }
 
-static void quiesce_drop(struct msg *m)
+static void conns_drop(struct msg *m)
 {
-	free(az_container_of(m, struct quiesce_msg, msg));
+	free(az_container_of(m, struct conns_msg, msg));
 }
 
-static const struct msg_ops quiesce_ops = { "front-quiesce", quiesce_run,
-					    quiesce_drop };
+static const struct msg_ops conns_ops = { "front-conns", conns_run,
+					  conns_drop };
 
-void front_quiesce(struct front *f)
+static void post(struct front *f, void (*act)(struct front *f))
 {
-	struct quiesce_msg *m = az_alloc(sizeof(*m));
+	struct conns_msg *m = az_alloc(sizeof(*m));
 
-	__atomic_store_n(&f->quiesced, 1, __ATOMIC_RELEASE);
-	m->msg.ops = &quiesce_ops;
+	m->msg.ops = &conns_ops;
+	m->act = act;
 	duty_send(&f->duty, &m->msg);
 }
 
+static void close_idle(struct front *f)
+{
+	on_timer(&f->duty, f->duty.now_us);
+}
+
+void front_quiesce(struct front *f)
+{
+	__atomic_store_n(&f->quiesced, 1, __ATOMIC_RELEASE);
+	post(f, close_idle);
+}
+
+void front_give_up(struct front *f)
+{
+	post(f, front_conns_give_up);
+}
+
 static void listener_ready(struct poll_handler *h, int16_t events)
 {
 	struct front_listener *l =
--- a/front/front.h
+++ b/front/front.h
@@ -185,6 +185,11 @@
 /** Takes no new requests: a new one is refused as not run, connections without
  * one are closed. */
 void front_quiesce(struct front *f);
+/** Gives up the idempotent requests that are still under way, so that answers
+ * behind them on their connections are delivered. */
+void front_give_up(struct front *f);
+/** Requests that are not answered, or whose answer is not on its connection
+ * yet. */
 uint32_t front_in_flight(struct front *f);
 /** Open connections of callers. */
 uint32_t front_connections(struct front *f);
@@ -263,6 +268,7 @@
 /** Closes what has been idle or slow for too long; returns the next due time.
  */
 int64_t front_conns_tick(struct front *f, int64_t now_us);
+void front_conns_give_up(struct front *f);
 void front_conns_close(struct front *f);
 void front_arm(struct front *f, int64_t at_us);
 
--- a/front/front_test.c
+++ b/front/front_test.c
@@ -347,6 +347,72 @@
 	close(fd);
 }
 
+/* Reaches its worker with two pipelined requests; returns the connection of the
+ * first one and answers the second. */
+static int32_t pipeline_with_a_hung_first(int32_t fd, int32_t *other)
+{
+	char heard[2][2048] = { "", "" };
+	char text[512];
+	int32_t at[2];
+	uint32_t first;
+
+	snprintf(text, sizeof(text), READ READ, "one", "two");
+	say(fd, text);
+	for (uint32_t i = 0; i < 2; i++) {
+		at[i] = accept(worker, NULL, NULL);
+		CU_ASSERT(hear(at[i], "\r\n\r\n", heard[i], 2048));
+	}
+	first = strstr(heard[0], "/read/one") ? 0 : 1;
+	answer(at[1 - first], "second");
+	*other = at[1 - first];
+	return at[first];
+}
+
+/* Guards against a planned stop that loses an answer which is ready, as one
+ * before it on the connection never comes. */
+static void test_ready_answers_are_delivered_at_the_end_of_a_stop(void)
+{
+	int32_t fd = dial();
+	char all[4096] = "";
+	int32_t other;
+	int32_t hung = pipeline_with_a_hung_first(fd, &other);
+
+	while (attempts_in_flight(attempts) > 1)
+		usleep(1000);
+	front_give_up(front);
+	CU_ASSERT(hear(fd, "second", all, sizeof(all)));
+	CU_ASSERT_PTR_NOT_NULL(strstr(all, "HTTP/1.1 504"));
+	close(fd);
+	close(hung);
+	close(other);
+}
+
+/* Guards against a planned stop that cuts a request which waits behind another
+ * one on its connection: such a one is left unread, so its caller sends it
+ * again elsewhere. */
+static void test_stop_takes_no_request_behind_another(void)
+{
+	int32_t fd = dial();
+	char heard[2048] = "";
+	char all[4096] = "";
+	char text[512];
+	int32_t at;
+
+	front_set_stopping(front);
+	snprintf(text, sizeof(text), READ READ, "one", "two");
+	say(fd, text);
+	at = accept(worker, NULL, NULL);
+	CU_ASSERT(hear(at, "\r\n\r\n", heard, sizeof(heard)));
+	CU_ASSERT_PTR_NOT_NULL(strstr(heard, "/read/one"));
+	answer(at, "first");
+	CU_ASSERT(hear(fd, "first", all, sizeof(all)));
+	CU_ASSERT_PTR_NOT_NULL(strstr(all, "Connection: close"));
+	if (strstr(all, "Connection: close"))
+		CU_ASSERT(!hear(fd, "second", all, sizeof(all)));
+	close(fd);
+	close(at);
+}
+
 static void start_parts(void)
 {
 	struct member_settings ms = { .self = { .ip = INADDR_LOOPBACK,
@@ -444,6 +510,10 @@
 	CU_add_test(s, "pipeline", test_pipelined_requests_run_side_by_side);
 	CU_add_test(s, "leaving", test_callers_leaving_reaches_the_worker);
 	CU_add_test(s, "no configuration", test_no_configuration_is_no_404);
+	CU_add_test(s, "end of a stop",
+		    test_ready_answers_are_delivered_at_the_end_of_a_stop);
+	/* Last, as the front goes on stopping. */
+	CU_add_test(s, "stop", test_stop_takes_no_request_behind_another);
 	CU_basic_run_tests();
 	stop_parts();
 	conf_release(conf);
