home: repeats by a sliding window, abandoned copies as evidence, waiting for sound workers

(2) A read whose second copy was answered elsewhere had its first copy counted as 'unused': a hanging worker looked sound again at once. (3) A request that was referred to other regions was counted at each of them. (4) Hedges and asks of other regions took a repeat from the budget before they were refused for lack of room.

Change: the budget counts requests and repeats by second over two windows and uses the larger of the three that the users' rule names; only a request's first ask counts; EVENT_ABANDONED carries the lateness of a copy that was given up; requests wait for near workers and for workers not in trouble only while the queue is short; urgent requests are not used for trials of idle workers; a slow but steady worker is measured by its own history.

Ruled out: a two-state model of each worker (probability of being gray, updated in the order of the sends).

--- a/attempt/ask.c
+++ b/attempt/ask.c
@@ -101,6 +101,7 @@
 		.dc = a->settings.dc,
 		.rank = (uint8_t)p->request->rank,
 		.idempotent = p->request->idempotent,
+		.counts = l->counts,
 		.repeat = l->repeat,
 		.only_free = l->mode == ASK_ONLY_FREE,
 		.insists = l->mode == ASK_INSIST,
@@ -142,6 +143,8 @@
 	l->state = LEG_ASKING;
 	l->sequence = ++a->next_sequence;
 	l->region = region;
+	l->counts = !l->pending->counted;
+	l->pending->counted = true;
 	l->repeat = repeat;
 	l->mode = mode;
 	l->unanswered = 0;
--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -102,6 +102,7 @@
 	struct pending *pending;
 	uint64_t sequence; /**< of the ask; also the token of the send */
 	uint32_t region;
+	bool counts; /**< the request's first ask */
 	bool repeat;
 	enum ask_mode mode;
 	bool local; /**< the home is this daemon */
@@ -125,6 +126,7 @@
 	struct leg legs[LEGS_MAX];
 	uint32_t tries;
 	uint32_t runs; /**< sends that may have run */
+	bool counted; /**< a home counts it for its retry budget */
 	bool arrived; /**< a copy may have: others draw on the budget */
 	bool insisted;
 	uint32_t regions_tried;
--- a/attempt/decide.c
+++ b/attempt/decide.c
@@ -59,8 +59,9 @@
 	case UPSTREAM_TIMEOUT:
 	case UPSTREAM_SILENT:
 		return EVENT_TIMEOUT;
-	case UPSTREAM_TOO_LARGE:
 	case UPSTREAM_CANCELLED:
+		return EVENT_ABANDONED;
+	case UPSTREAM_TOO_LARGE:
 	case UPSTREAM_CANCELLED_UNSENT:
 		break;
 	}
--- a/attempt/send.c
+++ b/attempt/send.c
@@ -35,6 +35,13 @@
 	attempts_arm(a, p->hedge_at_us);
 }
 
+static const char *way_to(const struct attempts *a, const struct conf_worker *w)
+{
+	if (w->dc == a->settings.dc)
+		return "near";
+	return w->region == a->settings.region ? "region" : "far";
+}
+
 static bool send_to(struct attempts *a, struct leg *l,
 		    const struct conf_service *s, const struct conf_worker *w)
 {
@@ -63,9 +70,9 @@
 	counter_add(a->sends, 1);
 	histogram_add(a->waits, l->sent_us - p->submitted_us);
 	log_write(LOG_INFO, "attempt",
-		  "sent id=%s worker=%s home=%s waited_ms=%lld try=%u "
+		  "sent id=%s worker=%s way=%s home=%s waited_ms=%lld try=%u "
 		  "repeat=%s",
-		  id_of(p), w->name, l->local ? "own" : "remote",
+		  id_of(p), w->name, way_to(a, w), l->local ? "own" : "remote",
 		  (long long)((l->sent_us - p->submitted_us) / US_PER_MS),
 		  p->tries, l->repeat ? "yes" : "no");
 	return true;
--- a/home/cells.c
+++ b/home/cells.c
@@ -140,13 +140,27 @@
 	return false;
 }
 
-uint32_t home_candidates(const struct home_cell *c, const struct home_msg *ask,
-			 struct candidate *out)
+/* Computed once for a moment, as each queued request asks for it. */
+static double trouble_of(struct home_worker *w, const struct usual *u,
+			 int64_t now_us)
 {
+	if (w->trouble_us != now_us) {
+		w->trouble = track_trouble(&w->track, u, now_us);
+		w->trouble_us = now_us;
+	}
+	return w->trouble;
+}
+
+uint32_t home_candidates(struct home_cell *c, const struct home_msg *ask,
+			 struct candidate *out, int64_t now_us)
+{
+	struct usual u = home_usual(c);
+
 	for (uint32_t i = 0; i < c->worker_count; i++) {
-		const struct home_worker *w = &c->workers[i];
+		struct home_worker *w = &c->workers[i];
 
 		out[i].track = &w->track;
+		out[i].trouble = trouble_of(w, &u, now_us);
 		out[i].slots = w->conf ? w->conf->slots : 1;
 		out[i].out = !w->conf || w->conf->admin != WORKER_IN_SERVICE ||
 			     is_excluded(ask, w->id);
--- a/home/choose.c
+++ b/home/choose.c
@@ -1,7 +1,9 @@
 #include "home/home.h"
 
-/* Costs are in shares of a worker's slots. */
+/* Costs are in shares of a worker's slots. A request that may be repeated is
+ * delayed by a worker in trouble, not lost. */
 #define COST_TROUBLE 3.0
+#define COST_TROUBLE_IDEMPOTENT 2.0
 /* Bytes between data centres are billed: a worker there is used when the near
  * ones are nearly full, late or in trouble. */
 #define COST_FAR 0.9
@@ -11,6 +13,11 @@
 #define IDLE_FROM_US (1200 * US_PER_MS)
 #define IDLE_PER_S 4.0
 #define IDLE_MAX 1.2
+/* What may be lost by such a trial is better not urgent: less urgent requests
+ * come first, if there are any. */
+#define IDLE_URGENT_FROM_US (2 * IDLE_FROM_US)
+/* Requests that may wait while a slot is free, of the number of workers. */
+#define WAITING_PERCENT 200
 #define HUNG_DEVIATIONS 3
 #define SPEED_MIN 0.5
 #define SPEED_MAX 4.0
@@ -26,9 +33,12 @@
 	return s > SPEED_MAX ? SPEED_MAX : s;
 }
 
-static double idle(const struct candidate *c, int64_t now_us)
+static double idle(const struct candidate *c, const struct demand *d,
+		   int64_t now_us)
 {
-	int64_t idle_us = now_us - c->track->sent_us - IDLE_FROM_US;
+	int64_t from_us =
+		d->rank == RANK_URGENT ? IDLE_URGENT_FROM_US : IDLE_FROM_US;
+	int64_t idle_us = now_us - c->track->sent_us - from_us;
 	double gain = IDLE_PER_S * (double)idle_us / US_PER_S;
 
 	if (idle_us <= 0)
@@ -37,63 +47,97 @@
 }
 
 static double cost(const struct candidate *c, const struct usual *u,
-		   int64_t now_us)
+		   const struct demand *d, int64_t now_us)
 {
 	double load = c->track->out_count + 1;
+	double trouble = d->idempotent ? COST_TROUBLE_IDEMPOTENT : COST_TROUBLE;
 
-	return load / c->slots * speed(c, u) +
-	       COST_TROUBLE * track_trouble(c->track, u, now_us) +
-	       (c->near ? 0 : COST_FAR) - idle(c, now_us);
+	return load / c->slots * speed(c, u) + trouble * c->trouble +
+	       (c->near ? 0 : COST_FAR) - idle(c, d, now_us);
+}
+
+static bool is_in_trouble(const struct candidate *c)
+{
+	return c->trouble >= CHOOSE_TROUBLE_MAX;
 }
 
 /* Marks the workers to leave alone: the worst ones, and no more of them than
  * the floor allows. */
 static void mark_avoided(const struct candidate *list, uint32_t count,
-			 const struct usual *u, int64_t now_us, bool *avoided)
+			 bool *avoided)
 {
-	double trouble[HOME_WORKERS_MAX];
 	uint32_t in = 0;
 	uint32_t allowed;
 
 	for (uint32_t i = 0; i < count; i++) {
 		avoided[i] = false;
-		trouble[i] = list[i].out ?
-				     0 :
-				     track_trouble(list[i].track, u, now_us);
 		in += !list[i].out;
 	}
 	allowed = in * CHOOSE_AVOID_PERCENT / 100;
 	if (!allowed && in > 1)
 		allowed = 1;
 	for (; allowed; allowed--) {
-		uint32_t worst = 0;
-
-		for (uint32_t i = 1; i < count; i++)
-			if (trouble[i] > trouble[worst])
-				worst = i;
-		if (!count || trouble[worst] < CHOOSE_TROUBLE_MAX)
+		int32_t worst = -1;
+
+		for (uint32_t i = 0; i < count; i++)
+			if (!list[i].out && !avoided[i] &&
+			    is_in_trouble(&list[i]) &&
+			    (worst < 0 ||
+			     list[i].trouble > list[worst].trouble))
+				worst = (int32_t)i;
+		if (worst < 0)
 			return;
 		avoided[worst] = true;
-		trouble[worst] = 0;
 	}
 }
 
+/** Which workers come into question. */
+struct scope {
+	bool avoided[HOME_WORKERS_MAX];
+	bool only_near;
+	bool only_sound;
+};
+
+static void set_scope(struct scope *s, const struct candidate *list,
+		      uint32_t count, const struct demand *d)
+{
+	bool near = false;
+	bool sound = false;
+
+	mark_avoided(list, count, s->avoided);
+	for (uint32_t i = 0; i < count; i++) {
+		bool good = !list[i].out && !is_in_trouble(&list[i]);
+
+		near |= good && list[i].near;
+		sound |= good;
+	}
+	s->only_near = d->patient && near;
+	s->only_sound = d->patient && sound;
+}
+
+static bool is_in(const struct scope *s, const struct candidate *c, uint32_t i)
+{
+	return !c->out && !s->avoided[i] && (c->near || !s->only_near) &&
+	       (!is_in_trouble(c) || !s->only_sound);
+}
+
 int32_t choose_worker(const struct candidate *list, uint32_t count,
-		      const struct usual *u, uint64_t random, int64_t now_us)
+		      const struct usual *u, const struct demand *d,
+		      uint64_t random, int64_t now_us)
 {
-	bool avoided[HOME_WORKERS_MAX];
+	struct scope scope;
 	int32_t best = -1;
 	double best_cost = 0;
 
-	mark_avoided(list, count, u, now_us, avoided);
+	set_scope(&scope, list, count, d);
 	for (uint32_t n = 0; n < count; n++) {
 		uint32_t i = (uint32_t)((n + random) % count);
 		const struct candidate *c = &list[i];
 		double k;
 
-		if (c->out || c->track->out_count >= c->slots || avoided[i])
+		if (!is_in(&scope, c, i) || c->track->out_count >= c->slots)
 			continue;
-		k = cost(c, u, now_us);
+		k = cost(c, u, d, now_us);
 		if (best < 0 || k < best_cost) {
 			best = (int32_t)i;
 			best_cost = k;
@@ -102,6 +146,11 @@
 	return best;
 }
 
+bool choose_may_wait(uint32_t queued, uint32_t workers)
+{
+	return queued * 100 <= workers * WAITING_PERCENT;
+}
+
 /* Slots that requests which hang have taken away. */
 static uint32_t hung(const struct track *t, const struct usual *u,
 		     int64_t now_us)
@@ -120,7 +169,7 @@
 	bool avoided[HOME_WORKERS_MAX];
 	uint32_t slots = 0;
 
-	mark_avoided(list, count, u, now_us, avoided);
+	mark_avoided(list, count, avoided);
 	for (uint32_t i = 0; i < count; i++) {
 		uint32_t n = hung(list[i].track, u, now_us);
 
@@ -129,16 +178,3 @@
 	}
 	return slots;
 }
-
-void choose_keep_near(struct candidate *list, uint32_t count,
-		      const struct usual *u, int64_t now_us)
-{
-	bool any = false;
-
-	for (uint32_t i = 0; i < count && !any; i++)
-		any = list[i].near && !list[i].out &&
-		      track_trouble(list[i].track, u, now_us) <
-			      CHOOSE_TROUBLE_MAX;
-	for (uint32_t i = 0; any && i < count; i++)
-		list[i].out |= !list[i].near;
-}
--- a/home/home.c
+++ b/home/home.c
@@ -126,6 +126,7 @@
 	g->worker = w->id;
 	g->given_us = h->duty.now_us;
 	track_send(&w->track, g->given_us);
+	w->trouble_us = 0;
 	counter_add(h->granted, 1);
 	tell_grant(h, g);
 }
@@ -143,12 +144,18 @@
 static int32_t choose(const struct home *h, const struct grant *g)
 {
 	struct candidate list[HOME_WORKERS_MAX];
-	uint32_t n = home_candidates(g->cell, &g->ask, list);
+	int64_t now_us = h->duty.now_us;
+	uint32_t n = home_candidates(g->cell, &g->ask, list, now_us);
 	struct usual u = home_usual(g->cell);
+	struct demand d = {
+		.rank = g->item.rank,
+		.idempotent = g->ask.idempotent,
+		.patient =
+			now_us < g->patient_until_us &&
+			choose_may_wait(rank_queue_depth(&g->cell->queue), n),
+	};
 
-	if (h->duty.now_us < g->far_from_us)
-		choose_keep_near(list, n, &u, h->duty.now_us);
-	return choose_worker(list, n, &u, g->key[1], h->duty.now_us);
+	return choose_worker(list, n, &u, &d, g->key[1], now_us);
 }
 
 /** Keeps the choice for the item that fits. */
@@ -193,7 +200,7 @@
 		     const struct home_msg *ask)
 {
 	struct candidate list[HOME_WORKERS_MAX];
-	uint32_t n = home_candidates(c, ask, list);
+	uint32_t n = home_candidates(c, ask, list, h->duty.now_us);
 	struct usual u = home_usual(c);
 	uint32_t slots = choose_slots(list, n, &u, h->duty.now_us);
 	bool any = false;
@@ -225,14 +232,13 @@
 
 /* ---- asks ---- */
 
-static bool take_retry(struct home_cell *c, const struct home_msg *ask)
+static bool take_retry(struct home *h, struct home_cell *c,
+		       const struct home_msg *ask)
 {
-	if (ask->repeat)
-		return retry_budget_take(&c->budget);
-	retry_budget_request(&c->budget,
-			     c->conf_service ? c->conf_service->retry_percent :
-					       0);
-	return true;
+	uint8_t percent = c->conf_service ? c->conf_service->retry_percent : 0;
+
+	return !ask->repeat ||
+	       retry_budget_take(&c->budget, percent, h->duty.now_us);
 }
 
 static void ask_again(struct home *h, struct grant *g)
@@ -243,7 +249,6 @@
 		tell_queued(h, g);
 }
 
-/* Another region may have a worker at once. */
 static bool is_long_wait(const struct home_cell *c, const struct grant *g)
 {
 	int64_t max_us =
@@ -254,27 +259,35 @@
 	return rank_queue_wait_us(&c->queue, g->item.rank) > max_us;
 }
 
+/* Another region may have a worker at once. An ask from another region, or for
+ * a second copy, is only for a worker that is free. */
+static bool is_for_others(struct home *h, const struct grant *g)
+{
+	if (g->ask.insists)
+		return false;
+	if (g->ask.only_free)
+		return rank_queue_depth(&g->cell->queue) || choose(h, g) < 0;
+	return is_long_wait(g->cell, g);
+}
+
 static void admit(struct home *h, struct grant *g)
 {
 	struct home_cell *c = g->cell;
 	bool any = estimate(h, c, &g->ask);
 	enum error_kind k;
 
+	if (g->ask.counts)
+		retry_budget_request(&c->budget, h->duty.now_us);
 	if (!any) {
 		refuse(h, g, ERR_NO_WORKER);
 		return;
 	}
-	if (!take_retry(c, &g->ask)) {
-		refuse(h, g, ERR_OVER_LIMIT);
-		return;
-	}
-	if (g->ask.only_free &&
-	    (rank_queue_depth(&c->queue) || choose(h, g) < 0)) {
+	if (is_for_others(h, g)) {
 		refuse(h, g, ERR_OVERLOADED);
 		return;
 	}
-	if (!g->ask.insists && is_long_wait(c, g)) {
-		refuse(h, g, ERR_OVERLOADED);
+	if (!take_retry(h, c, &g->ask)) {
+		refuse(h, g, ERR_OVER_LIMIT);
 		return;
 	}
 	k = rank_queue_push(&c->queue, &g->item, h->duty.now_us);
@@ -311,9 +324,9 @@
 	g->item.deadline_us =
 		h->duty.now_us +
 		(left_us > 2 * usual_us ? left_us - usual_us : left_us / 2);
-	g->far_from_us = h->duty.now_us + m->target_ms * US_PER_MS *
-						  CHOOSE_NEAR_WAIT_PERCENT /
-						  100;
+	g->patient_until_us = h->duty.now_us + m->target_ms * US_PER_MS *
+						       CHOOSE_WAIT_PERCENT /
+						       100;
 	g->until_us = h->duty.now_us + left_us + GRANT_EXTRA_US;
 	apr_hash_set(h->grants, g->key, sizeof(g->key), g);
 	home_arm(h, h->duty.now_us + SWEEP_US);
@@ -346,19 +359,20 @@
 	struct home_worker *w = worker_of(g);
 	struct usual u = home_usual(c);
 	double before;
+	double after;
 
 	if (w) {
 		before = track_trouble(&w->track, &u, h->duty.now_us);
-		track_end(&w->track, g->given_us, e, latency_us,
+		track_end(&w->track, &u, g->given_us, e, latency_us,
 			  h->duty.now_us);
-		if (before < CHOOSE_TROUBLE_MAX &&
-		    track_trouble(&w->track, &u, h->duty.now_us) >=
-			    CHOOSE_TROUBLE_MAX)
+		w->trouble_us = 0;
+		after = track_trouble(&w->track, &u, h->duty.now_us);
+		if (before < CHOOSE_TROUBLE_MAX && after >= CHOOSE_TROUBLE_MAX)
 			log_write(LOG_WARN, "home",
 				  "worker in trouble worker=%s cell=%016llx "
-				  "event=%u out=%u",
+				  "event=%u trouble=%.2f before=%.2f out=%u",
 				  w->conf ? w->conf->name : "-",
-				  (unsigned long long)c->id, e,
+				  (unsigned long long)c->id, e, after, before,
 				  w->track.out_count);
 	}
 	if (e == EVENT_ANSWERED)
@@ -502,9 +516,13 @@
 			continue;
 		counter_add(h->expired, 1);
 		w = g->state == GRANT_GIVEN ? worker_of(g) : NULL;
-		if (w)
-			track_end(&w->track, g->given_us, EVENT_UNUSED, 0,
+		if (w) {
+			struct usual u = home_usual(g->cell);
+
+			track_end(&w->track, &u, g->given_us, EVENT_UNUSED, 0,
 				  now_us);
+			w->trouble_us = 0;
+		}
 		if (g->state == GRANT_QUEUED)
 			rank_queue_remove(&g->cell->queue, &g->item);
 		forget(h, g);
--- a/home/home.h
+++ b/home/home.h
@@ -43,7 +43,8 @@
 	EVENT_TIMEOUT,
 	EVENT_UNREACHABLE, /**< no connection */
 	EVENT_IS_ANOTHER, /**< another worker has its address */
-	EVENT_UNUSED, /**< not sent, or given up by the caller: no evidence */
+	EVENT_ABANDONED, /**< sent, and given up before an answer came */
+	EVENT_UNUSED, /**< not sent, or nobody knows: no evidence */
 	EVENT_COUNT,
 };
 
@@ -58,6 +59,7 @@
 	uint32_t dc; /**< of the asker */
 	uint8_t rank;
 	bool idempotent;
+	bool counts; /**< first ask for its request: fills the retry budget */
 	bool repeat; /**< draws on the retry budget */
 	bool only_free; /**< refuse rather than queue */
 	bool insists; /**< queue however long the wait, as nobody else has room
@@ -137,17 +139,25 @@
 
 /* ---- retry budget (budget.c): plain state ---- */
 
-/** Token bucket that each first ask fills by a share of a repeat. It starts
- * empty: homes that come and go must not bring repeats of their own. */
+/* Two windows of the users' budget, of 10 s each. */
+#define RETRY_BUDGET_S 20
+
+/** Repeats allowed by the requests of this window, of the one before it or of
+ * the one half a window ago, whichever had most. It starts empty: homes that
+ * come and go must not bring repeats of their own. */
 struct retry_budget {
-	int64_t tokens_percent; /**< 100 allow one repeat */
-	int64_t max_percent;
+	uint32_t slack; /**< repeats beyond the share, once requests were seen
+			 */
+	int64_t second; /**< newest that is counted */
+	uint32_t requests[RETRY_BUDGET_S]; /**< first asks by second */
+	uint32_t repeats[RETRY_BUDGET_S];
 };
 
-void retry_budget_init(struct retry_budget *b, uint32_t max);
-void retry_budget_request(struct retry_budget *b, uint8_t percent);
-/** False if there is none left. */
-bool retry_budget_take(struct retry_budget *b);
+void retry_budget_init(struct retry_budget *b, uint32_t slack);
+void retry_budget_request(struct retry_budget *b, int64_t now_us);
+/** Takes a repeat; `percent` of the requests may be repeated. False if there
+ * is none left. */
+bool retry_budget_take(struct retry_budget *b, uint8_t percent, int64_t now_us);
 
 /* ---- what is known of a worker (track.c): plain state, time passed in ---- */
 
@@ -155,7 +165,7 @@
 
 struct track {
 	uint32_t out_count;
-	int64_t out_us[TRACK_OUT_MAX]; /**< when each was granted */
+	int64_t out_us[TRACK_OUT_MAX]; /**< when each was granted, in order */
 	int64_t sent_us; /**< last grant */
 	double trouble; /**< of recent failures, at `trouble_us` */
 	int64_t trouble_us;
@@ -166,16 +176,16 @@
 	int64_t cold_until_us;
 };
 
-void track_send(struct track *t, int64_t now_us);
-/** `sent_us` is the time given to track_send(). */
-void track_end(struct track *t, int64_t sent_us, enum home_event e,
-	       int64_t latency_us, int64_t now_us);
 /** What requests of a cell usually take. */
 struct usual {
 	int64_t latency_us;
 	int64_t deviation_us; /**< mean deviation from it */
 };
 
+void track_send(struct track *t, int64_t now_us);
+/** `sent_us` is the time given to track_send(). */
+void track_end(struct track *t, const struct usual *u, int64_t sent_us,
+	       enum home_event e, int64_t latency_us, int64_t now_us);
 /** Failures weigh less with time; requests that are out for longer than most
  * take count as well. 1 and more: the worker is more likely gray than sound.
  * Load pattern: a worker hangs on most of its requests for some seconds, while
@@ -187,30 +197,42 @@
 
 struct candidate {
 	const struct track *track;
+	double trouble; /**< by track_trouble() */
 	uint8_t slots;
 	bool out; /**< leaving, gone or excluded by the asker */
 	bool near; /**< in the asker's data centre */
 };
 
+/** What the request asks of the choice. */
+struct demand {
+	enum rank rank;
+	bool idempotent;
+	/** It has time to wait for a near worker, and for one that is not in
+	 * trouble, as long as there is one in service. */
+	bool patient;
+};
+
 /** A worker with more trouble is left alone while others will do. */
 #define CHOOSE_TROUBLE_MAX 1.0
 /** At most this share of the workers in service is left alone. */
 #define CHOOSE_AVOID_PERCENT 30
+/** Of the time until a request's target, this share may be spent waiting for a
+ * worker of its own data centre, or for one not in trouble: bytes between
+ * data centres are billed, and an answer within the target is worth as much as
+ * an early one. */
+#define CHOOSE_WAIT_PERCENT 25
 
 /** Index of the worker to use now, or -1 if all that may be used are full.
- * `random` breaks ties. Load pattern: part of the workers of a cell hang or
- * fail most of their requests while their probes pass. */
-int32_t choose_worker(const struct candidate *list, uint32_t count,
-		      const struct usual *u, uint64_t random, int64_t now_us);
-/** Of the time until a request's target, this share may be spent waiting for a
- * worker of its own data centre: bytes between data centres are billed, and an
- * answer within the target is worth as much as an early one. */
-#define CHOOSE_NEAR_WAIT_PERCENT 25
-/** Takes the workers of other data centres out if one of the own data centre is
- * in service and not in trouble, be it full. Load pattern: a burst fills the
+ * `random` breaks ties. Load patterns: part of the workers of a cell hang or
+ * fail most of their requests while their probes pass; a burst fills the
  * workers of one data centre while others have room. */
-void choose_keep_near(struct candidate *list, uint32_t count,
-		      const struct usual *u, int64_t now_us);
+int32_t choose_worker(const struct candidate *list, uint32_t count,
+		      const struct usual *u, const struct demand *d,
+		      uint64_t random, int64_t now_us);
+/** True if a cell's queue is short enough for requests to wait for a better
+ * worker than one that is free. Load pattern: a burst beyond capacity, in which
+ * each idle slot is a request that is refused. */
+bool choose_may_wait(uint32_t queued, uint32_t workers);
 /** Slots of the workers that are not out and not in trouble. */
 uint32_t choose_slots(const struct candidate *list, uint32_t count,
 		      const struct usual *u, int64_t now_us);
@@ -272,6 +294,8 @@
 	uint64_t id; /**< 0: free position */
 	const struct conf_worker *conf; /**< NULL: no longer configured */
 	struct track track;
+	double trouble; /**< of the track at `trouble_us` */
+	int64_t trouble_us; /**< 0: the track has changed since */
 };
 
 struct home_cell {
@@ -307,7 +331,7 @@
 	uint32_t position; /**< of the worker, once given */
 	uint64_t worker;
 	int64_t given_us;
-	int64_t far_from_us; /**< other data centres are used from then on */
+	int64_t patient_until_us; /**< waits for a near and sound worker */
 	int64_t until_us; /**< forgotten then */
 };
 
@@ -335,8 +359,8 @@
 				uint32_t region);
 void home_cell_free(struct home_cell *c);
 /** Fills candidates for an ask; returns how many. */
-uint32_t home_candidates(const struct home_cell *c, const struct home_msg *ask,
-			 struct candidate *out);
+uint32_t home_candidates(struct home_cell *c, const struct home_msg *ask,
+			 struct candidate *out, int64_t now_us);
 struct usual home_usual(const struct home_cell *c);
 void home_arm(struct home *h, int64_t at_us);
 
--- a/home/replay.c
+++ b/home/replay.c
@@ -47,127 +47,110 @@
 	double refusal_us;
 };
 
+#define GRAY_HANGS                                                  \
+	.gray = REPLAY_HANGS, .gray_share = 0.3, .gray_every_s = 9, \
+	.gray_for_s = 4.5, .gray_fails = 0.75
+#define REGION_WIDE \
+	.data_centres = 6, .slots = 6, .deadline_ms = 8000, .target_ms = 5000
+
 const struct replay_pattern replay_patterns[] = {
-	{ "gray hangs, quiet day",
-	  19,
-	  6,
-	  6,
-	  40,
-	  1,
-	  0,
-	  0,
-	  460,
-	  0.8,
-	  8000,
-	  5000,
-	  REPLAY_HANGS,
-	  0.3,
-	  9,
-	  4.5,
-	  0.75,
-	  0,
-	  1,
-	  300 },
-	{ "gray hangs, narrow service times",
-	  12,
-	  6,
-	  6,
-	  30,
-	  1,
-	  0,
-	  0,
-	  320,
-	  0.3,
-	  4000,
-	  1500,
-	  REPLAY_HANGS,
-	  0.3,
-	  9,
-	  4.5,
-	  0.75,
-	  0,
-	  1,
-	  300 },
-	{ "gray errors, quiet day",
-	  19,
-	  6,
-	  6,
-	  40,
-	  1,
-	  0,
-	  0,
-	  460,
-	  0.8,
-	  8000,
-	  5000,
-	  REPLAY_ERRORS,
-	  0.3,
-	  9,
-	  4.5,
-	  0.75,
-	  0,
-	  1,
-	  300 },
-	{ "burst of the least urgent, gray hangs",
-	  19,
-	  6,
-	  6,
-	  95,
-	  2.4,
-	  30,
-	  7,
-	  460,
-	  0.8,
-	  8000,
-	  5000,
-	  REPLAY_HANGS,
-	  0.3,
-	  9,
-	  4.5,
-	  0.75,
-	  0,
-	  1,
-	  60 },
-	{ "part of the workers slow",
-	  12,
-	  6,
-	  6,
-	  60,
-	  1,
-	  0,
-	  0,
-	  460,
-	  0.3,
-	  6000,
-	  2500,
-	  REPLAY_SOUND,
-	  0,
-	  9,
-	  3,
-	  0,
-	  0.25,
-	  4,
-	  120 },
-	{ "burst beyond capacity",
-	  12,
-	  6,
-	  6,
-	  100,
-	  2,
-	  20,
-	  10,
-	  460,
-	  0.3,
-	  6000,
-	  2500,
-	  REPLAY_SOUND,
-	  0,
-	  9,
-	  3,
-	  0,
-	  0,
-	  1,
-	  60 },
+	{ .name = "gray hangs, quiet day",
+	  .workers = 19,
+	  REGION_WIDE,
+	  .requests_per_s = 40,
+	  .service_ms = 460,
+	  .spread = 0.8,
+	  GRAY_HANGS,
+	  .seconds = 300 },
+	{ .name = "gray hangs, narrow service times",
+	  .workers = 12,
+	  .data_centres = 6,
+	  .slots = 6,
+	  .requests_per_s = 30,
+	  .service_ms = 320,
+	  .spread = 0.3,
+	  .deadline_ms = 4000,
+	  .target_ms = 1500,
+	  GRAY_HANGS,
+	  .seconds = 300 },
+	{ .name = "gray errors, quiet day",
+	  .workers = 19,
+	  REGION_WIDE,
+	  .requests_per_s = 40,
+	  .service_ms = 460,
+	  .spread = 0.8,
+	  .gray = REPLAY_ERRORS,
+	  .gray_share = 0.3,
+	  .gray_every_s = 9,
+	  .gray_for_s = 4.5,
+	  .gray_fails = 0.75,
+	  .seconds = 300 },
+	{ .name = "burst of the least urgent, gray hangs",
+	  .workers = 19,
+	  REGION_WIDE,
+	  .requests_per_s = 95,
+	  .burst = 2.4,
+	  .burst_from_s = 30,
+	  .burst_for_s = 7,
+	  .service_ms = 460,
+	  .spread = 0.8,
+	  GRAY_HANGS,
+	  .seconds = 60 },
+	{ .name = "part of the workers slow",
+	  .workers = 12,
+	  .data_centres = 6,
+	  .slots = 6,
+	  .requests_per_s = 60,
+	  .service_ms = 460,
+	  .spread = 0.3,
+	  .deadline_ms = 6000,
+	  .target_ms = 2500,
+	  .slow_share = 0.25,
+	  .slow_factor = 4,
+	  .seconds = 120 },
+	{ .name = "burst beyond capacity",
+	  .workers = 12,
+	  .data_centres = 6,
+	  .slots = 6,
+	  .requests_per_s = 100,
+	  .burst = 2,
+	  .burst_from_s = 20,
+	  .burst_for_s = 10,
+	  .service_ms = 460,
+	  .spread = 0.3,
+	  .deadline_ms = 6000,
+	  .target_ms = 2500,
+	  .seconds = 60 },
+	{ .name = "small cell, long gray spells",
+	  .workers = 4,
+	  .data_centres = 2,
+	  .slots = 6,
+	  .requests_per_s = 18,
+	  .service_ms = 480,
+	  .spread = 0.5,
+	  .deadline_ms = 6000,
+	  .target_ms = 4000,
+	  .gray = REPLAY_HANGS,
+	  .gray_share = 0.3,
+	  .gray_every_s = 12,
+	  .gray_for_s = 6,
+	  .gray_fails = 0.9,
+	  .seconds = 300 },
+	{ .name = "large cell, long gray spells",
+	  .workers = 55,
+	  .data_centres = 2,
+	  .slots = 6,
+	  .requests_per_s = 230,
+	  .service_ms = 450,
+	  .spread = 0.5,
+	  .deadline_ms = 12000,
+	  .target_ms = 4000,
+	  .gray = REPLAY_HANGS,
+	  .gray_share = 0.3,
+	  .gray_every_s = 12,
+	  .gray_for_s = 6,
+	  .gray_fails = 0.9,
+	  .seconds = 60 },
 };
 const uint32_t replay_pattern_count =
 	sizeof(replay_patterns) / sizeof(replay_patterns[0]);
@@ -253,9 +236,12 @@
 static void candidates(const struct model *m, uint32_t dc,
 		       struct candidate *out)
 {
+	struct usual u = usual(m);
+
 	for (uint32_t i = 0; i < m->pattern->workers; i++)
 		out[i] = (struct candidate){
 			.track = &m->tracks[i],
+			.trouble = track_trouble(&m->tracks[i], &u, m->now_us),
 			.slots = m->pattern->slots,
 			.near = i % m->pattern->data_centres == dc,
 		};
@@ -265,19 +251,32 @@
 {
 	struct candidate list[REPLAY_WORKERS_MAX];
 	struct usual u = usual(m);
+	struct demand d = { .rank = c->item.rank };
 
 	candidates(m, c->dc, list);
-	if (m->policy->keeps_near &&
-	    m->now_us < c->arrived_us + US(m->pattern->target_ms) *
-						CHOOSE_NEAR_WAIT_PERCENT / 100)
-		choose_keep_near(list, m->pattern->workers, &u, m->now_us);
-	return m->policy->choose(list, m->pattern->workers, &u,
+	d.patient = m->policy->waits &&
+		    choose_may_wait(rank_queue_depth(&m->queue),
+				    m->pattern->workers) &&
+		    m->now_us < c->arrived_us + US(m->pattern->target_ms) *
+							CHOOSE_WAIT_PERCENT /
+							100;
+	return m->policy->choose(list, m->pattern->workers, &u, &d,
 				 (uint64_t)c->arrived_us, m->now_us);
 }
 
+/** Keeps the choice for the call that fits. */
+struct fit {
+	struct model *model;
+	int32_t worker;
+};
+
 static bool fits(const struct queue_item *i, void *arg)
 {
-	return choose(arg, az_container_of(i, struct replay_call, item)) >= 0;
+	struct fit *f = arg;
+
+	f->worker =
+		choose(f->model, az_container_of(i, struct replay_call, item));
+	return f->worker >= 0;
 }
 
 static void note_refusal(struct model *m, struct replay_call *c)
@@ -314,15 +313,13 @@
 
 static void dispatch(struct model *m)
 {
+	struct fit f = { m, -1 };
 	struct queue_item *expired = NULL;
 	struct queue_item *i;
 
-	while ((i = rank_queue_pop(&m->queue, m->now_us, fits, m, &expired))) {
-		struct replay_call *c =
-			az_container_of(i, struct replay_call, item);
-
-		give(m, c, (uint32_t)choose(m, c));
-	}
+	while ((i = rank_queue_pop(&m->queue, m->now_us, fits, &f, &expired)))
+		give(m, az_container_of(i, struct replay_call, item),
+		     (uint32_t)f.worker);
 	while (expired) {
 		struct queue_item *next = expired->next;
 
@@ -360,7 +357,8 @@
 	if (rank_queue_push(&m->queue, &c->item, m->now_us) != ERR_NONE)
 		note_refusal(m, c);
 	dispatch(m);
-	if (s >= p->burst_from_s && s < p->burst_from_s + p->burst_for_s)
+	if (p->burst > 0 && s >= p->burst_from_s &&
+	    s < p->burst_from_s + p->burst_for_s)
 		rate *= p->burst;
 	if (s < p->seconds)
 		push(m, m->now_us + US(-1000 * log(uniform(m)) / rate), ARRIVAL,
@@ -384,7 +382,9 @@
 {
 	const struct replay_pattern *p = m->pattern;
 
-	track_end(&m->tracks[c->worker], c->sent_us, c->end, c->latency_us,
+	struct usual u = usual(m);
+
+	track_end(&m->tracks[c->worker], &u, c->sent_us, c->end, c->latency_us,
 		  m->now_us);
 	if (c->end == EVENT_ANSWERED) {
 		note_latency(m, c->latency_us);
@@ -454,10 +454,11 @@
 /* ---- policies ---- */
 
 static int32_t choose_random(const struct candidate *list, uint32_t count,
-			     const struct usual *u, uint64_t random,
-			     int64_t now_us)
+			     const struct usual *u, const struct demand *d,
+			     uint64_t random, int64_t now_us)
 {
 	(void)u;
+	(void)d;
 	random = hash_bytes(&random, sizeof(random), (uint64_t)now_us);
 	for (uint32_t n = 0; n < count; n++) {
 		uint32_t i = (uint32_t)((n + random) % count);
@@ -469,12 +470,13 @@
 }
 
 static int32_t choose_fewest(const struct candidate *list, uint32_t count,
-			     const struct usual *u, uint64_t random,
-			     int64_t now_us)
+			     const struct usual *u, const struct demand *d,
+			     uint64_t random, int64_t now_us)
 {
 	int32_t best = -1;
 
 	(void)u;
+	(void)d;
 	(void)now_us;
 	for (uint32_t n = 0; n < count; n++) {
 		uint32_t i = (uint32_t)((n + random) % count);
--- a/home/track.c
+++ b/home/track.c
@@ -24,6 +24,9 @@
 #define GRAY_FAILS 0.75
 /* Mean deviation to standard deviation. */
 #define SIGMAS_PER_DEVIATION 1.25
+/* A worker whose answers take this many times the usual is measured by its own
+ * history: slow but steady is sound. */
+#define SLOW_FACTOR 2.0
 #define STILL_OUT_MIN 0.002
 #define LATENCY_WEIGHT 0.2
 #define COLD_FACTOR 2.0
@@ -77,10 +80,35 @@
 	t->good_us = now_us;
 }
 
+/* Log odds of gray against sound that a request which is out for so long
+ * gives. Lateness fades: one that hangs since long ago says little about now.
+ */
+static double late_odds(const struct track *t, int64_t sent_us,
+			const struct usual *u, int64_t now_us)
+{
+	int64_t age_us = now_us - sent_us;
+	double usual_us = t->latency_us > SLOW_FACTOR * (double)u->latency_us ?
+				  t->latency_us :
+				  (double)u->latency_us;
+	double sigma_us = SIGMAS_PER_DEVIATION * (double)u->deviation_us *
+			  usual_us / (double)u->latency_us;
+	double still_out;
+	double odds;
+
+	if (now_us < t->cold_until_us)
+		usual_us *= COLD_FACTOR;
+	still_out = erfc(((double)age_us - usual_us) / sigma_us / M_SQRT2) / 2;
+	odds = log((GRAY_FAILS + (1 - GRAY_FAILS) * still_out) /
+		   (still_out + STILL_OUT_MIN));
+	return (double)age_us > 2 * usual_us ?
+		       fade(odds, age_us - (int64_t)(2 * usual_us)) :
+		       odds;
+}
+
 /* A failure is evidence about the time at which the request was sent: one that
  * took long to show is old news. */
-void track_end(struct track *t, int64_t sent_us, enum home_event e,
-	       int64_t latency_us, int64_t now_us)
+void track_end(struct track *t, const struct usual *u, int64_t sent_us,
+	       enum home_event e, int64_t latency_us, int64_t now_us)
 {
 	double trouble = fade(t->trouble, now_us - t->trouble_us);
 
@@ -94,32 +122,14 @@
 					 (double)latency_us;
 	}
 	trouble += fade(added_trouble(e), now_us - sent_us);
+	/* What was late when it was given up stays late. */
+	if (e == EVENT_ABANDONED)
+		trouble +=
+			fmax(late_odds(t, sent_us, u, now_us), 0) / LATE_ODDS;
 	t->trouble = trouble > TROUBLE_MAX ? TROUBLE_MAX : trouble;
 	t->trouble_us = now_us;
 }
 
-/* Log odds of gray against sound that a request which is out for so long
- * gives. Lateness fades: one that hangs since long ago says little about now.
- */
-static double late_odds(const struct track *t, uint32_t i,
-			const struct usual *u, int64_t now_us)
-{
-	int64_t age_us = now_us - t->out_us[i];
-	double usual_us = (double)u->latency_us;
-	double sigma_us = SIGMAS_PER_DEVIATION * (double)u->deviation_us;
-	double still_out;
-	double odds;
-
-	if (now_us < t->cold_until_us)
-		usual_us *= COLD_FACTOR;
-	still_out = erfc(((double)age_us - usual_us) / sigma_us / M_SQRT2) / 2;
-	odds = log((GRAY_FAILS + (1 - GRAY_FAILS) * still_out) /
-		   (still_out + STILL_OUT_MIN));
-	return (double)age_us > 2 * usual_us ?
-		       fade(odds, age_us - (int64_t)(2 * usual_us)) :
-		       odds;
-}
-
 /* Answers speak for the worker at the time when their requests were sent. */
 static double good(const struct track *t, const struct usual *u, int64_t now_us)
 {
@@ -133,7 +143,7 @@
 	double odds = 0;
 
 	for (uint32_t i = 0; i < t->out_count; i++)
-		odds += late_odds(t, i, u, now_us);
+		odds += late_odds(t, t->out_us[i], u, now_us);
 	odds += log(1 - GRAY_FAILS) * good(t, u, now_us);
 	odds /= LATE_ODDS;
 	if (odds < 0)
--- a/home/wire.c
+++ b/home/wire.c
@@ -14,6 +14,7 @@
 #define FLAG_REPEAT 2U
 #define FLAG_ONLY_FREE 4U
 #define FLAG_INSISTS 8U
+#define FLAG_COUNTS 16U
 
 static bool code_u8(XDR *x, uint8_t *v, uint32_t end)
 {
@@ -30,7 +31,8 @@
 	uint32_t flags = (m->idempotent ? FLAG_IDEMPOTENT : 0) |
 			 (m->repeat ? FLAG_REPEAT : 0) |
 			 (m->only_free ? FLAG_ONLY_FREE : 0) |
-			 (m->insists ? FLAG_INSISTS : 0);
+			 (m->insists ? FLAG_INSISTS : 0) |
+			 (m->counts ? FLAG_COUNTS : 0);
 
 	if (!xdr_uint64_t(x, &m->service) || !xdr_uint32_t(x, &m->region) ||
 	    !xdr_uint32_t(x, &m->dc) || !code_u8(x, &m->rank, RANK_COUNT) ||
@@ -42,6 +44,7 @@
 	m->repeat = flags & FLAG_REPEAT;
 	m->only_free = flags & FLAG_ONLY_FREE;
 	m->insists = flags & FLAG_INSISTS;
+	m->counts = flags & FLAG_COUNTS;
 	for (uint32_t i = 0; i < m->excluded_count; i++)
 		if (!xdr_uint64_t(x, &m->excluded[i]))
 			return false;
