attempt, azhd: faults found by the soak

The last ask of a request leaves nobody out: a failed connection proves that the request has not run. Test: attempt_test 'restarted' fails without the change.

Signals are blocked first of all. Test: fault case 13 fails without the change (settings from a FIFO, so that the signal comes while they are read).

--- a/attempt/ask.c
+++ b/attempt/ask.c
@@ -112,7 +112,10 @@
 	bool far = l->region != a->settings.region;
 
 	memcpy(m.excluded, p->excluded, sizeof(m.excluded));
-	exclude_bad_paths(a, &m);
+	/* With nobody else left, one that could not be reached is worth a try:
+	 * a failed connection proves that the request has not run. */
+	if (l->mode != ASK_INSIST)
+		exclude_bad_paths(a, &m);
 	tell(a, l, &m);
 	l->again_us =
 		a->duty.now_us + (l->state == LEG_QUEUED ? QUEUED_AGAIN_US :
--- a/attempt/attempt_test.c
+++ b/attempt/attempt_test.c
@@ -110,15 +110,19 @@
 	}
 }
 
+/* At the port that it had before, if any. */
 static void start(struct stand_in *w, const char *answer)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons(w->port),
 				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	socklen_t len = sizeof(sa);
+	int on = 1;
 
 	w->answer = answer;
 	w->fd = -1;
 	w->listener = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(w->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	CU_ASSERT_FATAL(!bind(w->listener, (struct sockaddr *)&sa, len));
 	CU_ASSERT_FATAL(!listen(w->listener, 16));
 	getsockname(w->listener, (struct sockaddr *)&sa, &len);
@@ -245,6 +249,27 @@
 	end(&w[1]);
 }
 
+/* Guards against work that is refused for seconds after the only worker of its
+ * service was started again. */
+static void test_restarted_worker_is_used_at_once(void)
+{
+	struct stand_in w = { 0 };
+	struct answer *a;
+
+	start(&w, ok);
+	set_workers(&w, 1);
+	end(&w);
+	a = ask(false);
+	CU_ASSERT_NOT_EQUAL(a->kind, ERR_NONE);
+	CU_ASSERT_EQUAL(a->outcome, OUTCOME_NOT_RUN);
+	answer_free(a);
+	start(&w, ok);
+	a = ask(false);
+	CU_ASSERT_EQUAL(a->kind, ERR_NONE);
+	answer_free(a);
+	end(&w);
+}
+
 /* Guards against work that waits for a service which has nobody. */
 static void test_no_worker_is_refused_at_once(void)
 {
@@ -318,6 +343,7 @@
 	CU_add_test(s, "elsewhere", test_not_run_is_tried_elsewhere);
 	CU_add_test(s, "once", test_payment_is_sent_once);
 	CU_add_test(s, "sound", test_read_finds_the_sound_worker);
+	CU_add_test(s, "restarted", test_restarted_worker_is_used_at_once);
 	CU_add_test(s, "nobody", test_no_worker_is_refused_at_once);
 	CU_basic_run_tests();
 	stop_parts();
--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -579,14 +579,16 @@
 	struct conf_errors errors;
 	sigset_t set = handled_signals();
 
+	/* First of all: a signal during the start waits for its handler and
+	 * does not end the process. */
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
 	if (azhd_settings_load(a.settings, &daemon.settings, &errors) !=
 	    AZ_OK) {
 		print_errors(&errors);
 		return 2;
 	}
-	signal(SIGPIPE, SIG_IGN);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	apr_initialize();
 	apr_pool_create(&daemon.pool, NULL);
 	log_set_level(daemon.settings.log_level);
