soak: randomized faults on real processes, played by seeds

A seed draws series of faults that overlap: daemons killed, stopped, paused and started again, paths between daemons cut one way, held, silent, slow or reset, workers with ten kinds of fault or killed, changes of the configuration. Checked: no payment runs twice, no answer is crossed, each 'not run' is true, a planned stop cuts nothing, the last change is in force everywhere and the fleet serves again once all is over.

--- a/fault/caller.c
+++ b/fault/caller.c
@@ -106,7 +106,9 @@
 bool piece_note(struct piece *p, const struct http_answer *a)
 {
 	if (!*a->error) {
-		check_answer(p, a);
+		/* An error of the worker itself names no run. */
+		if (a->status < 500)
+			check_answer(p, a);
 		p->final = PIECE_RAN;
 		return true;
 	}
--- a/fault/cases.c
+++ b/fault/cases.c
@@ -1,9 +1,11 @@
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 
 #include "fault/fault.h"
 
@@ -397,6 +399,9 @@
 		}
 }
 
+/* A daemon reads its settings within milliseconds. */
+#define READER_MS 5000
+
 #define REPEATED 8
 
 /* Sends a presentation and goes away without reading its answer. */
@@ -460,6 +465,49 @@
 			r->other++;
 }
 
+/* Opens a FIFO once its reader has; -1 if nobody comes. */
+static int32_t open_when_read(const char *path)
+{
+	int32_t fd = -1;
+
+	for (uint32_t ms = 0; fd < 0 && ms < READER_MS; ms += 10) {
+		fd = open(path, O_WRONLY | O_NONBLOCK);
+		if (fd < 0)
+			sleep_ms(10);
+	}
+	return fd;
+}
+
+/* 13: a daemon that is told to read its settings again while it still starts
+ * goes on. It reads them from a FIFO, so that it waits for the test. */
+static void early_reload(struct fleet *f, struct load *l, struct result *r)
+{
+	const char *path;
+	char kept[2 * TEXT_BYTES];
+	char text[4096] = "";
+	FILE *in;
+	int32_t fd;
+
+	fleet_start(f, &usual);
+	path = f->daemons[0].settings;
+	daemon_stop(f, 0);
+	snprintf(kept, sizeof(kept), "%s.kept", path);
+	in = fopen(path, "r");
+	if (!in || !fread(text, 1, sizeof(text) - 1, in) || fclose(in) ||
+	    rename(path, kept) || mkfifo(path, 0600))
+		abort();
+	daemon_start(f, 0);
+	fd = open_when_read(path);
+	daemon_signal(f, 0, SIGHUP);
+	if (fd < 0 || rename(kept, path) ||
+	    write(fd, text, strlen(text)) != (ssize_t)strlen(text)) {
+		log_write(LOG_ERROR, "case", "d0 does not read its settings");
+		r->other++;
+	}
+	close(fd);
+	fleet_wait_ready(f);
+}
+
 const struct fault_case fault_cases[] = {
 	{ 1, "1 worker closes after read", close_after_read },
 	{ 2, "2 half, late, crossed answers", half_and_late },
@@ -473,6 +521,7 @@
 	{ 10, "10 workers killed, silent", bad_workers },
 	{ 11, "11 hostile callers", hostile_callers },
 	{ 12, "12 repeat refused by the entry", refused_repeat },
+	{ 13, "13 reload during the start", early_reload },
 };
 
 const uint32_t fault_case_count = sizeof(fault_cases) / sizeof(fault_cases[0]);
--- a/fault/fault.h
+++ b/fault/fault.h
@@ -60,6 +60,7 @@
 
 struct process {
 	pid_t pid; /**< 0: not running */
+	int64_t started_us;
 	bool exited; /**< by itself, or at our wish */
 	int32_t status;
 };
@@ -99,9 +100,21 @@
 	struct worker workers[WORKERS_MAX];
 	uint64_t killed[KILLED_MAX]; /**< incarnations */
 	uint32_t killed_count;
+	uint32_t version; /**< of the configuration; 0: as it was at first */
 	uint32_t faults; /**< processes that ended by themselves, time-outs */
 };
 
+/** Ports of one fleet. */
+#define FLEET_PORTS 64
+
+/** First of a range of ports that no other run on this machine uses; 0 if there
+ * is none. */
+uint16_t fleet_claim_ports(void);
+/** Nothing is started yet; `daemon` is a program of its own, or NULL. */
+void fleet_init(struct fleet *f, const char *bin, const char *daemon,
+		uint16_t port);
+/** Removes the folder with its logs. */
+void fleet_remove(const struct fleet *f);
 uint16_t daemon_port(const struct fleet *f, uint32_t n);
 uint16_t peer_port(const struct fleet *f, uint32_t n);
 uint16_t worker_control_port(const struct fleet *f, uint32_t n);
@@ -114,7 +127,14 @@
 void daemon_start(struct fleet *f, uint32_t n);
 void daemon_kill(struct fleet *f, uint32_t n);
 void daemon_signal(struct fleet *f, uint32_t n, int sig);
-/** SIGTERM, then waits for the end; false if it took too long. */
+/** Writes another version of the configuration: one with the route /changeN,
+ * and tells the daemons by SIGHUP. */
+void fleet_change(struct fleet *f, uint32_t version);
+/** SIGTERM; the daemon may go on for as long as its stop takes. */
+void daemon_begin_stop(struct fleet *f, uint32_t n);
+/** Waits for the end of a planned stop; false if it took too long. */
+bool daemon_end_stop(struct fleet *f, uint32_t n);
+/** Both. */
 bool daemon_stop(struct fleet *f, uint32_t n);
 /** Waits until tickets of each running daemon are known to each other. */
 void fleet_wait_ready(struct fleet *f);
@@ -215,6 +235,13 @@
 	uint32_t other; /**< what else the case forbids */
 };
 
+/** What callers were told against what the workers ran; once all has ended. */
+void load_judge(struct load *l, struct result *r);
+/** All that has to be zero is. */
+bool result_is_good(const struct result *r);
+/** Prints pieces with a violation, and those that are unknown if wanted. */
+void load_print_pieces(const struct load *l, bool unknown);
+
 struct fault_case {
 	uint32_t number;
 	const char *name;
--- a/fault/fleet.c
+++ b/fault/fleet.c
@@ -24,9 +24,26 @@
 #define KEY "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 #define STOP_MS 40000
 #define POLL_MS 20
+/* From fork() to the first line of main(). */
+#define BEGIN_US (100 * US_PER_MS)
 /* Beyond this a daemon is not coming back; it takes about a second. */
 #define READY_MS 20000
 
+void fleet_init(struct fleet *f, const char *bin, const char *daemon,
+		uint16_t port)
+{
+	memset(f, 0, sizeof(*f));
+	f->bin = bin;
+	if (daemon)
+		snprintf(f->program, sizeof(f->program), "%s", daemon);
+	else
+		snprintf(f->program, sizeof(f->program), "%s/bin/azhd", bin);
+	f->port = port;
+	strcpy(f->dir, "/tmp/azfault.XXXXXX");
+	if (!mkdtemp(f->dir))
+		abort();
+}
+
 void sleep_ms(uint32_t ms)
 {
 	struct timespec ts = { ms / 1000, ms % 1000 * 1000000L };
@@ -71,6 +88,7 @@
 
 	memset(p, 0, sizeof(*p));
 	fflush(stdout);
+	p->started_us = clock_now_us();
 	p->pid = fork();
 	if (p->pid)
 		return;
@@ -145,10 +163,12 @@
 static void write_base(struct fleet *f)
 {
 	char path[2 * TEXT_BYTES];
+	char next[2 * TEXT_BYTES];
 	FILE *out;
 
 	snprintf(path, sizeof(path), "%s/base.ini", f->dir);
-	out = fopen(path, "w");
+	snprintf(next, sizeof(next), "%s/next.ini", f->dir);
+	out = fopen(next, "w");
 	if (!out)
 		abort();
 	fputs("[data_centre west]\nregion = rw\n"
@@ -178,7 +198,22 @@
 						      "stockroom",
 			i, f->port + PORT_WORKER + i,
 			f->workers[i].dc == 'e' ? "east" : "west");
-	fclose(out);
+	if (f->version)
+		fprintf(out,
+			"[route change]\npath = /change%u\nmethods = GET\n"
+			"service = stockroom\nidempotent = yes\n",
+			f->version);
+	/* A daemon that starts now reads the one or the other, whole. */
+	if (fclose(out) || rename(next, path))
+		abort();
+}
+
+void fleet_change(struct fleet *f, uint32_t version)
+{
+	f->version = version;
+	write_base(f);
+	for (uint32_t i = 0; i < f->daemon_count; i++)
+		daemon_signal(f, i, SIGHUP);
 }
 
 void daemon_start(struct fleet *f, uint32_t n)
@@ -194,8 +229,14 @@
 
 void daemon_signal(struct fleet *f, uint32_t n, int sig)
 {
-	if (f->daemons[n].process.pid > 0)
-		kill(f->daemons[n].process.pid, sig);
+	const struct process *p = &f->daemons[n].process;
+
+	if (p->pid <= 0)
+		return;
+	/* Until the program has begun, a signal would end it. */
+	while (clock_now_us() - p->started_us < BEGIN_US)
+		sleep_ms(POLL_MS);
+	kill(p->pid, sig);
 }
 
 void daemon_kill(struct fleet *f, uint32_t n)
@@ -213,12 +254,16 @@
 	return false;
 }
 
-bool daemon_stop(struct fleet *f, uint32_t n)
+void daemon_begin_stop(struct fleet *f, uint32_t n)
 {
-	struct process *p = &f->daemons[n].process;
-
 	__atomic_store_n(&f->daemons[n].stopping, 1, __ATOMIC_RELEASE);
 	daemon_signal(f, n, SIGTERM);
+}
+
+bool daemon_end_stop(struct fleet *f, uint32_t n)
+{
+	struct process *p = &f->daemons[n].process;
+
 	if (!wait_end(p, STOP_MS)) {
 		fail(f, "d%u did not stop", n);
 		end_now(p);
@@ -231,6 +276,12 @@
 	return true;
 }
 
+bool daemon_stop(struct fleet *f, uint32_t n)
+{
+	daemon_begin_stop(f, n);
+	return daemon_end_stop(f, n);
+}
+
 /* Learns the incarnation from a fresh ticket; false if there is none yet. */
 static bool learn(struct fleet *f, uint32_t n, char *text)
 {
--- /dev/null
+++ b/fault/judge.c
@@ -0,0 +1,123 @@
+/**
+ * @file
+ * What a run is judged by: what callers were told and what workers ran.
+ */
+#include <dirent.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include "fault/fault.h"
+
+#define PORT_FIRST 21000
+#define PORT_LAST 25000
+#define PORT_RANGE 1000
+#define PORT_GUARD 990
+
+uint16_t fleet_claim_ports(void)
+{
+	for (uint32_t port = PORT_FIRST; port <= PORT_LAST;
+	     port += PORT_RANGE) {
+		struct sockaddr_in sa = {
+			.sin_family = AF_INET,
+			.sin_port = htons((uint16_t)(port + PORT_GUARD)),
+			.sin_addr.s_addr = htonl(INADDR_LOOPBACK)
+		};
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+		if (!bind(fd, (struct sockaddr *)&sa, sizeof(sa)))
+			return (uint16_t)port;
+		close(fd);
+	}
+	return 0;
+}
+
+static void add_runs(void *arg, const char *run_id, uint32_t runs)
+{
+	struct load *l = arg;
+	uint32_t id = (uint32_t)strtoul(run_id + 1, NULL, 10);
+
+	if (*run_id == 'p' && id < l->piece_count)
+		l->pieces[id].runs += runs;
+}
+
+static void judge_piece(const struct fleet *f, const struct piece *p,
+			struct result *r)
+{
+	r->ran += p->final == PIECE_RAN;
+	r->not_run += p->final == PIECE_NOT_RUN;
+	r->unknown += p->final == PIECE_UNKNOWN;
+	r->crossed += p->crossed;
+	/* A read that was repeated may have run for its first attempt. */
+	if (p->told_not_run && p->runs && (p->payment || p->attempts == 1))
+		r->wrong_not_run++;
+	if (!p->payment)
+		return;
+	r->twice += p->runs > 1 || p->told_runs > 1;
+	r->lost += p->final == PIECE_UNKNOWN && p->runs &&
+		   !was_killed(f, p->ticket.incarnation);
+}
+
+void load_judge(struct load *l, struct result *r)
+{
+	struct fleet *f = l->fleet;
+
+	fleet_runs(f, add_runs, l);
+	r->requests = l->piece_count;
+	r->cut = l->cut;
+	for (uint32_t i = 0; i < l->piece_count; i++)
+		judge_piece(f, &l->pieces[i], r);
+	r->other += f->faults;
+}
+
+bool result_is_good(const struct result *r)
+{
+	return !r->twice && !r->crossed && !r->wrong_not_run && !r->cut &&
+	       !r->other;
+}
+
+static bool is_violation(const struct piece *p)
+{
+	return p->crossed || (p->payment && p->runs > 1) ||
+	       (p->payment && p->told_not_run && p->runs);
+}
+
+void load_print_pieces(const struct load *l, bool unknown)
+{
+	uint32_t left = 20;
+
+	for (uint32_t i = 0; left && i < l->piece_count; i++) {
+		const struct piece *p = &l->pieces[i];
+
+		if (!is_violation(p) && !(unknown && p->final == PIECE_UNKNOWN))
+			continue;
+		left--;
+		fprintf(stderr,
+			"# p%u payment=%d final=%d runs=%u told=%u crossed=%u attempts=%u "
+			"error=%s issuer=%016llx\n",
+			p->id, p->payment, p->final, p->runs, p->told_runs,
+			p->crossed, p->attempts, p->error,
+			(unsigned long long)p->ticket.incarnation);
+	}
+}
+
+void fleet_remove(const struct fleet *f)
+{
+	const char *path = f->dir;
+	DIR *d = opendir(path);
+	struct dirent *e;
+
+	while (d && (e = readdir(d))) {
+		char name[2 * TEXT_BYTES + 256];
+
+		snprintf(name, sizeof(name), "%s/%s", path, e->d_name);
+		if (*e->d_name != '.')
+			unlink(name);
+	}
+	if (d)
+		closedir(d);
+	rmdir(path);
+}
--- /dev/null
+++ b/soak/plan_test.c
@@ -0,0 +1,100 @@
+#include <string.h>
+#include <CUnit/Basic.h>
+
+#include "soak/soak.h"
+
+#define SEEDS 200
+
+static const struct soak_limits limits = { .daemons = 4,
+					   .workers = 6,
+					   .length_ms = 9000,
+					   .relays = true };
+
+/* Guards against a seed that cannot be played again. */
+static void test_seed_gives_one_plan(void)
+{
+	static struct soak_plan a;
+	static struct soak_plan b;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		soak_plan_draw(&a, &limits, seed);
+		soak_plan_draw(&b, &limits, seed);
+		CU_ASSERT_EQUAL(memcmp(&a, &b, sizeof(a)), 0);
+		CU_ASSERT(a.count > 0);
+	}
+}
+
+static bool is_of_worker(const struct soak_step *s)
+{
+	return s->kind == SOAK_WORKER_FAULT || s->kind == SOAK_WORKER_KILL;
+}
+
+/* Targets of a sort that have a fault at a time; 0xff if one has two. */
+static uint32_t down(const struct soak_plan *p, bool workers, uint32_t at_ms)
+{
+	uint32_t faults[64] = { 0 };
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < p->count; i++) {
+		const struct soak_step *s = &p->steps[i];
+
+		if (s->kind == SOAK_CHANGE || is_of_worker(s) != workers ||
+		    at_ms < s->begin_ms || at_ms > s->end_ms)
+			continue;
+		if (faults[s->target]++)
+			return 0xff;
+		n++;
+	}
+	return n;
+}
+
+/* Guards against plans under which nothing can be promised: all daemons or all
+ * workers away at once, or a stopped daemon that is also paused. */
+static void test_somebody_is_left_alone(void)
+{
+	static struct soak_plan p;
+	uint32_t overlapping = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		soak_plan_draw(&p, &limits, seed);
+		for (uint32_t ms = 0; ms <= limits.length_ms; ms += 10) {
+			uint32_t daemons = down(&p, false, ms);
+
+			CU_ASSERT(daemons < limits.daemons);
+			CU_ASSERT(down(&p, true, ms) < limits.workers);
+			overlapping += daemons > 1;
+		}
+		for (uint32_t i = 1; i < p.count; i++)
+			CU_ASSERT(p.steps[i].begin_ms >=
+				  p.steps[i - 1].begin_ms);
+	}
+	CU_ASSERT(overlapping > 0);
+}
+
+/* Guards against kinds of fault that no seed ever draws. */
+static void test_all_kinds_are_drawn(void)
+{
+	static struct soak_plan p;
+	uint32_t seen[SOAK_KIND_COUNT] = { 0 };
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		soak_plan_draw(&p, &limits, seed);
+		for (uint32_t i = 0; i < p.count; i++)
+			seen[p.steps[i].kind]++;
+	}
+	for (uint32_t k = 0; k < SOAK_KIND_COUNT; k++)
+		CU_ASSERT(seen[k] > 0);
+}
+
+int main(void)
+{
+	CU_pSuite s;
+
+	CU_initialize_registry();
+	s = CU_add_suite("soak plan", NULL, NULL);
+	CU_add_test(s, "seed", test_seed_gives_one_plan);
+	CU_add_test(s, "left alone", test_somebody_is_left_alone);
+	CU_add_test(s, "kinds", test_all_kinds_are_drawn);
+	CU_basic_run_tests();
+	return CU_get_number_of_failures() != 0;
+}
--- /dev/null
+++ b/soak/run.c
@@ -0,0 +1,278 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak/soak.h"
+
+/* Pieces that end after the last fault, and how many of 100 must have run. */
+#define AFTER_PIECES 200
+#define AFTER_RAN_PERCENT 95
+/* A change of the configuration is in force at every daemon by then. */
+#define CHANGE_MS 5000
+#define POLL_MS 50
+
+/** One beginning or end of a step, in the order of time. */
+struct edge {
+	uint32_t at_ms;
+	uint32_t step;
+	bool begin;
+};
+
+struct soak {
+	struct fleet fleet;
+	struct load load;
+	struct soak_plan plan;
+	struct result result;
+	struct edge edges[2 * SOAK_STEPS_MAX];
+	uint32_t edge_count;
+	int64_t start_us;
+};
+
+/* ---- order of the edges ---- */
+
+static int by_time(const void *a, const void *b)
+{
+	const struct edge *x = a;
+	const struct edge *y = b;
+
+	if (x->at_ms != y->at_ms)
+		return x->at_ms < y->at_ms ? -1 : 1;
+	return x->step < y->step ? -1 : x->step > y->step;
+}
+
+static void sort_edges(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->plan.count; i++) {
+		const struct soak_step *p = &s->plan.steps[i];
+
+		s->edges[s->edge_count++] =
+			(struct edge){ p->begin_ms, i, true };
+		s->edges[s->edge_count++] =
+			(struct edge){ p->end_ms, i, false };
+	}
+	qsort(s->edges, s->edge_count, sizeof(s->edges[0]), by_time);
+}
+
+/* ---- steps ---- */
+
+static void begin(struct soak *s, const struct soak_step *p)
+{
+	struct fleet *f = &s->fleet;
+
+	switch (p->kind) {
+	case SOAK_KILL:
+		daemon_kill(f, p->target);
+		return;
+	case SOAK_STOP:
+		daemon_begin_stop(f, p->target);
+		return;
+	case SOAK_PAUSE:
+		daemon_signal(f, p->target, SIGSTOP);
+		return;
+	case SOAK_LINK:
+		relay_set(f, p->target, p->begin);
+		return;
+	case SOAK_WORKER_FAULT:
+		worker_fault(f, p->target, p->begin);
+		return;
+	case SOAK_WORKER_KILL:
+		worker_kill(f, p->target);
+		return;
+	case SOAK_CHANGE:
+		fleet_change(f, f->version + 1);
+		return;
+	case SOAK_KIND_COUNT:
+		return;
+	}
+}
+
+static void end(struct soak *s, const struct soak_step *p)
+{
+	struct fleet *f = &s->fleet;
+
+	switch (p->kind) {
+	case SOAK_STOP:
+		daemon_end_stop(f, p->target);
+		daemon_start(f, p->target);
+		return;
+	case SOAK_KILL:
+		daemon_start(f, p->target);
+		return;
+	case SOAK_PAUSE:
+		daemon_signal(f, p->target, SIGCONT);
+		return;
+	case SOAK_LINK:
+		relay_set(f, p->target, p->end);
+		return;
+	case SOAK_WORKER_FAULT:
+		worker_fault(f, p->target, p->end);
+		return;
+	case SOAK_WORKER_KILL:
+		worker_start(f, p->target);
+		worker_fault(f, p->target, "mode=none");
+		return;
+	case SOAK_CHANGE:
+	case SOAK_KIND_COUNT:
+		return;
+	}
+}
+
+static void log_edge(const struct edge *e, const struct soak_step *p)
+{
+	log_write(LOG_INFO, "soak", "%s kind=%s target=%u at_ms=%u order=%s",
+		  e->begin ? "begin" : "end", soak_kind_name(p->kind),
+		  p->target, e->at_ms, p->begin ? p->begin : "-");
+}
+
+static void play(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->edge_count; i++) {
+		const struct edge *e = &s->edges[i];
+		const struct soak_step *p = &s->plan.steps[e->step];
+		int64_t left_us =
+			s->start_us + e->at_ms * US_PER_MS - clock_now_us();
+
+		if (left_us > 0)
+			sleep_ms((uint32_t)(left_us / US_PER_MS));
+		log_edge(e, p);
+		if (e->begin)
+			begin(s, p);
+		else
+			end(s, p);
+	}
+}
+
+/* ---- after the last fault ---- */
+
+static bool is_in_force(const struct fleet *f, uint32_t n)
+{
+	static const char form[] = "GET /change%u HTTP/1.1\r\nHost: x\r\n"
+				   "Azurehold-Organisation: desk\r\n"
+				   "Authorization: Bearer desk-token\r\n\r\n";
+	struct http_conn c = { .fd = -1 };
+	struct http_answer a = { 0 };
+	char request[256];
+	int len = snprintf(request, sizeof(request), form, f->version);
+	bool good = http_exchange(&c, daemon_port(f, n), request, (uint32_t)len,
+				  CHANGE_MS, &a) == HTTP_WHOLE &&
+		    a.status != 404;
+
+	http_close(&c);
+	http_answer_free(&a);
+	return good;
+}
+
+/* The last change is in force at each daemon, whatever happened to it. */
+static void check_change(struct soak *s)
+{
+	struct fleet *f = &s->fleet;
+
+	for (uint32_t n = 0; f->version && n < f->daemon_count; n++) {
+		bool good = is_in_force(f, n);
+
+		for (uint32_t ms = 0; !good && ms < CHANGE_MS; ms += POLL_MS) {
+			sleep_ms(POLL_MS);
+			good = is_in_force(f, n);
+		}
+		if (good)
+			continue;
+		log_write(LOG_ERROR, "soak",
+			  "change not in force daemon=%u "
+			  "version=%u",
+			  n, f->version);
+		s->result.other++;
+	}
+}
+
+/* Once all faults are over the fleet serves as before. */
+static void check_recovery(struct soak *s)
+{
+	struct load *l = &s->load;
+	uint32_t first = l->piece_count;
+	uint32_t ran = 0;
+	uint32_t all = 0;
+
+	load_wait(l, AFTER_PIECES);
+	load_stop(l);
+	for (uint32_t i = first; i < l->piece_count; i++) {
+		const struct piece *p = &l->pieces[i];
+
+		all++;
+		ran += p->final == PIECE_RAN;
+		if (p->final != PIECE_RAN)
+			log_write(LOG_WARN, "soak",
+				  "not run after the faults piece=p%u "
+				  "payment=%s final=%d error=%s",
+				  p->id, p->payment ? "yes" : "no", p->final,
+				  p->error);
+	}
+	if (all && ran * 100 >= all * AFTER_RAN_PERCENT)
+		return;
+	log_write(LOG_ERROR, "soak", "no recovery ran=%u of=%u", ran, all);
+	s->result.other++;
+}
+
+/* ---- a seed ---- */
+
+static void print_row(const struct soak *s, uint64_t seed)
+{
+	const struct result *r = &s->result;
+
+	printf("%20llu %5u %8u %6u %7u %7u %5u %5u %7u %13u %4u %5u %5.1f %s\n",
+	       (unsigned long long)seed, s->plan.count, r->requests, r->ran,
+	       r->not_run, r->unknown, r->twice, r->lost, r->crossed,
+	       r->wrong_not_run, r->cut, r->other,
+	       (double)(clock_now_us() - s->start_us) / US_PER_S,
+	       result_is_good(r) ? "ok" : "FAIL");
+	fflush(stdout);
+}
+
+bool soak_run(const struct soak_options *o, uint64_t seed, uint16_t port)
+{
+	static struct soak soak;
+	struct soak *s = &soak;
+	struct fleet_options fo = { .daemons = o->daemons,
+				    .service_ms = 20,
+				    .drain_ms = 1000,
+				    .relays = seed % 2 };
+	struct soak_limits limits = { .daemons = o->daemons,
+				      .length_ms = o->length_ms,
+				      .relays = fo.relays };
+	static const struct load_options lo = { .threads = 16,
+						.reads_percent = 40,
+						.deadline_ms = 1500,
+						.think_ms = 20,
+						.organisation = "desk",
+						.issuer = -1,
+						.entry = -1 };
+	bool good;
+
+	memset(s, 0, sizeof(*s));
+	fleet_init(&s->fleet, o->bin, o->daemon, port);
+	load_init(&s->load, &s->fleet, seed);
+	fleet_start(&s->fleet, &fo);
+	limits.workers = s->fleet.worker_count;
+	soak_plan_draw(&s->plan, &limits, seed);
+	sort_edges(s);
+	s->start_us = clock_now_us();
+	load_start(&s->load, &lo);
+	play(s);
+	fleet_wait_ready(&s->fleet);
+	check_change(s);
+	check_recovery(s);
+	fleet_stop(&s->fleet);
+	load_judge(&s->load, &s->result);
+	fleet_abort(&s->fleet);
+	good = result_is_good(&s->result);
+	print_row(s, seed);
+	if (!good)
+		load_print_pieces(&s->load, false);
+	if (!good || o->keep)
+		fprintf(stderr, "# seed %llu: logs in %s\n",
+			(unsigned long long)seed, s->fleet.dir);
+	else
+		fleet_remove(&s->fleet);
+	load_free(&s->load);
+	return good;
+}
