attempt: a 'not run' is true of all copies of a request

Work that must not repeat has one copy and was not affected.

Change: while a copy may have run, the answer says that the outcome is unknown. The setting shed_is_not_run had no effect since requests are sent by attempt/; a 503 of such a service counts as not run again.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	@echo "make check-memory  the same with the sanitizers"
 	@echo "make faults    process-level failure tests"
 	@echo "make soak      randomized faults on real processes: SEEDS=50 FIRST=1"
+	@echo "make soak-regression  the seeds that failed once"
 	@echo "make conf-check  azhctl against the stand-in store and three daemons"
 	@echo "make models    check the Promela models and their broken variants"
 	@echo "make measure   measurements in model time, 'name value unit' lines"
@@ -104,6 +105,13 @@
 soak: all
 	$(BUILD)/soak/soak_main --seed $(FIRST) --count $(SEEDS)
 
+# The seeds that failed once.
+soak-regression: all
+	@grep -v '^#' soak/seeds.txt | while read -r seed cause; \
+	do \
+		$(BUILD)/soak/soak_main --seed $$seed || exit 1; \
+	done
+
 conf-check: all
 	sh conf/e2e.sh
 
@@ -131,6 +139,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help setup check check-memory demo faults soak conf-check models measure \
+.PHONY: all help setup check check-memory demo faults soak soak-regression conf-check models measure \
 	slopes bench format reformat lint clean
 .SECONDARY:
--- a/attempt/attempt.c
+++ b/attempt/attempt.c
@@ -43,10 +43,22 @@
 	free(p);
 }
 
+/* A copy that did not run proves nothing about another one that may have. */
+static struct answer *true_of_all_copies(const struct pending *p,
+					 struct answer *ans)
+{
+	if (ans->kind == ERR_NONE || ans->outcome != OUTCOME_NOT_RUN ||
+	    !p->runs)
+		return ans;
+	answer_free(ans);
+	return answer_new(ERR_ANSWER_LOST);
+}
+
 void pending_finish(struct attempts *a, struct pending *p, struct answer *ans)
 {
 	struct reply_to *reply = p->reply;
 
+	ans = true_of_all_copies(p, ans);
 	p->reply = NULL;
 	p->hedge_at_us = 0;
 	if (ans->kind != ERR_NONE)
--- a/attempt/attempt_test.c
+++ b/attempt/attempt_test.c
@@ -157,7 +157,8 @@
 	struct conf *c;
 
 	buf_printf(&text, "[data_centre a1]\nregion = a\n"
-			  "[service s]\nbare = yes\nretry_percent = 100\n");
+			  "[service s]\nbare = yes\nretry_percent = 100\n"
+			  "shed_is_not_run = yes\n");
 	for (uint32_t i = 0; i < count; i++)
 		buf_printf(&text,
 			   "[worker s/w%u]\naddress = 127.0.0.1:%u\n"
@@ -270,6 +271,33 @@
 	end(&w);
 }
 
+/* Guards against a 'not run' by the last copy of a read, while an earlier one
+ * was read by its worker and may have run. */
+static void test_refusal_is_true_of_all_copies(void)
+{
+	struct stand_in w[2] = { { 0 } };
+
+	start(&w[0], "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+	start(&w[1], "");
+	/* The one that sheds has a record, so that the other is tried first. */
+	set_workers(w, 1);
+	for (uint32_t i = 0; i < 3; i++)
+		answer_free(ask(true));
+	set_workers(w, 2);
+	for (uint32_t i = 0; i < 4; i++) {
+		uint32_t before = w[1].requests;
+		struct answer *a = ask(true);
+
+		CU_ASSERT_NOT_EQUAL(a->kind, ERR_NONE);
+		CU_ASSERT(w[1].requests == before ||
+			  a->outcome == OUTCOME_UNKNOWN);
+		answer_free(a);
+	}
+	CU_ASSERT(w[1].requests > 0);
+	end(&w[0]);
+	end(&w[1]);
+}
+
 /* Guards against work that waits for a service which has nobody. */
 static void test_no_worker_is_refused_at_once(void)
 {
@@ -344,6 +372,7 @@
 	CU_add_test(s, "once", test_payment_is_sent_once);
 	CU_add_test(s, "sound", test_read_finds_the_sound_worker);
 	CU_add_test(s, "restarted", test_restarted_worker_is_used_at_once);
+	CU_add_test(s, "all copies", test_refusal_is_true_of_all_copies);
 	CU_add_test(s, "nobody", test_no_worker_is_refused_at_once);
 	CU_basic_run_tests();
 	stop_parts();
--- a/attempt/send.c
+++ b/attempt/send.c
@@ -141,13 +141,28 @@
 		  r->signs.running, r->signs.waiting);
 }
 
+/* Of some services a 503 is a promise, whatever else the worker says. */
+static void judge_shed(const struct attempts *a, const struct pending *p,
+		       struct upstream_result *r)
+{
+	struct conf *conf = conf_current_get(a->settings.conf);
+	const struct conf_service *s = conf_find_service_id(conf, p->service);
+
+	if (s && s->shed_is_not_run && r->fault == UPSTREAM_OK &&
+	    r->verdict == WORKER_ANSWERED && r->answer->http_status == 503)
+		r->verdict = WORKER_DID_NOT_RUN;
+	conf_release(conf);
+}
+
 static void take_result(struct attempts *a, struct leg *l,
 			struct upstream_result *r)
 {
 	struct pending *p = l->pending;
-	enum home_event e = attempt_event(r);
 	bool cancelled = l->cancelled;
+	enum home_event e;
 
+	judge_shed(a, p, r);
+	e = attempt_event(r);
 	log_result(l, r);
 	if (e == EVENT_UNREACHABLE)
 		attempts_note_bad_path(a, l->worker);
--- a/fault/caller.c
+++ b/fault/caller.c
@@ -125,7 +125,8 @@
 
 /* Only a connection error after sending, on a connection that this daemon did
  * not announce as closing, and that was not idle for the whole drain. */
-static void note_loss(struct load *l, uint32_t n, const struct http_conn *was)
+static void note_loss(struct load *l, const struct piece *p, uint32_t n,
+		      const struct http_conn *was)
 {
 	int64_t idle_us = clock_now_us() - was->used_us;
 
@@ -133,6 +134,9 @@
 		return;
 	if (was->used_us && idle_us > l->fleet->options.drain_ms * US_PER_MS)
 		return;
+	log_write(LOG_ERROR, "caller", "cut piece=p%u daemon=d%u idle_ms=%lld",
+		  p->id, n,
+		  was->used_us ? (long long)(idle_us / US_PER_MS) : -1);
 	pthread_mutex_lock(&l->lock);
 	l->cut++;
 	pthread_mutex_unlock(&l->lock);
@@ -177,7 +181,7 @@
 	k = http_exchange(c, daemon_port(l->fleet, n), request, len, LIMIT_MS,
 			  out);
 	if (k == HTTP_LOST)
-		note_loss(l, n, &was);
+		note_loss(l, p, n, &was);
 	return k;
 }
 
