health: the homes' evidence is measured as a policy of its own

The latency that requests usually take was computed by two copies of one function; home_note_latency() serves the home, the replay and the measurement.

--- a/health/health.h
+++ b/health/health.h
@@ -87,7 +87,11 @@
 	uint32_t probe_interval_ms;
 };
 
-/** The policy that the product uses. */
+/** The evidence by which the homes choose (home/track.c): a worker in trouble
+ * counts as unhealthy. */
+struct health_pool *health_create_home(const struct health_settings *s,
+				       int64_t now_us);
+/** The product's policy until 2026-12-04, with probes and states. */
 struct health_pool *health_create(const struct health_settings *s,
 				  int64_t now_us);
 
--- a/health/health_measure.c
+++ b/health/health_measure.c
@@ -784,6 +784,7 @@
 };
 
 static const struct policy policies[] = {
+	{ "home", health_create_home },
 	{ "evidence", health_create },
 	{ "consecutive-errors", health_create_consecutive },
 	{ "latency-threshold", health_create_threshold },
@@ -830,9 +831,9 @@
 	printf("%s.lowest-in-service %.2f of-pool\n", prefix, c.lowest_share);
 }
 
-static void measure_policy(const struct policy *p, uint64_t seed, bool product)
+static void measure_policy(const struct policy *p, uint64_t seed, bool both)
 {
-	for (uint32_t r = 0; r < (product ? 2 : 1); r++)
+	for (uint32_t r = 0; r < (both ? 2 : 1); r++)
 		for (uint32_t i = 0; i < 2; i++)
 			for (uint32_t n = FAULT_SLOW_3;
 			     n <= FAULT_HALF_SILENT + HEALTHY_COUNT; n++)
@@ -861,6 +862,6 @@
 	printf("health.seeds %u count\n", seeds);
 	printf("health.floor %.2f of-pool\n", FLOOR_PERCENT / 100.0);
 	for (uint32_t i = 0; i < sizeof(policies) / sizeof(*policies); i++)
-		measure_policy(&policies[i], seed, i == 0);
+		measure_policy(&policies[i], seed, i < 2);
 	return 0;
 }
--- /dev/null
+++ b/health/home_policy.c
@@ -0,0 +1,124 @@
+#include <stdlib.h>
+
+#include "health/health.h"
+#include "home/home.h"
+
+/** The homes' evidence behind the interface of the measurements. */
+struct home_policy {
+	struct health_pool pool;
+	struct home_cell cell; /**< only what its requests usually take */
+	struct track tracks[HEALTH_WORKERS_MAX];
+	int64_t now_us;
+};
+
+static struct home_policy *policy_of(struct health_pool *p)
+{
+	return az_container_of(p, struct home_policy, pool);
+}
+
+static void policy_dispatch(struct health_pool *p, uint8_t worker,
+			    int64_t now_us)
+{
+	track_send(&policy_of(p)->tracks[worker], now_us);
+}
+
+static enum home_event event_of(enum health_event e)
+{
+	switch (e) {
+	case HEALTH_ANSWERED:
+		return EVENT_ANSWERED;
+	case HEALTH_SERVER_ERROR:
+		return EVENT_SERVER_ERROR;
+	case HEALTH_SHED:
+		return EVENT_SHED;
+	case HEALTH_TRUNCATED:
+	case HEALTH_RESET:
+		return EVENT_BROKEN;
+	case HEALTH_TIMEOUT:
+		return EVENT_TIMEOUT;
+	case HEALTH_CONNECT_REFUSED:
+	case HEALTH_CONNECT_TIMEOUT:
+		return EVENT_UNREACHABLE;
+	case HEALTH_CANCELLED:
+		return EVENT_ABANDONED;
+	}
+	return EVENT_UNUSED;
+}
+
+static void policy_record(struct health_pool *p, uint8_t worker,
+			  const struct health_sample *s, int64_t now_us)
+{
+	struct home_policy *h = policy_of(p);
+	struct usual u = home_usual(&h->cell);
+
+	track_end(&h->tracks[worker], &u, now_us - s->latency_us,
+		  event_of(s->event), s->latency_us, now_us);
+	if (s->event == HEALTH_ANSWERED)
+		home_note_latency(&h->cell, s->latency_us);
+}
+
+static void policy_tick(struct health_pool *p, int64_t now_us)
+{
+	policy_of(p)->now_us = now_us;
+}
+
+static struct health_verdict policy_verdict(const struct health_pool *p,
+					    uint8_t worker)
+{
+	const struct home_policy *h =
+		az_container_of(p, const struct home_policy, pool);
+	struct usual u = home_usual(&h->cell);
+	struct health_verdict v = { .weight_percent = 100 };
+
+	if (track_trouble(&h->tracks[worker], &u, h->now_us) >=
+	    CHOOSE_TROUBLE_MAX) {
+		v.state = HEALTH_UNHEALTHY;
+		v.severity = UINT8_MAX;
+	}
+	return v;
+}
+
+/* The homes send no probes: a worker leaves trouble by time. */
+static int32_t policy_next_probe(struct health_pool *p, int64_t now_us,
+				 bool *fresh)
+{
+	return -1;
+}
+
+static int64_t policy_take_silent(struct health_pool *p, uint8_t worker)
+{
+	return 0;
+}
+
+static void policy_reset(struct health_pool *p, uint8_t worker, int64_t now_us)
+{
+	policy_of(p)->tracks[worker] = (struct track){ 0 };
+}
+
+static void policy_destroy(struct health_pool *p)
+{
+	free(policy_of(p));
+}
+
+static const struct health_ops home_ops = {
+	.name = "home",
+	.dispatch = policy_dispatch,
+	.record = policy_record,
+	.tick = policy_tick,
+	.verdict = policy_verdict,
+	.next_probe = policy_next_probe,
+	.take_silent = policy_take_silent,
+	.reset = policy_reset,
+	.destroy = policy_destroy,
+};
+
+struct health_pool *health_create_home(const struct health_settings *s,
+				       int64_t now_us)
+{
+	struct home_policy *h = az_alloc(sizeof(*h));
+
+	h->pool.ops = &home_ops;
+	h->pool.worker_count = s->worker_count;
+	h->now_us = now_us;
+	return &h->pool;
+}
--- a/home/cells.c
+++ b/home/cells.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,7 @@
 #define USUAL_START_US (500 * US_PER_MS)
 #define USUAL_MIN_US (20 * US_PER_MS)
 #define DEVIATION_MIN_SHARE 5
+#define LATENCY_WEIGHT 0.05
 
 uint64_t home_cell_id(uint64_t service, uint32_t region)
 {
@@ -34,6 +36,19 @@
 	return u;
 }
 
+void home_note_latency(struct home_cell *c, int64_t latency_us)
+{
+	double d = (double)latency_us - c->usual_us;
+
+	if (!c->usual_us) {
+		c->usual_us = (double)latency_us;
+		c->deviation_us = (double)latency_us / 2;
+		return;
+	}
+	c->usual_us += LATENCY_WEIGHT * d;
+	c->deviation_us += LATENCY_WEIGHT * (fabs(d) - c->deviation_us);
+}
+
 static struct home_worker *find_worker(struct home_cell *c, uint64_t id)
 {
 	for (uint32_t i = 0; i < c->worker_count; i++)
--- a/home/home.c
+++ b/home/home.c
@@ -1,4 +1,3 @@
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,7 +13,6 @@
 #define SWEEP_US US_PER_S
 /* An end that is later than the request's deadline by more is not coming. */
 #define GRANT_EXTRA_US (2 * US_PER_S)
-#define LATENCY_WEIGHT 0.05
 /* A wait that is longer than this share of the time until the target is worth
  * a question to another region, whose bytes are the dearest. */
 #define QUEUE_TARGET_PERCENT 40
@@ -339,19 +337,6 @@
 	}
 }
 
-static void note_latency(struct home_cell *c, int64_t latency_us)
-{
-	double d = (double)latency_us - c->usual_us;
-
-	if (!c->usual_us) {
-		c->usual_us = (double)latency_us;
-		c->deviation_us = (double)latency_us / 2;
-		return;
-	}
-	c->usual_us += LATENCY_WEIGHT * d;
-	c->deviation_us += LATENCY_WEIGHT * (fabs(d) - c->deviation_us);
-}
-
 static void end(struct home *h, struct grant *g, enum home_event e,
 		int64_t latency_us)
 {
@@ -376,7 +361,7 @@
 				  w->track.out_count);
 	}
 	if (e == EVENT_ANSWERED)
-		note_latency(c, latency_us);
+		home_note_latency(c, latency_us);
 	forget(h, g);
 	dispatch(h, c);
 }
--- a/home/home.h
+++ b/home/home.h
@@ -362,6 +362,8 @@
 uint32_t home_candidates(struct home_cell *c, const struct home_msg *ask,
 			 struct candidate *out, int64_t now_us);
 struct usual home_usual(const struct home_cell *c);
+/** A whole answer took so long. */
+void home_note_latency(struct home_cell *c, int64_t latency_us);
 void home_arm(struct home *h, int64_t at_us);
 
 #endif
--- a/home/replay.c
+++ b/home/replay.c
@@ -40,8 +40,7 @@
 	struct track tracks[REPLAY_WORKERS_MAX];
 	int64_t gray_until_us[REPLAY_WORKERS_MAX];
 	int64_t next_gray_us;
-	double usual_us;
-	double deviation_us;
+	struct home_cell cell; /**< only what its requests usually take */
 	struct rank_queue queue;
 	double wait_us;
 	double refusal_us;
@@ -222,15 +221,7 @@
 
 static struct usual usual(const struct model *m)
 {
-	struct usual u = { 500 * US_PER_MS, 250 * US_PER_MS };
-
-	if (m->usual_us) {
-		u.latency_us = (int64_t)m->usual_us;
-		u.deviation_us = (int64_t)m->deviation_us;
-	}
-	if (u.deviation_us < u.latency_us / 5)
-		u.deviation_us = u.latency_us / 5;
-	return u;
+	return home_usual(&m->cell);
 }
 
 static void candidates(const struct model *m, uint32_t dc,
@@ -365,19 +356,6 @@
 		     NULL);
 }
 
-static void note_latency(struct model *m, int64_t latency_us)
-{
-	double d = (double)latency_us - m->usual_us;
-
-	if (!m->usual_us) {
-		m->usual_us = (double)latency_us;
-		m->deviation_us = (double)latency_us / 2;
-		return;
-	}
-	m->usual_us += 0.05 * d;
-	m->deviation_us += 0.05 * (fabs(d) - m->deviation_us);
-}
-
 static void end(struct model *m, struct replay_call *c)
 {
 	const struct replay_pattern *p = m->pattern;
@@ -387,7 +365,7 @@
 	track_end(&m->tracks[c->worker], &u, c->sent_us, c->end, c->latency_us,
 		  m->now_us);
 	if (c->end == EVENT_ANSWERED) {
-		note_latency(m, c->latency_us);
+		home_note_latency(&m->cell, c->latency_us);
 		m->result.served++;
 		m->result.in_time +=
 			m->now_us - c->arrived_us <= US(p->target_ms);
