--- a/Makefile
+++ b/Makefile
@@ -107,10 +107,9 @@
 
 # The seeds that failed once.
 soak-regression: all
-	@grep -v '^#' soak/seeds.txt | while read -r seed cause; \
-	do \
-		$(BUILD)/soak/soak_main --seed $$seed || exit 1; \
-	done
+	@sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt | \
+		xargs -P 3 -n 1 $(BUILD)/soak/soak_main --seed 2>$(BUILD)/soak/errors || \
+		{ cat $(BUILD)/soak/errors; exit 1; }
 
 conf-check: all
 	sh conf/e2e.sh
