upstream: a kept connection that falls silent takes the idle ones with it

Change: a request that times out on a kept connection without a byte of an answer closes the idle connections to that worker. Test: upstream_test 'silent together' fails without the change.

--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -195,11 +195,21 @@
 	arm(c->up, c->up->duty.now_us + IDLE_SCAN_US);
 }
 
+/* A kept connection that brought no byte of an answer may have lost its path,
+ * and those that were kept beside it with it. */
+static bool fell_silent(const struct conn *c, enum upstream_fault fault)
+{
+	return fault == UPSTREAM_TIMEOUT && !c->fresh && !c->answer &&
+	       c->state == CONN_WAITING;
+}
+
 /* Ends the request; a connection in an uncertain state is not used again, so
  * that a late answer cannot reach another caller. */
 static void conn_fail(struct conn *c, enum upstream_fault fault)
 {
 	list_remove(&c->up->active, c);
+	while (fell_silent(c, fault) && c->endpoint->idle)
+		idle_drop(c->endpoint->idle);
 	report(c, fault);
 	if (AZ_TEST_BREAK_REUSE && fault == UPSTREAM_TIMEOUT &&
 	    c->state == CONN_WAITING && !c->answer)
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -87,22 +87,27 @@
 	return NULL;
 }
 
-static void script_start(struct script *s, const char *const *answers,
-			 uint32_t count)
+static void script_listen(struct script *s)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET,
 				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	socklen_t len = sizeof(sa);
 
-	memset(s, 0, sizeof(*s));
-	s->answers = answers;
-	s->count = count;
 	s->listener = socket(AF_INET, SOCK_STREAM, 0);
 	if (bind(s->listener, (struct sockaddr *)&sa, sizeof(sa)) ||
 	    listen(s->listener, 8) ||
 	    getsockname(s->listener, (struct sockaddr *)&sa, &len))
 		abort();
 	s->port = ntohs(sa.sin_port);
+}
+
+static void script_start(struct script *s, const char *const *answers,
+			 uint32_t count)
+{
+	memset(s, 0, sizeof(*s));
+	s->answers = answers;
+	s->count = count;
+	script_listen(s);
 	pthread_create(&s->thread, NULL, script_main, s);
 }
 
@@ -256,6 +261,47 @@
 	script_stop(&s);
 }
 
+/* Sends a request and takes it at the worker; returns the connection. */
+static int32_t take_at_worker(const struct script *s)
+{
+	struct upstream_request r = to(s, get, 30 * US_PER_S);
+	int32_t fd;
+
+	upstream_send(up, &r);
+	fd = accept(s->listener, NULL, NULL);
+	CU_ASSERT(read_request(fd));
+	return fd;
+}
+
+/* Guards against connections that went silent together and cost a request
+ * each: when one has timed out, the idle ones beside it are not used again. */
+static void test_silent_connection_drops_the_idle_ones(void)
+{
+	const struct timeval hang = { 5, 0 };
+	struct script s = { 0 };
+	struct upstream_request r;
+	int32_t fd[2];
+	char byte;
+
+	script_listen(&s);
+	for (uint32_t i = 0; i < 2; i++)
+		fd[i] = take_at_worker(&s);
+	for (uint32_t i = 0; i < 2; i++) {
+		CU_ASSERT(write(fd[i], WHOLE, strlen(WHOLE)) > 0);
+		CU_ASSERT_EQUAL(finish(wait_result()), UPSTREAM_OK);
+	}
+	r = to(&s, get, 50 * US_PER_MS);
+	upstream_send(up, &r);
+	CU_ASSERT_EQUAL(finish(wait_result()), UPSTREAM_TIMEOUT);
+	/* The one that was used last is used again. */
+	CU_ASSERT(read_request(fd[1]));
+	setsockopt(fd[0], SOL_SOCKET, SO_RCVTIMEO, &hang, sizeof(hang));
+	CU_ASSERT_EQUAL(read(fd[0], &byte, 1), 0);
+	close(fd[0]);
+	close(fd[1]);
+	close(s.listener);
+}
+
 /* Guards against "may have run" for a worker that could not be reached. */
 static void test_refused_connection_is_not_run(void)
 {
@@ -346,6 +392,8 @@
 	CU_add_test(s, "cut", test_cut_answers_are_not_whole);
 	CU_add_test(s, "surplus", test_surplus_bytes_close_the_connection);
 	CU_add_test(s, "silence", test_silence_ends_at_the_deadline);
+	CU_add_test(s, "silent together",
+		    test_silent_connection_drops_the_idle_ones);
 	CU_add_test(s, "refused", test_refused_connection_is_not_run);
 	CU_add_test(s, "headers", test_answer_headers);
 	CU_add_test(s, "endless", test_endless_answer_is_cut);
