--- a/home/home_measure.c
+++ b/home/home_measure.c
@@ -8,14 +8,14 @@
 int main(void)
 {
 	static const struct replay_policy *const policies[] = {
-		&replay_random, &replay_fewest, &replay_product
+		&replay_random, &replay_fewest, &replay_waiting, &replay_product
 	};
 
 	for (uint32_t i = 0; i < replay_pattern_count; i++) {
 		const struct replay_pattern *p = &replay_patterns[i];
 
 		printf("# %s\n", p->name);
-		for (uint32_t k = 0; k < 3; k++) {
+		for (uint32_t k = 0; k < 4; k++) {
 			struct replay_result sum = { 0 };
 			double n;
 
--- a/home/home_test.c
+++ b/home/home_test.c
@@ -391,6 +391,17 @@
 	}
 }
 
+/* Guards against idle slots in a burst: requests that wait for a near worker
+ * while others are refused. */
+static void test_burst_does_not_wait_for_better_workers(void)
+{
+	CU_ASSERT(choose_may_wait(20, 10));
+	CU_ASSERT(!choose_may_wait(21, 10));
+	for (uint32_t i = 3; i < 6; i += 2)
+		CU_ASSERT(served(&replay_patterns[i], &replay_product) >
+			  served(&replay_patterns[i], &replay_waiting));
+}
+
 /* Guards against refusals of a load that the workers can bear. */
 static void test_quiet_load_is_not_refused(void)
 {
@@ -426,6 +437,7 @@
 	CU_add_test(s, "messages", test_messages_cross_whole);
 	CU_add_test(s, "gray",
 		    test_gray_workers_cost_less_than_with_simple_choices);
+	CU_add_test(s, "burst", test_burst_does_not_wait_for_better_workers);
 	CU_add_test(s, "quiet", test_quiet_load_is_not_refused);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
--- a/home/replay.c
+++ b/home/replay.c
@@ -246,8 +246,9 @@
 
 	candidates(m, c->dc, list);
 	d.patient = m->policy->waits &&
-		    choose_may_wait(rank_queue_depth(&m->queue),
-				    m->pattern->workers) &&
+		    (m->policy->waits_long ||
+		     choose_may_wait(rank_queue_depth(&m->queue),
+				     m->pattern->workers)) &&
 		    m->now_us < c->arrived_us + US(m->pattern->target_ms) *
 							CHOOSE_WAIT_PERCENT /
 							100;
@@ -468,7 +469,14 @@
 	return best;
 }
 
-const struct replay_policy replay_product = { "product", choose_worker, true };
-const struct replay_policy replay_random = { "random", choose_random, false };
-const struct replay_policy replay_fewest = { "fewest out", choose_fewest,
-					     false };
+const struct replay_policy replay_product = { .name = "product",
+					      .choose = choose_worker,
+					      .waits = true };
+const struct replay_policy replay_waiting = { .name = "waits in bursts",
+					      .choose = choose_worker,
+					      .waits = true,
+					      .waits_long = true };
+const struct replay_policy replay_random = { .name = "random",
+					     .choose = choose_random };
+const struct replay_policy replay_fewest = { .name = "fewest out",
+					     .choose = choose_fewest };
--- a/home/replay.h
+++ b/home/replay.h
@@ -62,10 +62,13 @@
 			  const struct usual *u, const struct demand *d,
 			  uint64_t random, int64_t now_us);
 	bool waits; /**< for near and sound workers */
+	bool waits_long; /**< also while the queue is long */
 };
 
 /** The product's. */
 extern const struct replay_policy replay_product;
+/** The product's, but it waits for better workers in a burst as well. */
+extern const struct replay_policy replay_waiting;
 /** At random among those with a free slot. */
 extern const struct replay_policy replay_random;
 /** The fewest requests out; no evidence. */
