spec: a model of grants

Four broken variants are rejected: the grant of a forgotten ask is taken, a repeat after a lost answer, a refusal after a lost answer, and the last copy speaking for all, which was the fault of reads that the soak found.

--- a/spec/run.sh
+++ b/spec/run.sh
@@ -32,6 +32,8 @@
 handover:one ticket, three presentations:safety:-DTICKETS=1:pass
 handover:every presentation answered:liveness:-DTICKETS=1 -DPRESENTATIONS=2 -DLIVENESS:pass
 leaving:three requests:safety::pass
+grant:work that must not repeat:safety::pass
+grant:read with a second copy:safety:-DREAD:pass
 ticket:reach a second call that runs:safety:-DREACH_RETRY:forward\[1\]==0
 ticket:reach a forward after its seal:safety:-DREACH_SEAL:table\[c\]!=6
 ticket:a call is sent twice:safety:-DSEND_TWICE:runs\[
@@ -76,6 +78,11 @@
 conf:version counted by the store:safety:-DSERIAL -DRESTORE -DVERSION_OF_STORE:winner
 conf:version counted by the fleet:safety:-DSERIAL -DRESTORE -DVERSION_OF_FLEET:winner
 conf:version counted by the fleet:liveness:-DSERIAL -DRESTORE -DWRITES=2 -DRESTARTS=1 -DLIVENESS -DVERSION_OF_FLEET:acceptance cycle
+grant:reach a repeat after a proved not-run:safety:-DREACH_REPEAT:sends<2
+grant:grant of a forgotten ask is taken:safety:-DTAKE_LATE_GRANT:runs<=1
+grant:repeat after a lost answer:safety:-DRETRY_ON_DOUBT:runs<=1
+grant:refusal after a lost answer:safety:-DREFUSE_ON_DOUBT:runs==0|told!=
+grant:last copy speaks for all:safety:-DREAD -DLAST_COPY_SPEAKS:runs==0|told!=
 floor:homes exclude by themselves:safety:-DHOMES_EXCLUDE:unknown
 floor:leaving not counted as out:safety:-DLEAVING_NOT_COUNTED:left_in
 floor:floor of the workers that stay:safety:-DFLOOR_OF_THE_REST:left_in
