soak: signals wait for a daemon's first line

The daemon blocks signals before it writes its first line; the harness waits for that event and not for a time.

--- a/fault/cases.c
+++ b/fault/cases.c
@@ -498,7 +498,8 @@
 		abort();
 	daemon_start(f, 0);
 	fd = open_when_read(path);
-	daemon_signal(f, 0, SIGHUP);
+	/* It has not written a line yet, so daemon_signal() would wait. */
+	kill(f->daemons[0].process.pid, SIGHUP);
 	if (fd < 0 || rename(kept, path) ||
 	    write(fd, text, strlen(text)) != (ssize_t)strlen(text)) {
 		log_write(LOG_ERROR, "case", "d0 does not read its settings");
--- a/fault/fault.h
+++ b/fault/fault.h
@@ -60,7 +60,8 @@
 
 struct process {
 	pid_t pid; /**< 0: not running */
-	int64_t started_us;
+	char log[2 * TEXT_BYTES]; /**< of its output */
+	int64_t log_bytes; /**< what was in it before the process */
 	bool exited; /**< by itself, or at our wish */
 	int32_t status;
 };
--- a/fault/fleet.c
+++ b/fault/fleet.c
@@ -8,6 +8,7 @@
 #include <time.h>
 #include <unistd.h>
 #include <sys/prctl.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <jansson.h>
 
@@ -24,8 +25,6 @@
 #define KEY "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 #define STOP_MS 40000
 #define POLL_MS 20
-/* From fork() to the first line of main(). */
-#define BEGIN_US (100 * US_PER_MS)
 /* Beyond this a daemon is not coming back; it takes about a second. */
 #define READY_MS 20000
 
@@ -80,6 +79,13 @@
 
 /* ---- processes ---- */
 
+static int64_t size_of(const char *path)
+{
+	struct stat st;
+
+	return stat(path, &st) ? 0 : st.st_size;
+}
+
 /* Called by the main thread only: the child ends with the thread. */
 static void spawn(struct process *p, const char *log, char *const *argv)
 {
@@ -88,7 +94,8 @@
 
 	memset(p, 0, sizeof(*p));
 	fflush(stdout);
-	p->started_us = clock_now_us();
+	snprintf(p->log, sizeof(p->log), "%s", log);
+	p->log_bytes = size_of(log);
 	p->pid = fork();
 	if (p->pid)
 		return;
@@ -227,15 +234,22 @@
 	__atomic_store_n(&d->stopping, 0, __ATOMIC_RELEASE);
 }
 
+/* A daemon handles signals before it writes its first line; before that they
+ * would reach the fork of this program. */
+static void wait_begun(const struct process *p)
+{
+	for (uint32_t ms = 0; size_of(p->log) <= p->log_bytes && ms < HANG_MS;
+	     ms += POLL_MS)
+		sleep_ms(POLL_MS);
+}
+
 void daemon_signal(struct fleet *f, uint32_t n, int sig)
 {
 	const struct process *p = &f->daemons[n].process;
 
 	if (p->pid <= 0)
 		return;
-	/* Until the program has begun, a signal would end it. */
-	while (clock_now_us() - p->started_us < BEGIN_US)
-		sleep_ms(POLL_MS);
+	wait_begun(p);
 	kill(p->pid, sig);
 }
 
