upstream: the order to drop silent connections is gone; a lookup off the hot path

upstream_drop_silent() and UPSTREAM_SILENT had no caller since the daemon that holds a request sends it; a kept connection that times out closes the idle ones by itself. The other faults keep the numbers that logs show. The service of a worker's answer is looked up only for a 503, not for every result. Two comments in home/ said what the code does not do.

--- a/attempt/decide.c
+++ b/attempt/decide.c
@@ -57,7 +57,6 @@
 	case UPSTREAM_TRUNCATED:
 		return EVENT_BROKEN;
 	case UPSTREAM_TIMEOUT:
-	case UPSTREAM_SILENT:
 		return EVENT_TIMEOUT;
 	case UPSTREAM_CANCELLED:
 		return EVENT_ABANDONED;
@@ -95,7 +94,6 @@
 	case UPSTREAM_CANCELLED_UNSENT:
 		return ERR_DEADLINE_NOT_RUN;
 	case UPSTREAM_CLOSED:
-	case UPSTREAM_SILENT:
 		return ERR_ANSWER_LOST;
 	case UPSTREAM_TRUNCATED:
 		return ERR_ANSWER_TRUNCATED;
--- a/attempt/send.c
+++ b/attempt/send.c
@@ -145,11 +145,15 @@
 static void judge_shed(const struct attempts *a, const struct pending *p,
 		       struct upstream_result *r)
 {
-	struct conf *conf = conf_current_get(a->settings.conf);
-	const struct conf_service *s = conf_find_service_id(conf, p->service);
+	const struct conf_service *s;
+	struct conf *conf;
 
-	if (s && s->shed_is_not_run && r->fault == UPSTREAM_OK &&
-	    r->verdict == WORKER_ANSWERED && r->answer->http_status == 503)
+	if (r->fault != UPSTREAM_OK || r->verdict != WORKER_ANSWERED ||
+	    r->answer->http_status != 503)
+		return;
+	conf = conf_current_get(a->settings.conf);
+	s = conf_find_service_id(conf, p->service);
+	if (s && s->shed_is_not_run)
 		r->verdict = WORKER_DID_NOT_RUN;
 	conf_release(conf);
 }
--- a/home/home.h
+++ b/home/home.h
@@ -165,7 +165,7 @@
 
 struct track {
 	uint32_t out_count;
-	int64_t out_us[TRACK_OUT_MAX]; /**< when each was granted, in order */
+	int64_t out_us[TRACK_OUT_MAX]; /**< when each was granted */
 	int64_t sent_us; /**< last grant */
 	double trouble; /**< of recent failures, at `trouble_us` */
 	int64_t trouble_us;
--- a/home/track.c
+++ b/home/track.c
@@ -66,8 +66,8 @@
 	return added[e];
 }
 
-/* Halves with each usual time; the latency of this answer stands for it, as
- * the cell's is not known here. */
+/* Halves with each usual time of this worker; the latency of its first answer
+ * stands for it at first. */
 static void note_good(struct track *t, int64_t sent_us, int64_t latency_us,
 		      int64_t now_us)
 {
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -705,58 +705,6 @@
 	duty_send(&u->duty, &k->msg);
 }
 
-struct silent_msg {
-	struct msg msg;
-	uint32_t ip;
-	uint16_t port;
-	int64_t older_than_us;
-};
-
-static bool is_silent(const struct conn *c, const struct endpoint *e,
-		      int64_t since_us)
-{
-	return c->endpoint == e && c->state == CONN_WAITING && c->req.request &&
-	       c->req.request->idempotent && c->started_us < since_us;
-}
-
-static void silent_run(struct msg *m, struct duty *to)
-{
-	struct silent_msg *k = az_container_of(m, struct silent_msg, msg);
-	struct upstream *u = az_container_of(to, struct upstream, duty);
-	struct endpoint *e = endpoint_get(u, k->ip, k->port);
-	int64_t since_us = u->duty.now_us - k->older_than_us;
-	struct conn *after;
-
-	while (e->idle)
-		idle_drop(e->idle);
-	for (struct conn *c = u->active; c; c = after) {
-		after = c->next;
-		if (is_silent(c, e, since_us))
-			conn_fail(c, UPSTREAM_SILENT);
-	}
-	free(k);
-}
-
-static void silent_drop(struct msg *m)
-{
-	free(az_container_of(m, struct silent_msg, msg));
-}
-
-static const struct msg_ops silent_ops = { "upstream-silent", silent_run,
-					   silent_drop };
-
-void upstream_drop_silent(struct upstream *u, uint32_t ip, uint16_t port,
-			  int64_t older_than_us)
-{
-	struct silent_msg *k = az_alloc(sizeof(*k));
-
-	k->msg.ops = &silent_ops;
-	k->ip = ip;
-	k->port = port;
-	k->older_than_us = older_than_us;
-	duty_send(&u->duty, &k->msg);
-}
-
 /* ---- the duty ---- */
 
 static int64_t expire_active(struct upstream *u, int64_t now_us)
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -17,8 +17,7 @@
 	UPSTREAM_TRUNCATED, /**< closed or malformed inside the answer */
 	UPSTREAM_TIMEOUT,
 	UPSTREAM_TOO_LARGE,
-	UPSTREAM_SILENT, /**< given up by upstream_drop_silent() */
-	UPSTREAM_CANCELLED,
+	UPSTREAM_CANCELLED = 9, /**< logs show the number; 8 is not used */
 	UPSTREAM_CANCELLED_UNSENT, /**< before a byte of it was written */
 };
 
@@ -131,10 +130,6 @@
  * once, unless AZ_FULL is returned. */
 enum az_status upstream_send(struct upstream *u,
 			     const struct upstream_request *r);
-/** Closes all idle connections to a worker, and those on which an idempotent
- * request has waited for longer than `older_than_us`. */
-void upstream_drop_silent(struct upstream *u, uint32_t ip, uint16_t port,
-			  int64_t older_than_us);
 /** Closes the connection of a request in flight; `done` still comes. */
 void upstream_cancel(struct upstream *u, uint64_t token);
 
