feed, platform: further changes do not restart the time behind the fleet

A daemon that hears of a higher position reads the store itself once it has been behind for 0.6 s, and restarts a watch that has missed a change after the same time. Both times began anew with each further change, so in a storm of changes they never passed. The time now belongs to the first change that is awaited; a later one is awaited once that has arrived.

The tests fail on the former code (the relay's time passes by 0 of 4 changes; the watch is not restarted within 20 s). Ruled out: a call on a dead connection (no such line in the logs), lost versions (the later ones came).

--- a/feed/feed.h
+++ b/feed/feed.h
@@ -88,13 +88,24 @@
 void feed_table_print(const struct feed_table *t, const char *text,
 		      struct buf *out);
 
+/* ---- positions (position.c) ---- */
+
+/*
+ * A position tells how far the source has been read: its revision of the
+ * configuration in the upper 32 bits, of the workers in the lower 32 bits. The
+ * halves are compared separately.
+ */
+
+/** True if `theirs` is ahead of `ours` in at least one half. */
+bool feed_position_is_ahead(uint64_t ours, uint64_t theirs);
+/** Returns the higher value of each half. */
+uint64_t feed_position_max(uint64_t a, uint64_t b);
+
 /* ---- encoding of a feed's state as text (state.c) ---- */
 
 /** The whole state of a feed, as daemons send it to each other. */
 struct feed_state {
-	uint64_t position; /**< how far the source has been read: its revision
-		    of the configuration in the upper 32 bits, of the workers in
-		    the lower 32 bits. The halves are compared separately. */
+	uint64_t position;
 	uint64_t version; /**< of the configuration */
 	char *text; /**< the configuration; owned, NULL: none */
 	uint32_t count;
@@ -146,7 +157,7 @@
 void feed_replace_workers(struct feed *f, const struct feed_worker *list,
 			  uint32_t count);
 void feed_remove_worker(struct feed *f, const char *name);
-/** Sets the feed's position (see struct feed_state), after all changes of the
+/** Raises the feed's position, after all changes of the
  * source up to it were passed to the feed. Any thread. */
 void feed_set_position(struct feed *f, uint64_t position);
 /** Answers with the whole state of the feed, for feed_import_state() in another
--- a/feed/relay.c
+++ b/feed/relay.c
@@ -211,7 +211,7 @@
 	if (m && m->incarnation == d->incarnation) {
 		r->role.last_watcher_position_us = r->duty.now_us;
 		if (!r->fetching &&
-		    relay_is_ahead(r->local_position, d->position))
+		    feed_position_is_ahead(r->local_position, d->position))
 			fetch(r, m);
 		update_watching(r);
 	}
@@ -254,7 +254,8 @@
 					 pm->position, r->duty.now_us);
 	} else {
 		r->local_position = pm->position;
-		relay_on_local_position(&r->role, r->local_position);
+		relay_on_local_position(&r->role, r->local_position,
+					r->duty.now_us);
 		if (r->role.is_watcher)
 			send_position_to_dc(r);
 	}
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -36,11 +36,13 @@
 
 struct relay_role {
 	bool is_watcher; /**< chosen as a watcher of its data centre */
-	uint64_t fleet_position; /**< last position of another daemon that was
-				    ahead both of this daemon's and of the value
-				    before */
-	int64_t behind_since_us; /**< when fleet_position was set; 0: this
-				    daemon has reached it */
+	uint64_t fleet_position; /**< highest position that another daemon was
+				    ahead with */
+	uint64_t awaited_position; /**< fleet_position at behind_since_us; later
+				      ones do not restart that time, as changes
+				      may come faster than it passes */
+	int64_t behind_since_us; /**< since when this daemon has not reached
+				    awaited_position; 0: it has */
 	int64_t last_watcher_position_us; /**< when the last position from a
 				     watcher was received; 0: never */
 	uint32_t failed_fetches; /**< consecutive failed fetches */
@@ -53,10 +55,8 @@
 void relay_on_remote_position(struct relay_role *r, uint64_t ours,
 			      uint64_t theirs, int64_t now_us);
 /** To be called when this daemon has reached the position `ours`. */
-void relay_on_local_position(struct relay_role *r, uint64_t ours);
-/** True if `theirs` is ahead of `ours` in at least one half, that of the
- * configuration or that of the workers. */
-bool relay_is_ahead(uint64_t ours, uint64_t theirs);
+void relay_on_local_position(struct relay_role *r, uint64_t ours,
+			     int64_t now_us);
 
 /* ---- the duty ---- */
 
--- a/feed/relay_test.c
+++ b/feed/relay_test.c
@@ -35,9 +35,9 @@
 	 */
 	relay_on_remote_position(&r, 5, 7, now_us + RELAY_BEHIND_US / 2);
 	CU_ASSERT(relay_should_watch(&r, now_us + RELAY_BEHIND_US));
-	relay_on_local_position(&r, 6);
+	relay_on_local_position(&r, 6, now_us + RELAY_BEHIND_US);
 	CU_ASSERT(relay_should_watch(&r, now_us + RELAY_BEHIND_US));
-	relay_on_local_position(&r, 7);
+	relay_on_local_position(&r, 7, now_us + RELAY_BEHIND_US);
 	CU_ASSERT(!relay_should_watch(&r, now_us + RELAY_BEHIND_US));
 	/* It also ends after RELAY_CATCH_UP_US, as a whole list may have
 	 * contained the change without its revision. */
@@ -50,14 +50,51 @@
 						  RELAY_BEHIND_US));
 }
 
+/* Guards against a daemon that stays behind the fleet for as long as changes
+ * come faster than RELAY_BEHIND_US, since each one restarts that time. */
+static void test_further_changes_do_not_restart_the_time_behind(void)
+{
+	struct relay_role r = { .last_watcher_position_us = 10 * US_PER_S };
+	int64_t now_us = 10 * US_PER_S;
+
+	for (uint32_t i = 0; i < 4; i++)
+		relay_on_remote_position(&r, 5, 7 + i,
+					 now_us + i * RELAY_BEHIND_US / 3);
+	CU_ASSERT(relay_should_watch(&r, now_us + RELAY_BEHIND_US));
+	/* It has the first change, and is behind with the others since now. */
+	relay_on_local_position(&r, 7, now_us + RELAY_BEHIND_US);
+	CU_ASSERT(!relay_should_watch(&r, now_us + RELAY_BEHIND_US));
+	CU_ASSERT(relay_should_watch(&r, now_us + 2 * RELAY_BEHIND_US));
+	relay_on_local_position(&r, 10, now_us + 2 * RELAY_BEHIND_US);
+	CU_ASSERT(!relay_should_watch(&r, now_us + 2 * RELAY_BEHIND_US));
+}
+
+/* Guards against a daemon that watches the source only once for a series of
+ * changes, and then stays behind until the series ends. */
+static void test_change_after_catch_up_time_is_awaited_again(void)
+{
+	struct relay_role r = { 0 };
+	int64_t given_up_us = RELAY_BEHIND_US + RELAY_CATCH_UP_US;
+
+	relay_on_remote_position(&r, 5, 7, 1);
+	relay_on_remote_position(&r, 5, 8, 1 + given_up_us);
+	r.last_watcher_position_us = 1 + given_up_us + RELAY_BEHIND_US;
+	CU_ASSERT(!relay_should_watch(&r, 1 + given_up_us));
+	CU_ASSERT(relay_should_watch(&r, 1 + given_up_us + RELAY_BEHIND_US));
+}
+
 /* Guards against changes of the configuration or the workers that go unnoticed
  * because the other half of the position is lower. */
 static void test_halves_of_position_are_compared_separately(void)
 {
-	CU_ASSERT(!relay_is_ahead(0x500000005, 0x500000005));
-	CU_ASSERT(relay_is_ahead(0x500000005, 0x600000004));
-	CU_ASSERT(relay_is_ahead(0x500000005, 0x400000006));
-	CU_ASSERT(!relay_is_ahead(0x500000005, 0x400000004));
+	CU_ASSERT(!feed_position_is_ahead(0x500000005, 0x500000005));
+	CU_ASSERT(feed_position_is_ahead(0x500000005, 0x600000004));
+	CU_ASSERT(feed_position_is_ahead(0x500000005, 0x400000006));
+	CU_ASSERT(!feed_position_is_ahead(0x500000005, 0x400000004));
+	CU_ASSERT_EQUAL(feed_position_max(0x500000005, 0x600000004),
+			0x600000005);
+	CU_ASSERT_EQUAL(feed_position_max(0x500000005, 0x400000006),
+			0x500000006);
 }
 
 /* Guards against fields that are lost or changed between daemons, and truncated
@@ -108,6 +145,10 @@
 	s = CU_add_suite("relay", NULL, NULL);
 	CU_add_test(s, "silence", test_silent_watchers_make_a_daemon_watch);
 	CU_add_test(s, "behind", test_daemon_that_is_behind_watches);
+	CU_add_test(s, "further changes",
+		    test_further_changes_do_not_restart_the_time_behind);
+	CU_add_test(s, "catch up again",
+		    test_change_after_catch_up_time_is_awaited_again);
 	CU_add_test(s, "halves",
 		    test_halves_of_position_are_compared_separately);
 	CU_add_test(s, "state", test_state_is_transferred_unchanged);
--- a/feed/role.c
+++ b/feed/role.c
@@ -25,23 +25,37 @@
 	       is_behind(r, now_us);
 }
 
-void relay_on_remote_position(struct relay_role *r, uint64_t ours,
-			      uint64_t theirs, int64_t now_us)
+static void begin_to_wait(struct relay_role *r, int64_t now_us)
 {
-	if (!relay_is_ahead(ours, theirs) ||
-	    !relay_is_ahead(r->fleet_position, theirs))
-		return;
-	r->fleet_position = theirs;
+	r->awaited_position = r->fleet_position;
 	r->behind_since_us = now_us;
 }
 
-void relay_on_local_position(struct relay_role *r, uint64_t ours)
+static bool has_given_up(const struct relay_role *r, int64_t now_us)
 {
-	if (!relay_is_ahead(ours, r->fleet_position))
-		r->behind_since_us = 0;
+	return now_us - r->behind_since_us >=
+	       RELAY_BEHIND_US + RELAY_CATCH_UP_US;
+}
+
+void relay_on_remote_position(struct relay_role *r, uint64_t ours,
+			      uint64_t theirs, int64_t now_us)
+{
+	if (!feed_position_is_ahead(ours, theirs) ||
+	    !feed_position_is_ahead(r->fleet_position, theirs))
+		return;
+	r->fleet_position = feed_position_max(r->fleet_position, theirs);
+	if (!r->behind_since_us || has_given_up(r, now_us))
+		begin_to_wait(r, now_us);
 }
 
-bool relay_is_ahead(uint64_t ours, uint64_t theirs)
+void relay_on_local_position(struct relay_role *r, uint64_t ours,
+			     int64_t now_us)
 {
-	return theirs >> 32 > ours >> 32 || (uint32_t)theirs > (uint32_t)ours;
+	if (!r->behind_since_us ||
+	    feed_position_is_ahead(ours, r->awaited_position))
+		return;
+	if (feed_position_is_ahead(ours, r->fleet_position))
+		begin_to_wait(r, now_us);
+	else
+		r->behind_since_us = 0;
 }
