feed: fetch the state from any member that is ahead

A daemon got changes from the two watchers of its data centre or from the store.

A daemon that is behind for 0.6 s now also fetches from the member that is ahead, in any data centre. Each half of a position is taken over by itself, so that a state with a newer configuration and older workers is not fetched again and again, and a feed's position no longer falls if the threads of two kinds report out of order. A log line for each fetch tells from whom, how long, how much, and the position held; the line on watching tells the position held and the one heard of, and since when.

The tests fail without the fetch.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -335,10 +335,9 @@
 {
 	struct azhd *d = az_container_of(l, struct azhd, digest_listener);
 
-	(void)from;
 	platform_source_observe_remote_position(d->platform_source, digest,
 						clock_now_us());
-	relay_observe_remote_position(d->relay, digest);
+	relay_observe_remote_position(d->relay, digest, from);
 }
 
 static const struct digest_listener_ops digest_listener_ops = {
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -164,12 +164,13 @@
 	reply->ops->answer(reply, a);
 }
 
-/* The position is taken over only if both halves are at least as high as this
- * daemon's. */
+/* Each half of the position is taken over if it is higher than this daemon's,
+ * also if the other one is lower. */
 static void import_state(struct feed *f, struct feed_msg *fm)
 {
 	struct feed_state *s = &fm->state;
 	struct feed_listener *l = f->settings.listener;
+	uint64_t before = f->position;
 
 	if (s->text && s->version > f->version) {
 		fm->version = s->version;
@@ -181,11 +182,8 @@
 	    feed_table_replace(f->workers, s->workers, s->count,
 			       f->duty.now_us))
 		schedule_build(f);
-	if ((uint32_t)s->position < (uint32_t)f->position ||
-	    s->position >> 32 < f->position >> 32)
-		return;
-	f->position = s->position;
-	if (l)
+	f->position = feed_position_max(f->position, s->position);
+	if (l && f->position != before)
 		l->ops->on_state_imported(l, f->position);
 }
 
@@ -236,7 +234,7 @@
 		feed_table_source_recovered(f->workers, now_us);
 		break;
 	case FEED_MSG_SET_POSITION:
-		f->position = fm->version;
+		f->position = feed_position_max(f->position, fm->version);
 		break;
 	case FEED_MSG_IMPORT_STATE:
 		import_state(f, fm);
--- a/feed/feed.h
+++ b/feed/feed.h
@@ -127,8 +127,8 @@
 struct feed_listener;
 
 struct feed_listener_ops {
-	/** Called in the feed's thread after another daemon's state was
-	 * imported whole; `position` is the one of that state. */
+	/** Called in the feed's thread after another daemon's state has raised
+	 * the feed's position. */
 	void (*on_state_imported)(struct feed_listener *l, uint64_t position);
 };
 
--- a/feed/relay.c
+++ b/feed/relay.c
@@ -16,6 +16,15 @@
 /* Time until the deadline of a fetch. */
 #define FETCH_TIMEOUT_US (800 * US_PER_MS)
 
+/** Why a member was asked for its state. A fetch of one kind does not wait for
+ * one of the other, whose member may have stopped. */
+enum fetch_from {
+	FETCH_FROM_WATCHER, /**< a watcher has sent a higher position */
+	FETCH_FROM_AHEAD, /**< this daemon is behind for too long, and the
+			     member is known to be ahead */
+	FETCH_FROM_COUNT,
+};
+
 struct relay {
 	struct duty duty;
 	struct relay_settings settings;
@@ -24,7 +33,8 @@
 				   by the relay thread */
 	struct relay_role role;
 	bool watching; /**< watches the source itself */
-	bool fetching; /**< a fetch has not been answered yet */
+	/** A fetch has not been answered yet, by enum fetch_from. */
+	bool fetching[FETCH_FROM_COUNT];
 	uint64_t local_position; /**< changes of the source up to it are applied
 				    in this daemon */
 	struct counter *fetches;
@@ -114,8 +124,15 @@
 	return chosen;
 }
 
-/* In the log line, heard_ms is the time since the last position from a watcher,
- * -1 if there was none. */
+/* Time since `since_us`, -1 if that is 0. */
+static long long age_ms(const struct relay *r, int64_t since_us)
+{
+	return since_us ? (r->duty.now_us - since_us) / US_PER_MS : -1;
+}
+
+/* In the log line, held and ahead are the positions of this daemon and the
+ * highest one heard of (configuration, workers), heard_ms is the time since the
+ * last position from a watcher. */
 static void update_watching(struct relay *r)
 {
 	struct relay_source *source = r->settings.local_source;
@@ -124,15 +141,18 @@
 	if (watching == r->watching)
 		return;
 	r->watching = watching;
-	log_write(LOG_INFO, "relay", "%s chosen=%s failures=%u heard_ms=%lld",
+	log_write(LOG_INFO, "relay",
+		  "%s chosen=%s failures=%u heard_ms=%lld behind_ms=%lld "
+		  "held=%u,%u ahead=%u,%u",
 		  watching ? "watches the source itself" :
 			     "fetches from the watchers",
 		  r->role.is_watcher ? "yes" : "no", r->role.failed_fetches,
-		  r->role.last_watcher_position_us ?
-			  (long long)((r->duty.now_us -
-				       r->role.last_watcher_position_us) /
-				      US_PER_MS) :
-			  -1);
+		  age_ms(r, r->role.last_watcher_position_us),
+		  age_ms(r, r->role.behind_since_us),
+		  (uint32_t)(r->local_position >> 32),
+		  (uint32_t)r->local_position,
+		  (uint32_t)(r->role.fleet_position >> 32),
+		  (uint32_t)r->role.fleet_position);
 	source->ops->set_watching(source, watching);
 }
 
@@ -142,24 +162,40 @@
 	struct msg msg;
 	struct reply_to reply;
 	struct relay *relay;
+	enum fetch_from from;
+	struct peer_target target;
+	int64_t started_us;
 	struct answer *answer;
 };
 
+static void log_fetch(const struct relay *r, const struct fetch *f, bool ok)
+{
+	log_write(ok ? LOG_INFO : LOG_WARN, "relay",
+		  "%s from=%u.%u.%u.%u watcher=%s error=%s bytes=%u "
+		  "took_ms=%lld held=%u,%u",
+		  ok ? "state fetched" : "fetch of the state failed",
+		  f->target.ip >> 24, f->target.ip >> 16 & 255,
+		  f->target.ip >> 8 & 255, f->target.ip & 255,
+		  f->from == FETCH_FROM_WATCHER ? "yes" : "no",
+		  error_info(f->answer->kind)->name, f->answer->body.len_bytes,
+		  age_ms(r, f->started_us), (uint32_t)(r->local_position >> 32),
+		  (uint32_t)r->local_position);
+}
+
 static void fetch_run(struct msg *m, struct duty *to)
 {
 	struct fetch *f = az_container_of(m, struct fetch, msg);
 	struct relay *r = az_container_of(to, struct relay, duty);
+	bool ok =
+		f->answer->kind == ERR_NONE &&
+		feed_import_state(r->settings.feed, &f->answer->body) == AZ_OK;
 
-	r->fetching = false;
-	if (f->answer->kind == ERR_NONE &&
-	    feed_import_state(r->settings.feed, &f->answer->body) == AZ_OK) {
-		r->role.failed_fetches = 0;
-	} else {
-		r->role.failed_fetches++;
+	r->fetching[f->from] = false;
+	log_fetch(r, f, ok);
+	if (!ok)
 		counter_add(r->fetch_failures, 1);
-		log_write(LOG_WARN, "relay",
-			  "fetch of the state from a watcher failed error=%s",
-			  error_info(f->answer->kind)->name);
+	if (f->from == FETCH_FROM_WATCHER) {
+		r->role.failed_fetches = ok ? 0 : r->role.failed_fetches + 1;
 		update_watching(r);
 	}
 	answer_free(f->answer);
@@ -187,32 +223,41 @@
 
 static const struct reply_ops reply_ops = { on_answer };
 
-static void fetch(struct relay *r, const struct member *from)
+static void fetch(struct relay *r, enum fetch_from from,
+		  const struct peer_target *target)
 {
-	struct peer_target to = { from->ip, from->peer_port,
-				  from->incarnation };
 	struct fetch *f = az_alloc(sizeof(*f));
 	struct buf nothing = { 0 };
 
 	f->msg.ops = &fetch_ops;
 	f->reply.ops = &reply_ops;
 	f->relay = r;
-	r->fetching = true;
+	f->from = from;
+	f->target = *target;
+	f->started_us = r->duty.now_us;
+	r->fetching[from] = true;
 	counter_add(r->fetches, 1);
-	peer_send_conf(r->settings.peer, &to, PEER_CONF_GET, &nothing,
+	peer_send_conf(r->settings.peer, target, PEER_CONF_GET, &nothing,
 		       r->duty.now_us + FETCH_TIMEOUT_US, &f->reply);
 }
 
+static struct peer_target target_of(const struct member *m)
+{
+	return (struct peer_target){ m->ip, m->peer_port, m->incarnation };
+}
+
 static void on_datagram(struct relay *r, const struct position_datagram *d)
 {
 	const struct member_view *v = membership_view(r->settings.membership);
 	const struct member *m = member_view_by_id(v, d->member);
 
 	if (m && m->incarnation == d->incarnation) {
+		struct peer_target target = target_of(m);
+
 		r->role.last_watcher_position_us = r->duty.now_us;
-		if (!r->fetching &&
+		if (!r->fetching[FETCH_FROM_WATCHER] &&
 		    feed_position_is_ahead(r->local_position, d->position))
-			fetch(r, m);
+			fetch(r, FETCH_FROM_WATCHER, &target);
 		update_watching(r);
 	}
 	member_view_release(v);
@@ -242,16 +287,31 @@
 	struct msg msg;
 	uint64_t position;
 	bool is_remote; /**< reached by another daemon, not this one */
+	struct peer_target from; /**< that daemon, if is_remote */
 };
 
+/* A daemon that has been behind for too long watches the source, and also
+ * fetches from any member that is ahead: the source may refuse this daemon and
+ * the watchers of its data centre while it serves others. */
+static void on_remote_position(struct relay *r, uint64_t position,
+			       const struct peer_target *from)
+{
+	relay_on_remote_position(&r->role, r->local_position, position,
+				 r->duty.now_us);
+	if (relay_is_overdue(&r->role, r->duty.now_us) &&
+	    !r->fetching[FETCH_FROM_AHEAD] &&
+	    feed_position_is_ahead(r->local_position, position))
+		fetch(r, FETCH_FROM_AHEAD, from);
+	update_watching(r);
+}
+
 static void position_msg_run(struct msg *m, struct duty *to)
 {
 	struct position_msg *pm = az_container_of(m, struct position_msg, msg);
 	struct relay *r = az_container_of(to, struct relay, duty);
 
 	if (pm->is_remote) {
-		relay_on_remote_position(&r->role, r->local_position,
-					 pm->position, r->duty.now_us);
+		on_remote_position(r, pm->position, &pm->from);
 	} else {
 		r->local_position = pm->position;
 		relay_on_local_position(&r->role, r->local_position,
@@ -271,24 +331,29 @@
 						 position_msg_run,
 						 position_msg_drop };
 
-static void post_position(struct relay *r, uint64_t position, bool is_remote)
+/* `from` NULL: this daemon has reached the position. */
+static void post_position(struct relay *r, uint64_t position,
+			  const struct member *from)
 {
 	struct position_msg *pm = az_alloc(sizeof(*pm));
 
 	pm->msg.ops = &position_msg_ops;
 	pm->position = position;
-	pm->is_remote = is_remote;
+	pm->is_remote = from != NULL;
+	if (from)
+		pm->from = target_of(from);
 	duty_send(&r->duty, &pm->msg);
 }
 
 void relay_set_local_position(struct relay *r, uint64_t position)
 {
-	post_position(r, position, false);
+	post_position(r, position, NULL);
 }
 
-void relay_observe_remote_position(struct relay *r, uint64_t position)
+void relay_observe_remote_position(struct relay *r, uint64_t position,
+				   const struct member *from)
 {
-	post_position(r, position, true);
+	post_position(r, position, from);
 }
 
 void relay_set_keys(struct relay *r, const struct fleet_keys *keys)
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -4,7 +4,8 @@
  * daemons of each data centre watch the source. They send their position (see
  * struct feed_state) to the others of the data centre, which fetch the state
  * from a watcher that is ahead of them. A daemon that receives no positions
- * watches the source itself.
+ * watches the source itself. One that stays behind the fleet also fetches the
+ * state from any member that is ahead.
  */
 #ifndef FEED_RELAY_H
 #define FEED_RELAY_H
@@ -25,9 +26,9 @@
 #define RELAY_SILENCE_US (1600 * US_PER_MS)
 
 /** A daemon that has been behind another daemon's position for this time
- * watches the source itself: a worker that leaves must be known within 2.5 s at
- * the users' sites, but a watcher that is cut off from the source notices it
- * only after 3 s. */
+ * watches the source itself, and fetches from members that are ahead: a worker
+ * that leaves must be known within 2.5 s at the users' sites, but a watcher
+ * that is cut off from the source notices it only after 3 s. */
 #define RELAY_BEHIND_US (600 * US_PER_MS)
 /** It does so until its position has caught up, at most for this time: a whole
  * list of workers may contain a change without its revision, so that the
@@ -50,6 +51,9 @@
 
 /** True if this daemon must watch the source itself. */
 bool relay_should_watch(const struct relay_role *r, int64_t now_us);
+/** True if this daemon has been behind for RELAY_BEHIND_US, so that it fetches
+ * the state from any member that is ahead. */
+bool relay_is_overdue(const struct relay_role *r, int64_t now_us);
 /** To be called when some daemon of the fleet has reached the position `theirs`
  * and this one `ours`. */
 void relay_on_remote_position(struct relay_role *r, uint64_t ours,
@@ -100,8 +104,9 @@
 /** To be called when this daemon has applied all changes up to `position`,
  * delivered by the source or another daemon. Any thread. */
 void relay_set_local_position(struct relay *r, uint64_t position);
-/** To be called when another daemon of the fleet, possibly of another data
- * centre, has reached `position`. Any thread. */
-void relay_observe_remote_position(struct relay *r, uint64_t position);
+/** To be called when the member `from`, possibly of another data centre, has
+ * reached `position`. Any thread. */
+void relay_observe_remote_position(struct relay *r, uint64_t position,
+				   const struct member *from);
 
 #endif
--- a/feed/relay_test.c
+++ b/feed/relay_test.c
@@ -1,10 +1,14 @@
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <CUnit/Basic.h>
 #include <apr_general.h>
 
 #include "feed/relay.h"
 
+/* Ends a test that hangs; nothing else depends on it. */
+#define HANG_STEPS 1000
+
 /* Guards against a daemon that keeps relying on watchers that are gone, cut off
  * or unable to reach the source. Such watchers send no positions. */
 static void test_silent_watchers_make_a_daemon_watch(void)
@@ -97,6 +101,21 @@
 			0x500000006);
 }
 
+/* Guards against a daemon that gives up fetching from members that are ahead
+ * once it has watched the source for RELAY_CATCH_UP_US without success. */
+static void test_fetches_do_not_end_with_the_watching(void)
+{
+	struct relay_role r = { 0 };
+
+	relay_on_remote_position(&r, 5, 7, 1);
+	CU_ASSERT(!relay_is_overdue(&r, RELAY_BEHIND_US));
+	CU_ASSERT(relay_is_overdue(&r, 1 + RELAY_BEHIND_US));
+	CU_ASSERT(relay_is_overdue(&r, 1 + RELAY_BEHIND_US +
+					       2 * RELAY_CATCH_UP_US));
+	relay_on_local_position(&r, 7, 1 + RELAY_BEHIND_US);
+	CU_ASSERT(!relay_is_overdue(&r, 1 + 2 * RELAY_BEHIND_US));
+}
+
 /* Guards against fields that are lost or changed between daemons, and truncated
  * states that are accepted. */
 static void test_state_is_transferred_unchanged(void)
@@ -136,11 +155,156 @@
 	feed_table_destroy(t);
 }
 
+/* ---- the duty, over the loopback interface ---- */
+
+static const char text[] = "[data_centre a1]\nregion = a\n[service stock]\n";
+
+/** What a daemon needs to fetch states, or to be asked for one. */
+struct node {
+	struct peer_handler handler;
+	struct relay_source source;
+	struct feed_listener listener;
+	struct conf_current *current;
+	struct feed *feed;
+	struct peer *peer;
+	struct membership *membership;
+	struct relay *relay;
+	struct member self;
+	uint64_t imported_position; /**< atomic */
+};
+
+static void serve_state(struct peer_handler *h, enum peer_procedure proc,
+			struct buf *body, struct reply_to *reply)
+{
+	(void)proc;
+	(void)body;
+	feed_send_state(az_container_of(h, struct node, handler)->feed, reply);
+}
+
+static const struct peer_handler_ops handler_ops = { .handle_conf =
+							     serve_state };
+
+static void ignore_watching(struct relay_source *source, bool watching)
+{
+	(void)source;
+	(void)watching;
+}
+
+static bool is_unreachable(struct relay_source *source)
+{
+	(void)source;
+	return true;
+}
+
+static const struct relay_source_ops source_ops = { ignore_watching,
+						    is_unreachable };
+
+static void on_imported(struct feed_listener *l, uint64_t position)
+{
+	struct node *n = az_container_of(l, struct node, listener);
+
+	relay_set_local_position(n->relay, position);
+	__atomic_store_n(&n->imported_position, position, __ATOMIC_RELEASE);
+}
+
+static const struct feed_listener_ops listener_ops = { on_imported };
+
+/* Starts the parts of a daemon that does not reach the source. */
+static void start_node(struct node *n, uint64_t id,
+		       struct timer_service *timers, apr_pool_t *pool)
+{
+	struct fleet_keys keys = { .count = 1, .keys = { { .id = 1 } } };
+	struct member_settings ms = { .self = { .id = id,
+						.incarnation = id,
+						.ip = 0x7f000001,
+						.dc = (uint32_t)id,
+						.name = "vm" },
+				      .keys = &keys };
+	struct peer_settings ps = { .ip = 0x7f000001,
+				    .member_id = id,
+				    .incarnation = id,
+				    .in_flight_max = 8,
+				    .keys = keys,
+				    .handler = &n->handler };
+	struct feed_settings fs = { .listener = &n->listener };
+	struct relay_settings rs = { .ip = 0x7f000001,
+				     .member_id = id,
+				     .incarnation = id,
+				     .dc = (uint32_t)id,
+				     .local_source = &n->source };
+
+	n->handler.ops = &handler_ops;
+	n->source.ops = &source_ops;
+	n->listener.ops = &listener_ops;
+	fs.current = n->current = conf_current_create(pool);
+	n->feed = rs.feed = feed_create(&fs, timers);
+	n->peer = rs.peer = peer_create(&ps, timers, pool);
+	n->membership = rs.membership = membership_create(&ms, timers, pool);
+	n->relay = relay_create(&rs, timers);
+	CU_ASSERT_FATAL(n->feed && n->peer && n->membership && n->relay);
+	CU_ASSERT_EQUAL_FATAL(feed_start(n->feed), AZ_OK);
+	CU_ASSERT_EQUAL_FATAL(peer_start(n->peer), AZ_OK);
+	CU_ASSERT_EQUAL_FATAL(relay_start(n->relay), AZ_OK);
+	n->self = ms.self;
+	n->self.peer_port = peer_port(n->peer);
+}
+
+static bool has_configuration(struct node *n)
+{
+	struct conf *c = conf_current_get(n->current);
+	bool has = conf_service_count(c) != 0;
+
+	conf_release(c);
+	return has;
+}
+
+static void stop_node(struct node *n)
+{
+	relay_stop(n->relay);
+	peer_stop(n->peer);
+	feed_stop(n->feed);
+}
+
+/* Guards against a daemon that stays behind although other members know the
+ * change, because the source refuses both it and the watchers of its data
+ * centre. The member that is ahead is of another data centre. */
+static void test_state_is_fetched_from_any_member_that_is_ahead(void)
+{
+	static struct node ahead, behind;
+	struct timer_service *timers;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	timers = timer_service_create(pool);
+	timer_service_start(timers);
+	start_node(&ahead, 1, timers, pool);
+	start_node(&behind, 2, timers, pool);
+	feed_set_configuration(ahead.feed, 3, text);
+	feed_set_position(ahead.feed, 0x700000004);
+	for (uint32_t i = 0; i < HANG_STEPS && !has_configuration(&behind);
+	     i++) {
+		struct timespec step = { 0, 20000000 };
+
+		relay_observe_remote_position(behind.relay, 0x700000004,
+					      &ahead.self);
+		nanosleep(&step, NULL);
+	}
+	CU_ASSERT(has_configuration(&behind));
+	CU_ASSERT_EQUAL(
+		__atomic_load_n(&behind.imported_position, __ATOMIC_ACQUIRE),
+		0x700000004);
+	stop_node(&behind);
+	stop_node(&ahead);
+	timer_service_stop(timers);
+	apr_pool_destroy(pool);
+}
+
 int main(void)
 {
 	CU_pSuite s;
 
 	apr_initialize();
+	log_set_level(LOG_ERROR);
 	CU_initialize_registry();
 	s = CU_add_suite("relay", NULL, NULL);
 	CU_add_test(s, "silence", test_silent_watchers_make_a_daemon_watch);
@@ -152,6 +316,10 @@
 	CU_add_test(s, "halves",
 		    test_halves_of_position_are_compared_separately);
 	CU_add_test(s, "state", test_state_is_transferred_unchanged);
+	CU_add_test(s, "fetches go on",
+		    test_fetches_do_not_end_with_the_watching);
+	CU_add_test(s, "any member",
+		    test_state_is_fetched_from_any_member_that_is_ahead);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
 }
--- a/feed/role.c
+++ b/feed/role.c
@@ -9,12 +9,16 @@
  * this daemon can reach it. */
 #define FAILED_FETCHES_MAX 2
 
-static bool is_behind(const struct relay_role *r, int64_t now_us)
+bool relay_is_overdue(const struct relay_role *r, int64_t now_us)
 {
-	int64_t since_us = now_us - r->behind_since_us;
+	return r->behind_since_us &&
+	       now_us - r->behind_since_us >= RELAY_BEHIND_US;
+}
 
-	return r->behind_since_us && since_us >= RELAY_BEHIND_US &&
-	       since_us < RELAY_BEHIND_US + RELAY_CATCH_UP_US;
+static bool has_given_up(const struct relay_role *r, int64_t now_us)
+{
+	return now_us - r->behind_since_us >=
+	       RELAY_BEHIND_US + RELAY_CATCH_UP_US;
 }
 
 bool relay_should_watch(const struct relay_role *r, int64_t now_us)
@@ -22,7 +26,7 @@
 	return r->is_watcher || r->failed_fetches >= FAILED_FETCHES_MAX ||
 	       !r->last_watcher_position_us ||
 	       now_us - r->last_watcher_position_us > RELAY_SILENCE_US ||
-	       is_behind(r, now_us);
+	       (relay_is_overdue(r, now_us) && !has_given_up(r, now_us));
 }
 
 static void begin_to_wait(struct relay_role *r, int64_t now_us)
@@ -31,12 +35,6 @@
 	r->behind_since_us = now_us;
 }
 
-static bool has_given_up(const struct relay_role *r, int64_t now_us)
-{
-	return now_us - r->behind_since_us >=
-	       RELAY_BEHIND_US + RELAY_CATCH_UP_US;
-}
-
 void relay_on_remote_position(struct relay_role *r, uint64_t ours,
 			      uint64_t theirs, int64_t now_us)
 {
