feed: send only what the receiver of a state lacks

A request now tells the position and version held. The answer names workers that have not changed, and has the configuration only if it is newer: as the difference to one of the last four versions or compressed by zlib, whichever is shorter. A receiver that lacks an unchanged worker, or whose text is another one, does not raise that half of its position and asks for all. Daemons of older versions send an empty request and get the whole state. Daemons that are not watchers fetch across data centres only after twice the time, as their watchers will have the state soon.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -99,7 +99,7 @@
 	struct azhd *d = az_container_of(h, struct azhd, peer_handler);
 
 	if (d->feed)
-		feed_send_state(d->feed, reply);
+		feed_send_state(d->feed, body, reply);
 	else if (d->conf_duty)
 		conf_duty_serve(d->conf_duty, proc == PEER_CONF_GET, body,
 				reply);
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -12,6 +12,14 @@
 /* Updates that arrive within this time cause only one build. */
 #define BUILD_DELAY_US (20 * US_PER_MS)
 
+/* Older texts that are kept to send differences to daemons that hold them. */
+#define OLDER_TEXTS 4
+
+struct older_text {
+	uint64_t version; /**< 0: none */
+	char *text;
+};
+
 struct feed {
 	struct duty duty;
 	struct feed_settings settings;
@@ -21,6 +29,13 @@
 	char *text;
 	char *valid_text; /**< last text that was valid; the same pointer as
 			     `text` if that is valid */
+	struct feed_packed packed; /**< `text`, once it was requested */
+	struct older_text older[OLDER_TEXTS]; /**< before `text` */
+	uint32_t next_older; /**< entry to replace next (modulo) */
+	/** A state named a worker as unchanged that the table lacks, so that
+	 * the next one must have all workers. */
+	bool workers_incomplete;
+	struct feed_known known; /**< atomic fields, for other threads */
 	bool build_pending; /**< a snapshot must be built when the timer expires
 			     */
 	int64_t timer_at_us; /**< when the timer expires, to build or to drop
@@ -125,6 +140,7 @@
 	struct feed_worker *workers;
 	uint32_t count;
 	struct feed_state state;
+	struct feed_known known; /**< SEND_STATE: what the receiver holds */
 	struct reply_to *reply;
 };
 
@@ -136,6 +152,25 @@
 	free(fm);
 }
 
+static void keep_text(struct feed *f)
+{
+	struct older_text *o = &f->older[f->next_older++ % OLDER_TEXTS];
+
+	if (!f->text)
+		return;
+	free(o->text);
+	o->text = az_strdup(f->text);
+	o->version = f->version;
+}
+
+static const char *find_older_text(const struct feed *f, uint64_t version)
+{
+	for (uint32_t i = 0; i < OLDER_TEXTS; i++)
+		if (f->older[i].text && f->older[i].version == version)
+			return f->older[i].text;
+	return NULL;
+}
+
 static void apply_configuration(struct feed *f, struct feed_msg *fm)
 {
 	if (fm->version <= f->version) {
@@ -147,42 +182,84 @@
 			(unsigned long long)f->version);
 		return;
 	}
+	keep_text(f);
 	if (f->text != f->valid_text)
 		free(f->text);
 	f->text = fm->text;
 	f->version = fm->version;
+	f->packed.text_bytes = 0;
 	fm->text = NULL;
 	schedule_build(f);
 }
 
-static void send_state(const struct feed *f, struct reply_to *reply)
+static void send_state(struct feed *f, const struct feed_known *known,
+		       struct reply_to *reply)
 {
 	struct answer *a = answer_new(ERR_NONE);
-
-	feed_state_print(f->position, f->version, f->text, f->workers,
-			 &a->body);
+	struct feed_state_source s = {
+		.position = f->position,
+		.version = f->version,
+		.text = f->text,
+		.packed = &f->packed,
+		.base_text = find_older_text(f, known->version),
+		.workers = f->workers,
+	};
+
+	if (f->text && f->version > known->version && !f->packed.text_bytes)
+		feed_pack(&f->packed, f->text);
+	if (!f->packed.text_bytes)
+		s.packed = NULL;
+	feed_state_print(&s, known, &a->body);
 	reply->ops->answer(reply, a);
 }
 
+/* Returns false if the state has a newer configuration that cannot be restored
+ * from this daemon's, which has changed since the request. */
+static bool import_configuration(struct feed *f, struct feed_msg *fm)
+{
+	struct feed_state *s = &fm->state;
+
+	if (!s->text || s->version <= f->version)
+		return true;
+	if (!feed_state_complete_text(s, f->version, f->text))
+		return false;
+	fm->version = s->version;
+	fm->text = s->text;
+	s->text = NULL;
+	apply_configuration(f, fm);
+	return true;
+}
+
+/* Returns false if the state leaves out a worker that this daemon lacks. */
+static bool import_workers(struct feed *f, struct feed_state *s)
+{
+	bool changed = false;
+
+	f->workers_incomplete = !feed_state_complete_workers(s, f->workers);
+	if (!f->workers_incomplete)
+		changed = feed_table_replace(f->workers, s->workers, s->count,
+					     f->duty.now_us);
+	for (uint32_t i = 0; f->workers_incomplete && i < s->count; i++)
+		changed |= feed_table_put(f->workers, &s->workers[i]);
+	if (changed)
+		schedule_build(f);
+	return !f->workers_incomplete;
+}
+
 /* Each half of the position is taken over if it is higher than this daemon's,
  * also if the other one is lower. */
 static void import_state(struct feed *f, struct feed_msg *fm)
 {
 	struct feed_state *s = &fm->state;
 	struct feed_listener *l = f->settings.listener;
+	uint64_t position = s->position;
 	uint64_t before = f->position;
 
-	if (s->text && s->version > f->version) {
-		fm->version = s->version;
-		fm->text = s->text;
-		s->text = NULL;
-		apply_configuration(f, fm);
-	}
-	if ((uint32_t)s->position >= (uint32_t)f->position &&
-	    feed_table_replace(f->workers, s->workers, s->count,
-			       f->duty.now_us))
-		schedule_build(f);
-	f->position = feed_position_max(f->position, s->position);
+	if (!import_configuration(f, fm))
+		position = (uint32_t)position;
+	if ((uint32_t)position < (uint32_t)f->position || !import_workers(f, s))
+		position = position >> 32 << 32;
+	f->position = feed_position_max(f->position, position);
 	if (l && f->position != before)
 		l->ops->on_state_imported(l, f->position);
 }
@@ -203,6 +280,24 @@
 	}
 }
 
+static void publish_known(struct feed *f)
+{
+	uint64_t position =
+		f->workers_incomplete ? f->position >> 32 << 32 : f->position;
+
+	__atomic_store_n(&f->known.position, position, __ATOMIC_RELAXED);
+	__atomic_store_n(&f->known.version, f->version, __ATOMIC_RELAXED);
+}
+
+struct feed_known feed_get_known(struct feed *f)
+{
+	return (struct feed_known){
+		__atomic_load_n(&f->known.position, __ATOMIC_RELAXED),
+		__atomic_load_n(&f->known.version, __ATOMIC_RELAXED),
+		true,
+	};
+}
+
 static void feed_msg_run(struct msg *m, struct duty *to)
 {
 	struct feed_msg *fm = az_container_of(m, struct feed_msg, msg);
@@ -217,6 +312,7 @@
 		put_workers(f, fm);
 		break;
 	case FEED_MSG_REPLACE_WORKERS:
+		f->workers_incomplete = false;
 		if (feed_table_replace(f->workers, fm->workers, fm->count,
 				       now_us))
 			schedule_build(f);
@@ -240,9 +336,10 @@
 		import_state(f, fm);
 		break;
 	case FEED_MSG_SEND_STATE:
-		send_state(f, fm->reply);
+		send_state(f, &fm->known, fm->reply);
 		break;
 	}
+	publish_known(f);
 	/* The timer must run even if no build is pending, to drop entries whose
 	 * `expires_us` has passed. */
 	if (!f->timer_at_us) {
@@ -326,10 +423,12 @@
 	post(f, fm);
 }
 
-void feed_send_state(struct feed *f, struct reply_to *reply)
+void feed_send_state(struct feed *f, const struct buf *request,
+		     struct reply_to *reply)
 {
 	struct feed_msg *fm = feed_msg_new(FEED_MSG_SEND_STATE, NULL);
 
+	feed_known_parse(request, &fm->known);
 	fm->reply = reply;
 	post(f, fm);
 }
@@ -385,6 +484,9 @@
 	if (f->text != f->valid_text)
 		free(f->text);
 	free(f->valid_text);
+	for (uint32_t i = 0; i < OLDER_TEXTS; i++)
+		free(f->older[i].text);
+	buf_free(&f->packed.data);
 	feed_table_destroy(f->workers);
 	duty_destroy(&f->duty);
 	free(f);
--- a/feed/feed.h
+++ b/feed/feed.h
@@ -64,6 +64,9 @@
 
 struct feed_table *feed_table_create(void);
 void feed_table_destroy(struct feed_table *t);
+/** The worker of this name, or NULL. */
+const struct feed_worker *feed_table_find(const struct feed_table *t,
+					  const char *name);
 /** Adds or updates a worker; true if the snapshot must be rebuilt. An entry
  * with a lower revision than the known one is ignored. */
 bool feed_table_put(struct feed_table *t, const struct feed_worker *w);
@@ -103,22 +106,77 @@
 
 /* ---- encoding of a feed's state as text (state.c) ---- */
 
+/** What a daemon holds. Sent with a request for the state of another one, whose
+ * answer then leaves out what both hold; zero: nothing. */
+struct feed_known {
+	uint64_t position;
+	uint64_t version; /**< of the configuration */
+	/** It decodes differences and compressed texts; daemons of older
+	 * versions do not. */
+	bool decodes_all;
+};
+
+void feed_known_print(const struct feed_known *k, struct buf *out);
+/** An empty body, as sent by daemons of older versions, means nothing. */
+void feed_known_parse(const struct buf *data, struct feed_known *out);
+
+/** A text that was compressed with zlib. */
+struct feed_packed {
+	struct buf data;
+	uint32_t text_bytes; /**< of the text; 0: none */
+};
+
+/** Replaces the contents of `p` by the compressed text. */
+void feed_pack(struct feed_packed *p, const char *text);
+
+/** A text as the part in which it differs from an older one. */
+struct feed_difference {
+	uint64_t base_version; /**< of the older text; 0: not a difference */
+	uint32_t prefix_bytes; /**< taken from the start of the older text */
+	uint32_t suffix_bytes; /**< taken from its end */
+	uint64_t hash; /**< of the resulting text */
+};
+
 /** The whole state of a feed, as daemons send it to each other. */
 struct feed_state {
 	uint64_t position;
 	uint64_t version; /**< of the configuration */
-	char *text; /**< the configuration; owned, NULL: none */
+	struct feed_difference difference;
+	char *text; /**< the configuration, or the part that differs; owned,
+		       NULL: none, or the receiver has this version */
 	uint32_t count;
-	struct feed_worker *workers; /**< owned */
+	struct feed_worker *workers; /**< owned; the receiver lacks them */
+	uint32_t unchanged_count;
+	/** Names of the other workers, which the receiver has; owned. */
+	char (*unchanged)[CONF_NAME_MAX_BYTES];
+};
+
+/** What feed_state_print() encodes. */
+struct feed_state_source {
+	uint64_t position;
+	uint64_t version;
+	const char *text; /**< NULL: no configuration */
+	const struct feed_packed *packed; /**< the same text; NULL: not
+					     compressed */
+	const char *base_text; /**< that of the receiver's version, or NULL */
+	const struct feed_table *workers;
 };
 
-/** Appends the encoded state; `text` NULL: no configuration. */
-void feed_state_print(uint64_t position, uint64_t version, const char *text,
-		      const struct feed_table *workers, struct buf *out);
+/** Appends the encoded state for a receiver that holds `known`. */
+void feed_state_print(const struct feed_state_source *s,
+		      const struct feed_known *known, struct buf *out);
 /** Decodes a state. AZ_INVALID if the data is malformed; `out` then owns
  * nothing. */
 enum az_status feed_state_parse(const struct buf *data, struct feed_state *out);
 void feed_state_free(struct feed_state *s);
+/** Replaces a difference in `text` by the whole text. False if `base` is not
+ * the text that it refers to. */
+bool feed_state_complete_text(struct feed_state *s, uint64_t base_version,
+			      const char *base);
+/** Adds the unchanged workers to `workers`, as the table has them. False if the
+ * table lacks one. */
+bool feed_state_complete_workers(struct feed_state *s,
+				 const struct feed_table *t);
 
 /* ---- the duty ---- */
 
@@ -160,9 +218,13 @@
 /** Raises the feed's position, after all changes of the
  * source up to it were passed to the feed. Any thread. */
 void feed_set_position(struct feed *f, uint64_t position);
-/** Answers with the whole state of the feed, for feed_import_state() in another
- * daemon. Any thread. */
-void feed_send_state(struct feed *f, struct reply_to *reply);
+/** Returns what this daemon holds, for the body of a request for the state of
+ * another one. Any thread. */
+struct feed_known feed_get_known(struct feed *f);
+/** Answers a request for the state of the feed with the body `request`, for
+ * feed_import_state() in another daemon. Any thread. */
+void feed_send_state(struct feed *f, const struct buf *request,
+		     struct reply_to *reply);
 /** Imports the answer of another daemon's feed_send_state(). The configuration
  * is ignored if its version is not above this daemon's, the workers if their
  * half of the position is below this daemon's. AZ_INVALID if the data is
--- a/feed/feed_test.c
+++ b/feed/feed_test.c
@@ -167,6 +167,54 @@
 	CU_ASSERT(wait_for_workers("stock", 2));
 }
 
+static enum az_status import(const char *state)
+{
+	struct buf data = { 0 };
+	enum az_status s;
+
+	buf_append(&data, state, (uint32_t)strlen(state));
+	s = feed_import_state(feed, &data);
+	buf_free(&data);
+	return s;
+}
+
+static bool wait_for_position(uint64_t position)
+{
+	for (uint32_t i = 0; i < 1000; i++) {
+		struct timespec ts = { 0, 10000000 };
+
+		if (feed_get_known(feed).position == position)
+			return true;
+		nanosleep(&ts, NULL);
+	}
+	return false;
+}
+
+/* Guards against a half of a position that is taken over without its contents:
+ * the daemon would never ask for them again. */
+static void test_position_is_raised_by_halves(void)
+{
+	struct feed_worker w = worker("w1", 1, 1);
+
+	feed_set_configuration(feed, 20, base);
+	feed_replace_workers(feed, &w, 1);
+	feed_set_position(feed, 0x1400000014);
+	CU_ASSERT(wait_for_position(0x1400000014));
+	/* Newer configuration, older workers. */
+	CU_ASSERT_EQUAL(import("90194313232 20 0 0 0 0 0 0 0\n"), AZ_OK);
+	CU_ASSERT(wait_for_position(0x1500000014));
+	CU_ASSERT(wait_for_workers("stock", 1));
+	/* A difference to a configuration that this daemon does not hold. */
+	CU_ASSERT_EQUAL(import("94489280528 21 1 0 19 0 0 7 0\nx"), AZ_OK);
+	/* An unchanged worker that this daemon does not hold: until it has all
+	 * workers, it asks for all of them. */
+	CU_ASSERT_EQUAL(import("30 20 0 1 0 0 0 0 0\n=w9\n"), AZ_OK);
+	CU_ASSERT(wait_for_position(0x1500000000));
+	CU_ASSERT_EQUAL(import("30 20 0 1 0 0 0 0 0\n=w1\n"), AZ_OK);
+	CU_ASSERT(wait_for_position(0x150000001e));
+	CU_ASSERT(wait_for_workers("stock", 1));
+}
+
 int main(void)
 {
 	struct feed_settings fs = { 0 };
@@ -189,6 +237,7 @@
 	CU_add_test(s, "lapsed", test_many_missing_after_an_outage_are_kept);
 	CU_add_test(s, "address", test_newest_entry_of_an_address_counts);
 	CU_add_test(s, "versions", test_configuration_version_only_increases);
+	CU_add_test(s, "halves", test_position_is_raised_by_halves);
 	CU_basic_run_tests();
 	feed_stop(feed);
 	timer_service_stop(timers);
--- a/feed/relay.c
+++ b/feed/relay.c
@@ -227,7 +227,8 @@
 		  const struct peer_target *target)
 {
 	struct fetch *f = az_alloc(sizeof(*f));
-	struct buf nothing = { 0 };
+	struct feed_known known = feed_get_known(r->settings.feed);
+	struct buf request = { 0 };
 
 	f->msg.ops = &fetch_ops;
 	f->reply.ops = &reply_ops;
@@ -237,8 +238,10 @@
 	f->started_us = r->duty.now_us;
 	r->fetching[from] = true;
 	counter_add(r->fetches, 1);
-	peer_send_conf(r->settings.peer, target, PEER_CONF_GET, &nothing,
+	feed_known_print(&known, &request);
+	peer_send_conf(r->settings.peer, target, PEER_CONF_GET, &request,
 		       r->duty.now_us + FETCH_TIMEOUT_US, &f->reply);
+	buf_free(&request);
 }
 
 static struct peer_target target_of(const struct member *m)
@@ -287,21 +290,22 @@
 	struct msg msg;
 	uint64_t position;
 	bool is_remote; /**< reached by another daemon, not this one */
-	struct peer_target from; /**< that daemon, if is_remote */
+	/* If is_remote: */
+	struct peer_target from; /**< that daemon */
+	bool same_dc; /**< it is of this daemon's data centre */
 };
 
 /* A daemon that has been behind for too long watches the source, and also
  * fetches from any member that is ahead: the source may refuse this daemon and
  * the watchers of its data centre while it serves others. */
-static void on_remote_position(struct relay *r, uint64_t position,
-			       const struct peer_target *from)
+static void on_remote_position(struct relay *r, const struct position_msg *pm)
 {
-	relay_on_remote_position(&r->role, r->local_position, position,
+	relay_on_remote_position(&r->role, r->local_position, pm->position,
 				 r->duty.now_us);
-	if (relay_is_overdue(&r->role, r->duty.now_us) &&
-	    !r->fetching[FETCH_FROM_AHEAD] &&
-	    feed_position_is_ahead(r->local_position, position))
-		fetch(r, FETCH_FROM_AHEAD, from);
+	if (!r->fetching[FETCH_FROM_AHEAD] &&
+	    feed_position_is_ahead(r->local_position, pm->position) &&
+	    relay_should_fetch(&r->role, pm->same_dc, r->duty.now_us))
+		fetch(r, FETCH_FROM_AHEAD, &pm->from);
 	update_watching(r);
 }
 
@@ -311,7 +315,7 @@
 	struct relay *r = az_container_of(to, struct relay, duty);
 
 	if (pm->is_remote) {
-		on_remote_position(r, pm->position, &pm->from);
+		on_remote_position(r, pm);
 	} else {
 		r->local_position = pm->position;
 		relay_on_local_position(&r->role, r->local_position,
@@ -340,8 +344,10 @@
 	pm->msg.ops = &position_msg_ops;
 	pm->position = position;
 	pm->is_remote = from != NULL;
-	if (from)
+	if (from) {
 		pm->from = target_of(from);
+		pm->same_dc = from->dc == r->settings.dc;
+	}
 	duty_send(&r->duty, &pm->msg);
 }
 
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -51,9 +51,12 @@
 
 /** True if this daemon must watch the source itself. */
 bool relay_should_watch(const struct relay_role *r, int64_t now_us);
-/** True if this daemon has been behind for RELAY_BEHIND_US, so that it fetches
- * the state from any member that is ahead. */
-bool relay_is_overdue(const struct relay_role *r, int64_t now_us);
+/** True if this daemon has been behind for so long that it fetches the state
+ * from any member that is ahead. For one of another data centre (`same_dc`
+ * false) daemons that are not watchers wait longer: the watchers will have the
+ * state soon, and bytes between data centres are billed. */
+bool relay_should_fetch(const struct relay_role *r, bool same_dc,
+			int64_t now_us);
 /** To be called when some daemon of the fleet has reached the position `theirs`
  * and this one `ours`. */
 void relay_on_remote_position(struct relay_role *r, uint64_t ours,
--- a/feed/role.c
+++ b/feed/role.c
@@ -9,12 +9,21 @@
  * this daemon can reach it. */
 #define FAILED_FETCHES_MAX 2
 
-bool relay_is_overdue(const struct relay_role *r, int64_t now_us)
+static bool is_overdue(const struct relay_role *r, int64_t now_us)
 {
 	return r->behind_since_us &&
 	       now_us - r->behind_since_us >= RELAY_BEHIND_US;
 }
 
+bool relay_should_fetch(const struct relay_role *r, bool same_dc,
+			int64_t now_us)
+{
+	if (same_dc || r->is_watcher)
+		return is_overdue(r, now_us);
+	return r->behind_since_us &&
+	       now_us - r->behind_since_us >= 2 * RELAY_BEHIND_US;
+}
+
 static bool has_given_up(const struct relay_role *r, int64_t now_us)
 {
 	return now_us - r->behind_since_us >=
@@ -26,7 +35,7 @@
 	return r->is_watcher || r->failed_fetches >= FAILED_FETCHES_MAX ||
 	       !r->last_watcher_position_us ||
 	       now_us - r->last_watcher_position_us > RELAY_SILENCE_US ||
-	       (relay_is_overdue(r, now_us) && !has_given_up(r, now_us));
+	       (is_overdue(r, now_us) && !has_given_up(r, now_us));
 }
 
 static void begin_to_wait(struct relay_role *r, int64_t now_us)
--- a/feed/table.c
+++ b/feed/table.c
@@ -38,6 +38,14 @@
 	return apr_hash_get(t->by_name, name, APR_HASH_KEY_STRING);
 }
 
+const struct feed_worker *feed_table_find(const struct feed_table *t,
+					  const char *name)
+{
+	const struct feed_entry *e = find(t, name);
+
+	return e ? &e->worker : NULL;
+}
+
 static void drop_entry(struct feed_table *t, struct feed_entry *e)
 {
 	apr_hash_set(t->by_name, e->worker.name, APR_HASH_KEY_STRING, NULL);
