home: hold the floor while many requests are not served

At most 30 % of a cell are avoided as suspect. But suspicion is also part of the cost of a choice, and one failure outweighs the bonus of an idle worker for about 6 s, so any number of others were left without requests. Failures that hit all workers alike make that most of them.

While more than 8 % of a cell's recent requests are not served, a worker that is not avoided now gets a request after 1.4 s without one (1.6 s if it is of another data centre or the request is urgent), and at most 20 % are avoided: of the workers in service fewer count as sound, as those that have just started do not. In calm nothing changes.

--- a/home/choose.c
+++ b/home/choose.c
@@ -76,10 +76,10 @@
 }
 
 /* Marks the workers to avoid: the suspect ones of the highest suspicion, up to
- * CHOOSE_AVOIDED_MAX_PERCENT of the available workers. In a cell too small for
- * that percentage one worker may be avoided if another is available. */
+ * `max_percent` of the available workers. In a cell too small for that
+ * percentage one worker may be avoided if another is available. */
 static void mark_avoided(const struct candidate *list, uint32_t count,
-			 bool *avoided)
+			 uint32_t max_percent, bool *avoided)
 {
 	uint32_t available = 0;
 	uint32_t allowed;
@@ -88,7 +88,7 @@
 		avoided[i] = false;
 		available += !list[i].unavailable;
 	}
-	allowed = available * CHOOSE_AVOIDED_MAX_PERCENT / 100;
+	allowed = available * max_percent / 100;
 	if (!allowed && available > 1)
 		allowed = 1;
 	for (; allowed; allowed--) {
@@ -120,7 +120,10 @@
 	bool any_same_dc = false;
 	bool any_healthy = false;
 
-	mark_avoided(list, count, s->avoided);
+	mark_avoided(list, count,
+		     d->hold_floor ? CHOOSE_AVOIDED_FLOOR_PERCENT :
+				     CHOOSE_AVOIDED_MAX_PERCENT,
+		     s->avoided);
 	for (uint32_t i = 0; i < count; i++) {
 		bool healthy = !list[i].unavailable && !is_suspect(&list[i]);
 
@@ -139,15 +142,43 @@
 	       (!is_suspect(c) || !s->only_healthy);
 }
 
+/* Returns the worker that has waited longest for a request, of those that must
+ * get one for the floor; -1 if there is none. */
+static int32_t choose_for_floor(const struct candidate *list, uint32_t count,
+				const struct eligibility *s,
+				const struct demand *d, int64_t now_us)
+{
+	int64_t longest_us = 0;
+	int32_t best = -1;
+
+	for (uint32_t i = 0; d->hold_floor && i < count; i++) {
+		const struct candidate *c = &list[i];
+		int64_t over_us =
+			now_us - c->evidence->last_sent_us - FLOOR_IDLE_US;
+
+		if (!c->same_dc || d->rank == RANK_URGENT)
+			over_us -= FLOOR_IDLE_LATER_US;
+		if (c->unavailable || s->avoided[i] || over_us <= longest_us ||
+		    c->evidence->in_flight_count >= c->slots)
+			continue;
+		longest_us = over_us;
+		best = (int32_t)i;
+	}
+	return best;
+}
+
 int32_t choose_worker(const struct candidate *list, uint32_t count,
 		      const struct latency_baseline *base,
 		      const struct demand *d, uint64_t random, int64_t now_us)
 {
 	struct eligibility eligibility;
-	int32_t best = -1;
+	int32_t best;
 	double best_cost = 0;
 
 	set_eligibility(&eligibility, list, count, d);
+	best = choose_for_floor(list, count, &eligibility, d, now_us);
+	if (best >= 0)
+		return best;
 	for (uint32_t n = 0; n < count; n++) {
 		uint32_t i = (uint32_t)((n + random) % count);
 		const struct candidate *c = &list[i];
@@ -190,7 +221,7 @@
 	bool avoided[HOME_WORKERS_MAX];
 	uint32_t slots = 0;
 
-	mark_avoided(list, count, avoided);
+	mark_avoided(list, count, CHOOSE_AVOIDED_MAX_PERCENT, avoided);
 	for (uint32_t i = 0; i < count; i++) {
 		uint32_t n = hung_requests(list[i].evidence, base, now_us);
 
--- a/home/home.c
+++ b/home/home.c
@@ -129,6 +129,13 @@
 	free_grant(h, g);
 }
 
+/* Refuses a grant request that no other cell is expected to serve. */
+static void refuse_unserved(struct home *h, struct grant *g, enum error_kind k)
+{
+	floor_record(&g->cell->floor, false, h->duty.now_us);
+	refuse(h, g, k);
+}
+
 static void issue_grant(struct home *h, struct grant *g, uint32_t worker_index)
 {
 	struct home_worker *w = &g->cell->workers[worker_index];
@@ -163,6 +170,7 @@
 	struct demand d = {
 		.rank = g->item.rank,
 		.idempotent = g->grant_request.idempotent,
+		.hold_floor = floor_must_hold(&g->cell->floor, now_us),
 		.may_wait = now_us < g->may_wait_until_us &&
 			    choose_queue_is_short(
 				    rank_queue_depth(&g->cell->queue), n),
@@ -201,8 +209,8 @@
 	while (expired) {
 		struct queue_item *next = expired->next;
 
-		refuse(h, az_container_of(expired, struct grant, item),
-		       ERR_DEADLINE_NOT_RUN);
+		refuse_unserved(h, az_container_of(expired, struct grant, item),
+				ERR_DEADLINE_NOT_RUN);
 		expired = next;
 	}
 	if (rank_queue_depth(&c->queue))
@@ -242,8 +250,8 @@
 	while (i) {
 		struct queue_item *next = i->next;
 
-		refuse(h, az_container_of(i, struct grant, item),
-		       ERR_OVERLOADED);
+		refuse_unserved(h, az_container_of(i, struct grant, item),
+				ERR_OVERLOADED);
 		i = next;
 	}
 }
@@ -314,7 +322,7 @@
 	}
 	k = rank_queue_push(&c->queue, &g->item, h->duty.now_us);
 	if (k != ERR_NONE) {
-		refuse(h, g, k);
+		refuse_unserved(h, g, k);
 		return;
 	}
 	dispatch(h, c);
@@ -363,6 +371,14 @@
 	}
 }
 
+/* True if the event tells that the worker did not serve the request. A request
+ * that was shed goes to another worker. */
+static bool is_unserved(enum home_event e)
+{
+	return e != EVENT_ANSWERED && e != EVENT_SHED && e != EVENT_CANCELLED &&
+	       e != EVENT_NO_EVIDENCE;
+}
+
 /* Records how the request of an issued grant completed and frees the grant. */
 static void complete(struct home *h, struct grant *g, enum home_event e,
 		     int64_t latency_us)
@@ -396,6 +412,8 @@
 	}
 	if (e == EVENT_ANSWERED)
 		home_cell_record_latency(c, latency_us);
+	if (e == EVENT_ANSWERED || is_unserved(e))
+		floor_record(&c->floor, !is_unserved(e), h->duty.now_us);
 	free_grant(h, g);
 	dispatch(h, c);
 }
--- a/home/home.h
+++ b/home/home.h
@@ -239,6 +239,23 @@
 				 const struct latency_baseline *base,
 				 int64_t now_us);
 
+/* ---- share of a cell's requests that are not served (floor.c) ---- */
+
+/** Recent requests of a cell; the counts are decaying. */
+struct floor_watch {
+	double requests;
+	double unserved;
+	int64_t at_us; /**< time of the counts */
+};
+
+/** A request completed, or was refused. */
+void floor_record(struct floor_watch *f, bool served, int64_t now_us);
+/** True if so many requests are not served that the number of workers without
+ * requests must be limited: avoiding suspect workers does not help enough, so
+ * the evidence does not tell the gray workers from the healthy ones. Load
+ * pattern: the answers of all workers are lost at times. */
+bool floor_must_hold(const struct floor_watch *f, int64_t now_us);
+
 /* ---- choice of a worker for a request (choose.c) ---- */
 
 /** A worker of the cell, as seen for one request. */
@@ -257,6 +274,7 @@
 	/** The request has time to wait for a worker of its data centre that is
 	 * not suspect. If none is in service, it takes another worker. */
 	bool may_wait;
+	bool hold_floor; /**< result of floor_must_hold() */
 };
 
 /** A worker of this suspicion or more is suspect. The most suspect workers, up
@@ -265,6 +283,15 @@
 #define CHOOSE_SUSPICION_MAX 1.0
 /** At most this share of the workers in service is avoided as suspect. */
 #define CHOOSE_AVOIDED_MAX_PERCENT 30
+/** The same while the floor must be held. The floor is 70 % of the workers that
+ * are well, and these are fewer than those in service. */
+#define CHOOSE_AVOIDED_FLOOR_PERCENT 20
+/** While the floor must be held, a worker that is not avoided gets a request
+ * after this time without one; one of another data centre, or an urgent
+ * request, FLOOR_IDLE_LATER_US later. A worker without requests for 2 s counts
+ * as excluded. */
+#define FLOOR_IDLE_US (1400 * US_PER_MS)
+#define FLOOR_IDLE_LATER_US (200 * US_PER_MS)
 /** Share of the time until a request's latency target that may be spent waiting
  * for a worker of its own data centre, or for one that is not suspect: bytes
  * between data centres are billed, and an answer within the target is worth as
@@ -367,6 +394,7 @@
 	double latency_us; /**< smoothed, of complete answers; 0: none yet */
 	double deviation_us; /**< smoothed mean deviation from it */
 	struct retry_budget budget;
+	struct floor_watch floor;
 	int64_t last_used_us;
 };
 
--- a/home/home_measure.c
+++ b/home/home_measure.c
@@ -1,7 +1,8 @@
 /*
  * Runs the simulated load patterns (replay.h) under each policy for the choice
  * of a worker. Percentages are of the requests that arrived; "far" requests
- * went to another data centre, "wait" is the mean wait of the requests sent.
+ * went to another data centre, "wait" is the mean wait of the requests sent,
+ * "starved" the worst share of sound workers without requests (replay.h).
  *
  * usage: home_measure
  */
@@ -39,13 +40,17 @@
 				sum.refused += r.refused;
 				sum.other_dc += r.other_dc;
 				sum.wait_ms += r.wait_ms / SEEDS;
+				if (r.starved_share > sum.starved_share)
+					sum.starved_share = r.starved_share;
 			}
 			n = sum.requests / 100.0;
 			printf("replay.%s: served %.2f in_time %.2f failed %.2f "
-			       "refused %.2f far %.2f percent wait %.1f ms\n",
+			       "refused %.2f far %.2f starved %.0f percent "
+			       "wait %.1f ms\n",
 			       policies[k]->name, sum.served / n,
 			       sum.in_time / n, sum.failed / n, sum.refused / n,
-			       sum.other_dc / n, sum.wait_ms);
+			       sum.other_dc / n, 100 * sum.starved_share,
+			       sum.wait_ms);
 		}
 	}
 	return 0;
--- a/home/home_test.c
+++ b/home/home_test.c
@@ -200,6 +200,59 @@
 	CU_ASSERT_EQUAL(choose(&cannot_wait, 0, now_us), 3);
 }
 
+/* Guards against the rule on the floor broken: while many requests are not
+ * served, a worker with a single failure got nothing for seconds, although it
+ * was not among the avoided ones. */
+static void test_workers_that_are_not_avoided_get_requests_for_the_floor(void)
+{
+	struct demand floor = { .rank = RANK_NORMAL, .hold_floor = true };
+	int64_t now_us = 10 * US_PER_S;
+	int64_t idle_us = FLOOR_IDLE_US + 1;
+
+	reset_workers();
+	for (uint32_t i = 0; i < 6; i++)
+		record_failure(i, now_us - idle_us);
+	for (uint32_t i = 6; i < WORKERS; i++)
+		evidence[i].last_sent_us = now_us;
+	CU_ASSERT(choose(&cannot_wait, 9, now_us) >= 6);
+	CU_ASSERT(choose(&floor, 9, now_us) < 6);
+	/* Urgent requests leave the trial to others for some time. */
+	floor.rank = RANK_URGENT;
+	CU_ASSERT(choose(&floor, 9, now_us) >= 6);
+	CU_ASSERT(choose(&floor, 9, now_us + FLOOR_IDLE_LATER_US) < 6);
+	/* At most CHOOSE_AVOIDED_FLOOR_PERCENT of the workers get nothing. */
+	floor.rank = RANK_NORMAL;
+	for (uint32_t n = 0; n < WORKERS; n++) {
+		int32_t w = choose(&floor, n, now_us);
+
+		worker_evidence_record_send(&evidence[w], now_us);
+	}
+	for (uint32_t i = 0, starved = 0; i < WORKERS; i++) {
+		starved += evidence[i].last_sent_us < now_us;
+		CU_ASSERT(starved * 100 <=
+			  WORKERS * CHOOSE_AVOIDED_FLOOR_PERCENT);
+	}
+}
+
+/* Guards against a floor that is held after a few failures, which are not worth
+ * trials on suspect workers, or that is not held while more than a tenth of the
+ * requests fail. */
+static void test_floor_is_held_while_many_requests_fail(void)
+{
+	struct floor_watch f = { 0 };
+	int64_t now_us = US_PER_S;
+
+	floor_record(&f, false, now_us);
+	CU_ASSERT(!floor_must_hold(&f, now_us));
+	for (uint32_t i = 0; i < 200; i++)
+		floor_record(&f, i % 20 != 0, now_us += 20 * US_PER_MS);
+	CU_ASSERT(!floor_must_hold(&f, now_us));
+	for (uint32_t i = 0; i < 50; i++)
+		floor_record(&f, i % 8 != 0, now_us += 20 * US_PER_MS);
+	CU_ASSERT(floor_must_hold(&f, now_us));
+	CU_ASSERT(!floor_must_hold(&f, now_us + 30 * US_PER_S));
+}
+
 /* In a burst, requests that may wait must not take the slots of suspect workers
  * while the healthy ones are full. */
 static void test_waits_for_a_healthy_worker(void)
@@ -427,6 +480,19 @@
 			served_share(&replay_patterns[i], &replay_always_wait));
 }
 
+/* Guards against workers that are left without requests because all workers
+ * lose a part of their answers (the last pattern): 56 % of them got nothing for
+ * 2 s, where the users' rule allows 30 %. */
+static void test_lost_answers_do_not_starve_workers(void)
+{
+	const struct replay_pattern *p =
+		&replay_patterns[replay_pattern_count - 1];
+
+	for (uint64_t seed = 1; seed <= 3; seed++)
+		CU_ASSERT(replay_run(p, &replay_daemon, seed).starved_share <
+			  0.3);
+}
+
 /* Requests below the workers' capacity must not be refused, and few of them may
  * go to another data centre. */
 static void test_load_within_capacity_is_not_refused(void)
@@ -456,6 +522,12 @@
 	CU_add_test(s, "healthy worker", test_waits_for_a_healthy_worker);
 	CU_add_test(s, "avoided workers", test_avoided_workers_are_limited);
 	CU_add_test(s, "idle worker", test_idle_worker_is_preferred);
+	CU_add_test(
+		s, "floor",
+		test_workers_that_are_not_avoided_get_requests_for_the_floor);
+	CU_add_test(s, "floor is held",
+		    test_floor_is_held_while_many_requests_fail);
+	CU_add_test(s, "lost answers", test_lost_answers_do_not_starve_workers);
 	CU_add_test(s, "same data centre",
 		    test_waits_for_a_worker_of_the_same_dc);
 	CU_add_test(s, "hung requests",
--- a/home/replay.c
+++ b/home/replay.c
@@ -30,6 +30,20 @@
 	struct replay_call *call;
 };
 
+/* Steps in which the sends to each worker are counted. */
+#define STEP_US (100 * US_PER_MS)
+#define STEPS_MAX 4096
+#define WINDOW_STEPS (REPLAY_FLOOR_WINDOW_S * US_PER_S / STEP_US)
+#define SOUND_STEPS (REPLAY_SOUND_AFTER_S * US_PER_S / STEP_US)
+
+/** What happened in one step. */
+struct step {
+	uint32_t arrivals;
+	uint32_t unserved; /**< of these arrivals */
+	uint64_t sent_to; /**< bit set of workers */
+	uint64_t gray; /**< bit set of workers */
+};
+
 struct simulation {
 	const struct replay_pattern *pattern;
 	const struct replay_policy *policy;
@@ -43,6 +57,8 @@
 	int64_t next_gray_us; /**< when workers turn gray next */
 	struct home_cell cell; /**< only its latency baseline is used */
 	struct rank_queue queue;
+	struct floor_watch floor;
+	struct step steps[STEPS_MAX];
 	double wait_us; /**< sum over the requests sent */
 	double refusal_age_us; /**< sum over the requests refused */
 };
@@ -152,6 +168,50 @@
 	  .gray_for_s = 6,
 	  .gray_fail_share = 0.9,
 	  .seconds = 60 },
+	{ .name = "urgent requests, many gray errors",
+	  .workers = 18,
+	  .data_centres = 2,
+	  .slots = 6,
+	  .requests_per_s = 55,
+	  .urgent_share = 0.64,
+	  .service_ms = 330,
+	  .spread = 0.3,
+	  .deadline_ms = 6000,
+	  .target_ms = 1000,
+	  .gray_fault = REPLAY_ERRORS,
+	  .gray_share = 0.3,
+	  .gray_every_s = 5,
+	  .gray_for_s = 5,
+	  .gray_fail_share = 0.6,
+	  .seconds = 300 },
+	{ .name = "urgent requests, many gray hangs",
+	  .workers = 18,
+	  .data_centres = 2,
+	  .slots = 6,
+	  .requests_per_s = 55,
+	  .urgent_share = 0.64,
+	  .service_ms = 330,
+	  .spread = 0.3,
+	  .deadline_ms = 6000,
+	  .target_ms = 1000,
+	  .gray_fault = REPLAY_HANGS,
+	  .gray_share = 0.3,
+	  .gray_every_s = 5,
+	  .gray_for_s = 5,
+	  .gray_fail_share = 0.6,
+	  .seconds = 300 },
+	{ .name = "all workers fail a part",
+	  .workers = 18,
+	  .data_centres = 2,
+	  .slots = 6,
+	  .requests_per_s = 55,
+	  .urgent_share = 0.64,
+	  .service_ms = 330,
+	  .spread = 0.3,
+	  .deadline_ms = 6000,
+	  .target_ms = 1000,
+	  .lost_share = 0.15,
+	  .seconds = 300 },
 };
 const uint32_t replay_pattern_count =
 	sizeof(replay_patterns) / sizeof(replay_patterns[0]);
@@ -252,6 +312,7 @@
 	struct demand d = { .rank = c->item.rank };
 
 	candidates(sim, c->caller_dc, list);
+	d.hold_floor = floor_must_hold(&sim->floor, sim->now_us);
 	d.may_wait = sim->policy->may_wait &&
 		     (sim->policy->may_wait_long ||
 		      choose_queue_is_short(rank_queue_depth(&sim->queue),
@@ -278,8 +339,17 @@
 	return f->worker_index >= 0;
 }
 
+static struct step *step_at(struct simulation *sim, int64_t at_us)
+{
+	int64_t i = at_us / STEP_US;
+
+	return &sim->steps[i < STEPS_MAX ? i : STEPS_MAX - 1];
+}
+
 static void count_refusal(struct simulation *sim, struct replay_call *c)
 {
+	step_at(sim, c->arrived_us)->unserved++;
+	floor_record(&sim->floor, false, sim->now_us);
 	sim->result.refused++;
 	sim->refusal_age_us += (double)(sim->now_us - c->arrived_us);
 	free(c);
@@ -293,9 +363,11 @@
 		c->arrived_us + US_FROM_MS(p->deadline_ms) - sim->now_us;
 	bool fails = sim->gray_until_us[w] > sim->now_us &&
 		     random_uniform(sim) < p->gray_fail_share;
+	bool lost = random_uniform(sim) < p->lost_share;
 
 	c->worker = w;
 	c->sent_us = sim->now_us;
+	step_at(sim, sim->now_us)->sent_to |= UINT64_C(1) << w;
 	sim->wait_us += (double)(sim->now_us - c->arrived_us);
 	sim->result.other_dc += w % p->data_centres != c->caller_dc;
 	worker_evidence_record_send(&sim->evidence[w], sim->now_us);
@@ -309,6 +381,8 @@
 		c->latency_us = left_us;
 		c->event = EVENT_TIMEOUT;
 	}
+	if (lost && c->event == EVENT_ANSWERED)
+		c->event = EVENT_NO_VALID_ANSWER;
 	push_event(sim, sim->now_us + c->latency_us, COMPLETION, c);
 }
 
@@ -351,9 +425,11 @@
 	double rate = p->requests_per_s;
 
 	sim->result.requests++;
+	step_at(sim, sim->now_us)->arrivals++;
 	c->arrived_us = sim->now_us;
 	c->caller_dc = (uint32_t)(random_uniform(sim) * p->data_centres);
-	c->item.rank = RANK_NORMAL;
+	c->item.rank = random_uniform(sim) < p->urgent_share ? RANK_URGENT :
+							       RANK_NORMAL;
 	c->item.deadline_us = sim->now_us + US_FROM_MS(p->deadline_ms) -
 			      baseline(sim).latency_us;
 	update_wait_estimate(sim);
@@ -380,6 +456,7 @@
 	worker_evidence_record_completion(&sim->evidence[c->worker], &base,
 					  c->sent_us, c->event, c->latency_us,
 					  sim->now_us);
+	floor_record(&sim->floor, c->event == EVENT_ANSWERED, sim->now_us);
 	if (c->event == EVENT_ANSWERED) {
 		home_cell_record_latency(&sim->cell, c->latency_us);
 		sim->result.served++;
@@ -387,6 +464,7 @@
 			sim->now_us - c->arrived_us <= US_FROM_MS(p->target_ms);
 	} else {
 		sim->result.failed++;
+		step_at(sim, c->arrived_us)->unserved++;
 	}
 	free(c);
 	dispatch(sim);
@@ -406,6 +484,51 @@
 				sim->now_us + US_FROM_MS(1000 * p->gray_for_s);
 }
 
+static void record_gray_workers(struct simulation *sim)
+{
+	for (uint32_t i = 0; i < sim->pattern->workers; i++)
+		if (sim->gray_until_us[i] > sim->now_us)
+			step_at(sim, sim->now_us)->gray |= UINT64_C(1) << i;
+}
+
+/* Share of the sound workers without a request in the window that begins at
+ * step `first`; 0 if the rule does not hold in it. */
+static double starved_share_at(const struct simulation *sim, uint32_t first)
+{
+	uint32_t arrivals = 0;
+	uint32_t unserved = 0;
+	uint32_t sound = 0;
+	uint32_t starved = 0;
+	uint64_t sent_to = 0;
+	uint64_t gray = 0;
+
+	for (uint32_t i = first; i < first + WINDOW_STEPS; i++) {
+		arrivals += sim->steps[i].arrivals;
+		unserved += sim->steps[i].unserved;
+		sent_to |= sim->steps[i].sent_to;
+	}
+	for (uint32_t i = first - SOUND_STEPS; i < first + WINDOW_STEPS; i++)
+		gray |= sim->steps[i].gray;
+	for (uint32_t i = 0; i < sim->pattern->workers; i++) {
+		sound += !(gray >> i & 1);
+		starved += !(gray >> i & 1) && !(sent_to >> i & 1);
+	}
+	if (!sound || unserved <= REPLAY_FLOOR_UNSERVED_FROM * arrivals ||
+	    unserved >= REPLAY_FLOOR_UNSERVED_TO * arrivals)
+		return 0;
+	return (double)starved / sound;
+}
+
+static double worst_starved_share(const struct simulation *sim)
+{
+	uint32_t end = (uint32_t)(sim->pattern->seconds * US_PER_S / STEP_US);
+	double worst = 0;
+
+	for (uint32_t i = SOUND_STEPS; i + WINDOW_STEPS < end; i++)
+		worst = fmax(worst, starved_share_at(sim, i));
+	return worst;
+}
+
 struct replay_result replay_run(const struct replay_pattern *p,
 				const struct replay_policy *policy,
 				uint64_t seed)
@@ -427,6 +550,7 @@
 
 		sim->now_us = e.at_us;
 		start_gray_faults(sim);
+		record_gray_workers(sim);
 		if (e.kind == ARRIVAL)
 			arrive(sim);
 		else if (e.kind == COMPLETION)
@@ -440,6 +564,7 @@
 			push_event(sim, sim->now_us + 50 * US_PER_MS, TICK,
 				   NULL);
 	}
+	sim->result.starved_share = worst_starved_share(sim);
 	r = sim->result;
 	sent = r.served + r.failed;
 	r.wait_ms = sent ? sim->wait_us / sent / 1000 : 0;
--- a/home/replay.h
+++ b/home/replay.h
@@ -12,6 +12,14 @@
 
 #define REPLAY_WORKERS_MAX 64
 
+/* The users' rule on the floor: seconds for which a worker without requests
+ * counts as excluded, for which a worker must have been well, and the share of
+ * the requests that is not served (from, to) while the rule holds. */
+#define REPLAY_FLOOR_WINDOW_S 2
+#define REPLAY_SOUND_AFTER_S 8
+#define REPLAY_FLOOR_UNSERVED_FROM 0.1
+#define REPLAY_FLOOR_UNSERVED_TO 0.5
+
 /** How a gray worker fails requests while its health probes pass. */
 enum replay_fault {
 	REPLAY_NO_FAULT,
@@ -41,6 +49,10 @@
 	double gray_every_s;
 	double gray_for_s;
 	double gray_fail_share;
+	double urgent_share; /**< share of the requests of rank urgent; the
+				others are of rank normal */
+	double lost_share; /**< share of the answers that are lost, at any
+			      worker */
 	double slow_share; /**< share of the workers that is slow throughout */
 	double slow_factor; /**< factor on the service time of slow workers */
 	double seconds; /**< duration of the arrivals */
@@ -53,6 +65,11 @@
 	uint32_t failed; /**< sent and not served */
 	uint32_t refused; /**< not sent */
 	uint32_t other_dc; /**< sent to another data centre */
+	/** Largest share of the sound workers that got no request within
+	 * REPLAY_FLOOR_WINDOW_S, in windows in which some but not most requests
+	 * were not served. Sound workers were not gray for
+	 * REPLAY_SOUND_AFTER_S. */
+	double starved_share;
 	double wait_ms; /**< mean wait of the requests sent */
 	double refusal_age_ms; /**< mean wait of the requests refused */
 };
