feed: a worker of an unknown data centre is left out

An entry with a data centre that is not in the settings made the whole configuration invalid, so that no change of workers or routes came into force any more on any daemon. Such workers are left out like those of an unknown service. The test fails before.

--- a/feed/feed.h
+++ b/feed/feed.h
@@ -85,9 +85,9 @@
  */
 bool feed_table_expire(struct feed_table *t, int64_t now_us, int64_t *next_us);
 uint32_t feed_table_size(const struct feed_table *t);
-/** Appends a "[worker SERVICE/NAME]" section for each worker of a service that
- * the configuration `text` contains. Of several entries with the same address
- * only the one with the highest revision is used. */
+/** Appends a "[worker SERVICE/NAME]" section for each worker of a service and a
+ * data centre that the configuration `text` contains. Of several entries with
+ * the same address only the one with the highest revision is used. */
 void feed_table_print(const struct feed_table *t, const char *text,
 		      struct buf *out);
 
--- a/feed/feed_test.c
+++ b/feed/feed_test.c
@@ -109,6 +109,44 @@
 	feed_table_destroy(t);
 }
 
+/* Guards against one odd entry that makes the whole configuration invalid, so
+ * that no change comes into force any more. Each is as the platform's adapter
+ * may deliver it. */
+static void test_odd_worker_does_not_invalidate_the_configuration(void)
+{
+	struct feed_worker odd[5];
+
+	for (uint32_t i = 0; i < 5; i++)
+		odd[i] = worker("odd", 9, 9);
+	strcpy(odd[0].data_centre, "elsewhere");
+	strcpy(odd[1].service, "unknown");
+	odd[2].ip = 0;
+	odd[3].boot = INT64_MAX;
+	odd[4].cold_ms = 3600000;
+	odd[4].slots = UINT8_MAX;
+	for (uint32_t i = 0; i < 5; i++) {
+		struct feed_table *t = feed_table_create();
+		struct feed_worker good = worker("w1", 1, 1);
+		struct conf_errors errors = { 0 };
+		struct buf text = { 0 };
+		struct conf *c = NULL;
+
+		feed_table_put(t, &good);
+		feed_table_put(t, &odd[i]);
+		buf_append(&text, base, (uint32_t)strlen(base));
+		feed_table_print(t, base, &text);
+		buf_append(&text, "", 1);
+		CU_ASSERT_EQUAL(conf_parse("test", (char *)text.data, NULL,
+					   NULL, &c, &errors),
+				AZ_OK);
+		CU_ASSERT(c &&
+			  conf_find_service(c, "stock")->worker_count >= 1);
+		conf_release(c);
+		buf_free(&text);
+		feed_table_destroy(t);
+	}
+}
+
 /* ---- the duty ---- */
 
 static struct feed *feed;
@@ -236,6 +274,8 @@
 	CU_add_test(s, "left", test_few_missing_after_an_outage_have_left);
 	CU_add_test(s, "lapsed", test_many_missing_after_an_outage_are_kept);
 	CU_add_test(s, "address", test_newest_entry_of_an_address_counts);
+	CU_add_test(s, "odd worker",
+		    test_odd_worker_does_not_invalidate_the_configuration);
 	CU_add_test(s, "versions", test_configuration_version_only_increases);
 	CU_add_test(s, "halves", test_position_is_raised_by_halves);
 	CU_basic_run_tests();
--- a/feed/table.c
+++ b/feed/table.c
@@ -216,14 +216,22 @@
 	return strcmp(x->name, y->name);
 }
 
-static bool is_configured(const char *text, const char *service)
+static bool has_section(const char *text, const char *kind, const char *name)
 {
 	char heading[CONF_NAME_MAX_BYTES + 16];
 
-	snprintf(heading, sizeof(heading), "[service %s]\n", service);
+	snprintf(heading, sizeof(heading), "[%s %s]\n", kind, name);
 	return strstr(text, heading) != NULL;
 }
 
+/* A worker of an unknown service or data centre would make the whole
+ * configuration invalid. */
+static bool is_usable(const char *text, const struct feed_worker *w)
+{
+	return has_section(text, "service", w->service) &&
+	       has_section(text, "data_centre", w->data_centre);
+}
+
 static void print_worker(const struct feed_worker *w, struct buf *out)
 {
 	buf_printf(out, "[worker %s/%s]\naddress = %u.%u.%u.%u:%u\n",
@@ -252,7 +260,7 @@
 		bool older = n && list[n]->ip == list[n - 1]->ip &&
 			     list[n]->port == list[n - 1]->port;
 
-		if (!older && is_configured(text, list[n]->service))
+		if (!older && is_usable(text, list[n]))
 			print_worker(list[n], out);
 	}
 	free(list);
