--- a/conf/check.c
+++ b/conf/check.c
@@ -52,7 +52,7 @@
 	BOOL(conf_service, shed_is_not_run),
 	BOOL(conf_service, hedge),
 	U32(conf_service, connect_timeout_ms, 1, 60000),
-	U32(conf_service, connections, 1, 1000000),
+	U32(conf_service, connections, 1, CONF_CONNECTIONS_MAX),
 	U32(conf_service, probe_interval_ms, 10, 600000),
 	U32(conf_service, cold_start_ms, 0, 3600000),
 	U8(conf_service, retry_percent, 0, 100),
@@ -60,7 +60,8 @@
 };
 
 static const struct field limit_fields[] = {
-	U32(conf_limits, header_bytes, 256, 1U << 20),
+	U32(conf_limits, header_bytes, CONF_HEADER_BYTES_MIN,
+	    CONF_HEADER_BYTES_MAX),
 	U32(conf_limits, body_bytes, 0, UINT32_MAX),
 	U32(conf_limits, header_timeout_ms, 1, 3600000),
 	U32(conf_limits, idle_timeout_ms, 1, 86400000),
@@ -536,24 +537,38 @@
 }
 
 /* Routes match whole segments, so a '/' at the end is ignored. */
-static void set_path(struct build *b, const struct ini_key *k,
-		     struct conf_route *r)
+static size_t path_bytes(const char *path)
 {
-	uint32_t segments = 0;
-	size_t n = strlen(k->value);
+	size_t n = strlen(path);
 
-	while (n > 1 && k->value[n - 1] == '/')
+	while (n > 1 && path[n - 1] == '/')
 		n--;
+	return n;
+}
+
+const char *conf_path_requirement(const char *path)
+{
+	size_t n = path_bytes(path);
+	uint32_t segments = 0;
+
 	for (size_t i = 0; i < n; i++)
-		segments += k->value[i] == '/';
-	if (*k->value != '/' || strpbrk(k->value, "?# \t%\\") ||
-	    strstr(k->value, "//") || strstr(k->value, "/./") ||
-	    strstr(k->value, "/../")) {
-		key_error(b, k, "a plain path that begins with '/'");
-		return;
-	}
-	if (n >= CONF_PATH_MAX_BYTES || segments > CONF_PATH_SEGMENTS_MAX) {
-		key_error(b, k, "at most 511 bytes and 16 segments");
+		segments += path[i] == '/';
+	if (*path != '/' || strpbrk(path, "?# \t%\\") || strstr(path, "//") ||
+	    strstr(path, "/./") || strstr(path, "/../"))
+		return "a plain path that begins with '/'";
+	if (n >= CONF_PATH_MAX_BYTES || segments > CONF_PATH_SEGMENTS_MAX)
+		return "at most 511 bytes and 16 segments";
+	return NULL;
+}
+
+static void set_path(struct build *b, const struct ini_key *k,
+		     struct conf_route *r)
+{
+	const char *requirement = conf_path_requirement(k->value);
+	size_t n = path_bytes(k->value);
+
+	if (requirement) {
+		key_error(b, k, requirement);
 		return;
 	}
 	memcpy(r->path, k->value, n);
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -167,6 +167,8 @@
 enum az_status conf_load_files(const char *base_path, const char *overlay_path,
 			       struct conf **out, struct conf_errors *errors);
 
+/** What a route's path must be if `path` is not; NULL if it is valid. */
+const char *conf_path_requirement(const char *path);
 /** An empty snapshot with no services. */
 struct conf *conf_empty(void);
 /** Adds a reference, which the caller gives back with conf_release(). */
@@ -254,6 +256,10 @@
 #define CONF_SHARDS 64
 #define CONF_PATH_MAX_BYTES 512
 #define CONF_PATH_SEGMENTS_MAX 16
+/* Bounds of settings that other sources of configuration keep to. */
+#define CONF_CONNECTIONS_MAX 1000000
+#define CONF_HEADER_BYTES_MIN 256
+#define CONF_HEADER_BYTES_MAX (1U << 20)
 
 /** A data centre and its region. */
 struct conf_data_centre {
