upstream: bound what is read for one request and held for all

Reported: workers in trouble send bytes that are no answer without end, in a head or a body, until the caller closes. A head ended at 80 KB and a body at 4 MB here. But interim answers, and complete answers to other requests, were skipped without end: the connection was busy until the request's deadline (8 to 15 s at the users' sites). And each answer had its own bound only: 40 at a time are as much as the memory of a small VM.

At most 8 MB are read for one request, and 32 MB of incomplete answers are held at a time; beyond that those above 256 KB end. Such an end is evidence against the worker, like a truncated answer; until now it was none.

Of ten kinds of endless bytes two fail on the former code, and 24 answers at a time take 96 MB there.

--- a/attempt/decide.c
+++ b/attempt/decide.c
@@ -56,12 +56,12 @@
 	case UPSTREAM_CLOSED_UNSENT:
 	case UPSTREAM_CLOSED:
 	case UPSTREAM_TRUNCATED:
+	case UPSTREAM_TOO_LARGE:
 		return EVENT_NO_VALID_ANSWER;
 	case UPSTREAM_TIMEOUT:
 		return EVENT_TIMEOUT;
 	case UPSTREAM_CANCELLED:
 		return EVENT_CANCELLED;
-	case UPSTREAM_TOO_LARGE:
 	case UPSTREAM_CANCELLED_UNSENT:
 		break;
 	}
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -23,6 +23,14 @@
 
 #define RING_SLOTS 16384
 #define READ_BYTES 16384
+/* Most bytes that are read for one request: a worker in trouble may send
+ * answers to other requests, or interim ones, without end. */
+#define READ_MAX_BYTES (2 * ANSWER_MAX_BYTES)
+/* Most bytes of incomplete answers that are held at a time. Beyond it the
+ * answers end that are longer than HELD_SMALL_BYTES: many workers that send
+ * answers without end at the same time must not exhaust the memory. */
+#define HELD_MAX_BYTES (32U << 20)
+#define HELD_SMALL_BYTES (256U << 10)
 #define IDLE_MAX_US (60 * US_PER_S)
 #define IDLE_SCAN_PERIOD_US (5 * US_PER_S)
 /* Share of the worker's announced keep-alive time for which an idle connection
@@ -70,6 +78,8 @@
 	bool answers_other_request;
 	bool answer_complete;
 	bool too_large; /* answer exceeds ANSWER_MAX_BYTES */
+	uint32_t read_bytes; /* for the request in progress */
+	uint32_t held_bytes; /* of the incomplete answer */
 	bool length_missing; /* answer without a length is not accepted */
 };
 
@@ -78,6 +88,7 @@
 	const struct worker_dialect_ops *dialect;
 	apr_hash_t *endpoints;
 	struct conn *active;
+	uint64_t held_bytes; /* sum over the connections */
 	int64_t armed_us; /* when the timer fires; 0: not armed */
 	struct counter *connects;
 	struct counter *reused;
@@ -137,8 +148,16 @@
 
 /* ---- closing connections and reporting results ---- */
 
+static void set_held_bytes(struct conn *c, uint32_t bytes)
+{
+	c->upstream->held_bytes += bytes;
+	c->upstream->held_bytes -= c->held_bytes;
+	c->held_bytes = bytes;
+}
+
 static void conn_close(struct conn *c)
 {
+	set_held_bytes(c, 0);
 	duty_poll(&c->upstream->duty, &c->poll, 0);
 	if (c->poll.sock)
 		apr_socket_close(c->poll.sock);
@@ -163,6 +182,7 @@
 
 	if (!r)
 		abort();
+	set_held_bytes(c, 0);
 	r->token = c->req.token;
 	r->fault = fault;
 	if (fault == UPSTREAM_OK) {
@@ -432,6 +452,18 @@
 	return used;
 }
 
+/* True if the bytes read for this request, or held for all, are too many. */
+static bool exceeds_bounds(struct conn *c, size_t more)
+{
+	const struct answer *a = c->answer;
+
+	c->read_bytes += (uint32_t)more;
+	set_held_bytes(c, a ? a->headers.len_bytes + a->body.len_bytes : 0);
+	return c->read_bytes > READ_MAX_BYTES ||
+	       (c->upstream->held_bytes > HELD_MAX_BYTES &&
+		c->held_bytes > HELD_SMALL_BYTES);
+}
+
 static void conn_readable(struct conn *c)
 {
 	char data[READ_BYTES];
@@ -457,7 +489,7 @@
 		conn_finish(c);
 		return;
 	}
-	if (c->too_large)
+	if (c->too_large || exceeds_bounds(c, n))
 		conn_fail(c, UPSTREAM_TOO_LARGE);
 	else if (c->length_missing || c->answer_complete ||
 		 HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
@@ -585,6 +617,7 @@
 	c->connect_us = 0;
 	c->answer_complete = c->answers_other_request = c->too_large =
 		c->length_missing = false;
+	c->read_bytes = 0;
 	memset(&c->header_info, 0, sizeof(c->header_info));
 	answer_free(c->answer);
 	c->answer = NULL;
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -19,7 +19,7 @@
 	UPSTREAM_CLOSED, /**< closed after part of the request was written */
 	UPSTREAM_TRUNCATED, /**< answer malformed, or closed before its end */
 	UPSTREAM_TIMEOUT, /**< connected; no complete answer in time */
-	UPSTREAM_TOO_LARGE, /**< answer longer than ANSWER_MAX_BYTES */
+	UPSTREAM_TOO_LARGE, /**< more bytes than an answer may have */
 	UPSTREAM_CANCELLED = 9, /**< after part of the request was written; 8 is
 				   not used */
 	UPSTREAM_CANCELLED_UNSENT, /**< before the request's first byte */
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -21,6 +21,7 @@
 	uint32_t requests; /* read completely; atomic */
 	uint32_t connections; /* accepted; atomic */
 	bool hold_open; /* never closes a connection */
+	const char *endless; /* sent after an answer until the caller closes */
 	pthread_t thread;
 };
 
@@ -65,6 +66,19 @@
 	}
 }
 
+/* A daemon that has read this much more than an answer may have will not end.
+ */
+#define ENDLESS_MAX_BYTES (16ULL * ANSWER_MAX_BYTES)
+
+static void send_without_end(int32_t fd, const char *text)
+{
+	size_t bytes = strlen(text);
+
+	for (uint64_t sent = 0; sent < ENDLESS_MAX_BYTES; sent += bytes)
+		if (write(fd, text, bytes) < 0)
+			return;
+}
+
 static void *script_main(void *arg)
 {
 	struct scripted_worker *s = arg;
@@ -80,8 +94,11 @@
 			const char *a = s->answers[next++];
 
 			__atomic_add_fetch(&s->requests, 1, __ATOMIC_RELEASE);
-			if (!*a || write(fd, a, strlen(a)) < 0 ||
-			    !strstr(a, "keep"))
+			if ((!*a && !s->endless) || write(fd, a, strlen(a)) < 0)
+				break;
+			if (s->endless)
+				send_without_end(fd, s->endless);
+			if (!strstr(a, "keep"))
 				break;
 		}
 		if (!s->hold_open)
@@ -377,6 +394,142 @@
 	free(big);
 }
 
+/* ---- answers without end ---- */
+
+/* Stands for a dialect whose answers carry the id of their request, and may end
+ * with the connection. */
+static void write_no_headers(const struct upstream_request *u, int64_t left_ms,
+			     struct buf *out)
+{
+	(void)u;
+	(void)left_ms;
+	(void)out;
+}
+
+static bool read_id(const struct upstream_request *u, const char *name,
+		    const char *value, struct worker_headers *h)
+{
+	(void)u;
+	if (!strcmp(name, "Id"))
+		h->request_id = strcmp(value, "mine") ? REQUEST_ID_DIFFERS :
+							REQUEST_ID_MATCHES;
+	return true;
+}
+
+static enum worker_verdict accept_answer(const struct upstream_request *u,
+					 const struct answer *a,
+					 const struct worker_headers *h)
+{
+	(void)u;
+	(void)a;
+	(void)h;
+	return WORKER_ANSWERED;
+}
+
+static const struct worker_dialect_ops id_ops = {
+	.name = "ids",
+	.allows_close_delimited = true,
+	.write_fleet_headers = write_no_headers,
+	.read_header = read_id,
+	.classify_answer = accept_answer,
+};
+static const struct worker_dialect id_dialect = { &id_ops };
+
+#define BYTES_64 \
+	"0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+#define CHUNK "100\r\n" BYTES_64 BYTES_64 BYTES_64 BYTES_64 "\r\n"
+
+/* Guards against a worker in trouble whose bytes keep a connection busy until
+ * the request's deadline, or exhaust the memory. */
+static void test_answer_without_end_is_a_fault(void)
+{
+	static const struct {
+		const char *start;
+		const char *endless;
+		enum upstream_fault fault;
+	} cases[] = {
+		{ "", "\r\n", UPSTREAM_TRUNCATED },
+		{ "HTTP/1.1 200 ", BYTES_64, UPSTREAM_TRUNCATED },
+		{ "HTTP/1.1 200 OK\r\n", "X-Y: " BYTES_64 "\r\n",
+		  UPSTREAM_TRUNCATED },
+		{ "HTTP/1.1 200 OK\r\nX: ", BYTES_64, UPSTREAM_TRUNCATED },
+		{ "HTTP/1.1 200 OK\r\n\r\n", BYTES_64, UPSTREAM_TOO_LARGE },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+		  BYTES_64, UPSTREAM_TOO_LARGE },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		  CHUNK, UPSTREAM_TOO_LARGE },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+		  BYTES_64, UPSTREAM_TRUNCATED },
+		{ "", "HTTP/1.1 100 Continue\r\n\r\n", UPSTREAM_TOO_LARGE },
+		{ "",
+		  "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2"
+		  "\r\n\r\nok",
+		  UPSTREAM_TOO_LARGE },
+	};
+
+	upstream_set_dialect(up, &id_dialect);
+	for (uint32_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct scripted_worker s = { .answers = &cases[i].start,
+					     .count = 1,
+					     .endless = cases[i].endless };
+
+		script_listen(&s);
+		pthread_create(&s.thread, NULL, script_main, &s);
+		CU_ASSERT_EQUAL(send_and_wait(&s, get), cases[i].fault);
+		script_stop(&s);
+	}
+	upstream_set_dialect(up, &upstream_own_dialect);
+}
+
+#define ENDLESS_WORKERS 24
+
+static uint32_t ended; /* atomic */
+
+static void count_end(struct upstream_sink *sink, struct upstream_result *r)
+{
+	(void)sink;
+	CU_ASSERT_EQUAL(free_result(r), UPSTREAM_TOO_LARGE);
+	__atomic_add_fetch(&ended, 1, __ATOMIC_RELEASE);
+}
+
+/* Guards against many answers without end that exhaust the memory together. */
+static void test_answers_without_end_are_bounded_together(void)
+{
+	static const struct upstream_sink_ops ops = { count_end };
+	static const char *const start =
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+	struct upstream_sink sink = { &ops };
+	struct scripted_worker s[ENDLESS_WORKERS];
+	double before_bytes = slope_allocated_bytes();
+	double most_bytes = 0;
+
+	for (uint32_t i = 0; i < ENDLESS_WORKERS; i++) {
+		struct upstream_request r;
+
+		memset(&s[i], 0, sizeof(s[i]));
+		s[i].answers = &start;
+		s[i].count = 1;
+		s[i].endless = BYTES_64;
+		script_listen(&s[i]);
+		pthread_create(&s[i].thread, NULL, script_main, &s[i]);
+		r = make_request(&s[i], get, 30 * US_PER_S);
+		r.sink = &sink;
+		upstream_send(up, &r);
+	}
+	while (__atomic_load_n(&ended, __ATOMIC_ACQUIRE) < ENDLESS_WORKERS) {
+		double bytes = slope_allocated_bytes() - before_bytes;
+
+		if (bytes > most_bytes)
+			most_bytes = bytes;
+		usleep(1000);
+	}
+	/* A buffer has up to twice the bytes that it holds; the limit is 32 MB
+	 * for all, and without it they would hold 96 MB. */
+	CU_ASSERT(most_bytes < 80 << 20);
+	for (uint32_t i = 0; i < ENDLESS_WORKERS; i++)
+		script_stop(&s[i]);
+}
+
 int main(void)
 {
 	CU_pSuite s;
@@ -411,6 +564,10 @@
 	CU_add_test(s, "answer headers", test_answer_headers);
 	CU_add_test(s, "oversized answer is a fault",
 		    test_oversized_answer_is_a_fault);
+	CU_add_test(s, "answer without end is a fault",
+		    test_answer_without_end_is_a_fault);
+	CU_add_test(s, "answers without end are bounded together",
+		    test_answers_without_end_are_bounded_together);
 	CU_basic_run_tests();
 	failed = CU_get_number_of_failures() != 0;
 	upstream_stop(up);
