lib: test that a head without end fails a call

The same as an endless answer of a worker, for calls to the store: curl itself ends such a response after some megabytes (endless lines, interim responses, reason), so nothing changes but the test.

--- a/lib/lib_test.c
+++ b/lib/lib_test.c
@@ -1,6 +1,12 @@
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sched.h>
+#include <unistd.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <CUnit/Basic.h>
 #include <apr_general.h>
 
@@ -211,11 +217,85 @@
 	request_free(c);
 }
 
+/* ---- HTTP calls ---- */
+
+/** A server that answers one call with a start and a part without end. */
+struct endless_server {
+	int32_t listener;
+	const char *start;
+	const char *part;
+	size_t sent_bytes; /**< of the part, until the client closed */
+};
+
+/* A client that has read this much of heads will not end. */
+#define ENDLESS_MAX_BYTES (64 << 20)
+
+static void *serve_endless(void *arg)
+{
+	struct endless_server *s = arg;
+	int32_t fd = accept(s->listener, NULL, NULL);
+	char request[4096];
+	ssize_t n = read(fd, request, sizeof(request));
+
+	if (n > 0 && write(fd, s->start, strlen(s->start)) < 0)
+		n = 0;
+	while (n > 0 && s->sent_bytes < ENDLESS_MAX_BYTES) {
+		n = write(fd, s->part, strlen(s->part));
+		s->sent_bytes += n > 0 ? (size_t)n : 0;
+	}
+	close(fd);
+	return NULL;
+}
+
+/* Guards against a server in trouble whose head has no end: it would occupy the
+ * connection, and the memory, until the time-out of a long poll. */
+static void test_head_without_end_fails_the_call(void)
+{
+	static const char *const answers[][2] = {
+		{ "HTTP/1.1 200 OK\r\n", "X-Y: 0123456789abcdef\r\n" },
+		{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ "HTTP/1.1 200 ", "0123456789abcdef" },
+	};
+
+	for (uint32_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+		struct sockaddr_in sa = { .sin_family = AF_INET,
+					  .sin_addr.s_addr =
+						  htonl(INADDR_LOOPBACK) };
+		socklen_t len = sizeof(sa);
+		struct endless_server s = { socket(AF_INET, SOCK_STREAM, 0),
+					    answers[i][0], answers[i][1], 0 };
+		struct http_client *h = http_client_create();
+		char url[64];
+		struct http_call c = { .url = url,
+				       .timeout_ms = 30000,
+				       .answer_max_bytes = 1024 };
+		pthread_t thread;
+		double before_bytes = slope_allocated_bytes();
+
+		CU_ASSERT_EQUAL_FATAL(
+			bind(s.listener, (struct sockaddr *)&sa, sizeof(sa)),
+			0);
+		listen(s.listener, 1);
+		getsockname(s.listener, (struct sockaddr *)&sa, &len);
+		snprintf(url, sizeof(url), "http://127.0.0.1:%u/",
+			 ntohs(sa.sin_port));
+		pthread_create(&thread, NULL, serve_endless, &s);
+		CU_ASSERT_EQUAL(http_call(h, &c), AZ_IO);
+		CU_ASSERT(slope_allocated_bytes() - before_bytes < 4 << 20);
+		buf_free(&c.answer);
+		http_client_destroy(h);
+		pthread_join(thread, NULL);
+		CU_ASSERT(s.sent_bytes < ENDLESS_MAX_BYTES);
+		close(s.listener);
+	}
+}
+
 int main(void)
 {
 	CU_pSuite s;
 
 	apr_initialize();
+	signal(SIGPIPE, SIG_IGN);
 	apr_pool_create(&pool, NULL);
 	CU_initialize_registry();
 	s = CU_add_suite("lib", NULL, NULL);
@@ -226,6 +306,8 @@
 	CU_add_test(s, "error table", test_error_table_is_complete);
 	CU_add_test(s, "span", test_span_keeps_trace);
 	CU_add_test(s, "copies", test_request_copy_is_independent);
+	CU_add_test(s, "head without end",
+		    test_head_without_end_fails_the_call);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
 }
