upstream: a refusal that is written once more answers no other request

Reported by other operators: a faulty worker wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that a worker ran, or these ran at a second worker.

Where answers carry the id of their request (the users' platform), such a refusal was skipped, unless a request with the same id was sent on the same connection again. Our own protocol has no ids in answers: there the refusal was taken for the answer to the next request, and with shed_is_not_run the request was sent to another worker while the first one ran it.

A connection without ids is no longer kept after a refusal. With ids, a connection remembers the ids that were refused on it (64 bits, a false hit only costs another connection), and a request with such an id uses another. Both tests fail before.

--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -78,6 +78,9 @@
 	bool answers_other_request;
 	bool answer_complete;
 	bool too_large; /* answer exceeds ANSWER_MAX_BYTES */
+	/* Bit set of hashes of the request ids that were refused on this
+	 * connection, see may_repeat_refusal(). */
+	uint64_t refused_ids;
 	uint32_t read_bytes; /* for the request in progress */
 	uint32_t held_bytes; /* of the incomplete answer */
 	bool length_missing; /* answer without a length is not accepted */
@@ -176,6 +179,34 @@
 	conn_close(c);
 }
 
+static uint64_t id_bit(const struct upstream_request *r)
+{
+	const char *id = r->request ? r->request->correlation : NULL;
+
+	return id ? UINT64_C(1) << (hash_string(id) & 63) : 0;
+}
+
+/* A faulty worker may write a refusal once more on a kept connection. It is
+ * skipped if it carries the id of another request. Without ids the connection
+ * is not kept. */
+static void note_refusal(struct conn *c, const struct upstream_result *r)
+{
+	if (r->verdict != WORKER_DID_NOT_RUN &&
+	    r->verdict != WORKER_ID_MISMATCH && r->answer->http_status != 503)
+		return;
+	c->refused_ids |= id_bit(&c->req);
+	if (!c->upstream->dialect->identifies_requests)
+		c->close_after = true;
+}
+
+/* True if a refusal that is written once more on this connection would be taken
+ * for that of `r`, which has the id of a request that was refused on it. */
+static bool may_repeat_refusal(const struct conn *c,
+			       const struct upstream_request *r)
+{
+	return c->refused_ids & id_bit(r);
+}
+
 static void report_result(struct conn *c, enum upstream_fault fault)
 {
 	struct upstream_result *r = calloc(1, sizeof(*r));
@@ -196,9 +227,11 @@
 	r->fresh = c->fresh;
 	r->draining = c->header_info.worker_draining;
 	r->header_info = c->header_info;
-	if (r->answer && c->req.request)
+	if (r->answer && c->req.request) {
 		r->verdict = c->upstream->dialect->classify_answer(
 			&c->req, r->answer, &c->header_info);
+		note_refusal(c, r);
+	}
 	c->req.sink->ops->done(c->req.sink, r);
 }
 
@@ -680,6 +713,22 @@
 	       (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Returns an idle connection for the request, or NULL. */
+static struct conn *find_idle(struct endpoint *e,
+			      const struct upstream_request *r)
+{
+	struct conn *after;
+
+	for (struct conn *c = e->idle; c; c = after) {
+		after = c->next;
+		if (!has_no_input(c))
+			idle_close(c);
+		else if (!may_repeat_refusal(c, r))
+			return c;
+	}
+	return NULL;
+}
+
 struct send_msg {
 	struct msg msg;
 	struct upstream_request req;
@@ -690,11 +739,10 @@
 	struct send_msg *s = az_container_of(m, struct send_msg, msg);
 	struct upstream *u = az_container_of(to, struct upstream, duty);
 	struct endpoint *e = endpoint_get(u, s->req.ip, s->req.port);
+	struct conn *c = s->req.fresh ? NULL : find_idle(e, &s->req);
 
-	while (e->idle && !s->req.fresh && !has_no_input(e->idle))
-		idle_close(e->idle);
-	if (e->idle && !s->req.fresh)
-		conn_reuse(e->idle, &s->req);
+	if (c)
+		conn_reuse(c, &s->req);
 	else
 		conn_open(u, &s->req);
 	free(s);
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -70,6 +70,8 @@
 	/** An answer without a length is valid and ends at the connection's
 	 * end. */
 	bool allows_close_delimited;
+	/** Answers carry the id of their request. */
+	bool identifies_requests;
 	/** Appends the headers that the daemon adds to those of the caller. */
 	void (*write_fleet_headers)(const struct upstream_request *u,
 				    int64_t left_ms, struct buf *out);
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -409,10 +409,13 @@
 static bool read_id(const struct upstream_request *u, const char *name,
 		    const char *value, struct worker_headers *h)
 {
-	(void)u;
 	if (!strcmp(name, "Id"))
-		h->request_id = strcmp(value, "mine") ? REQUEST_ID_DIFFERS :
-							REQUEST_ID_MATCHES;
+		h->request_id =
+			u->request->correlation &&
+					!strcmp(value,
+						u->request->correlation) ?
+				REQUEST_ID_MATCHES :
+				REQUEST_ID_DIFFERS;
 	return true;
 }
 
@@ -421,14 +424,14 @@
 					 const struct worker_headers *h)
 {
 	(void)u;
-	(void)a;
 	(void)h;
-	return WORKER_ANSWERED;
+	return a->http_status == 503 ? WORKER_DID_NOT_RUN : WORKER_ANSWERED;
 }
 
 static const struct worker_dialect_ops id_ops = {
 	.name = "ids",
 	.allows_close_delimited = true,
+	.identifies_requests = true,
 	.write_fleet_headers = write_no_headers,
 	.read_header = read_id,
 	.classify_answer = accept_answer,
@@ -481,6 +484,65 @@
 	upstream_set_dialect(up, &upstream_own_dialect);
 }
 
+/* ---- refusals that are written once more ---- */
+
+#define REFUSAL "HTTP/1.1 503 keep\r\nId: mine\r\nContent-Length: 0\r\n\r\n"
+
+/* Guards against the caller of a request that runs being told that it did not:
+ * without ids in the answers, an earlier refusal that the worker writes once
+ * more on a kept connection is taken for the answer. */
+static void test_connection_without_ids_is_not_kept_after_a_refusal(void)
+{
+	static const char *const answers[] = { REFUSAL, REFUSAL OK_ANSWER,
+					       OK_ANSWER };
+	struct scripted_worker s;
+
+	script_start(&s, answers, 3);
+	CU_ASSERT_EQUAL(send_and_wait(&s, post), UPSTREAM_OK);
+	CU_ASSERT_EQUAL(send_and_wait(&s, get), UPSTREAM_OK);
+	CU_ASSERT_EQUAL(s.connections, 2);
+	script_stop(&s);
+}
+
+/* The same with ids, where the repeated refusal can only be taken for the
+ * answer to a request with the same id that is sent on the same connection. */
+static void test_refused_request_is_repeated_on_another_connection(void)
+{
+	static const char *const answers[] = {
+		REFUSAL, REFUSAL "HTTP/1.1 200 keep\r\nId: second\r\n"
+				 "Content-Length: 0\r\n\r\n"
+	};
+	struct scripted_worker s = { .answers = answers,
+				     .count = 2,
+				     .hold_open = true };
+	struct upstream_request r;
+	struct upstream_result *result;
+
+	upstream_set_dialect(up, &id_dialect);
+	post->correlation = az_strdup("mine");
+	get->correlation = az_strdup("second");
+	script_listen(&s);
+	pthread_create(&s.thread, NULL, script_main, &s);
+	CU_ASSERT_EQUAL(send_and_wait(&s, post), UPSTREAM_OK);
+	/* Another request may use the connection: the repeated refusal is
+	 * skipped. */
+	r = make_request(&s, get, 30 * US_PER_S);
+	upstream_send(up, &r);
+	result = wait_result();
+	CU_ASSERT(!result->fresh);
+	CU_ASSERT_EQUAL_FATAL(result->fault, UPSTREAM_OK);
+	CU_ASSERT_EQUAL(result->answer->http_status, 200);
+	free_result(result);
+	/* Nobody answers the second connection. */
+	r = make_request(&s, post, 200 * US_PER_MS);
+	upstream_send(up, &r);
+	result = wait_result();
+	CU_ASSERT(result->fresh);
+	free_result(result);
+	script_stop(&s);
+	upstream_set_dialect(up, &upstream_own_dialect);
+}
+
 #define ENDLESS_WORKERS 24
 
 static uint32_t ended; /* atomic */
@@ -564,6 +626,10 @@
 	CU_add_test(s, "answer headers", test_answer_headers);
 	CU_add_test(s, "oversized answer is a fault",
 		    test_oversized_answer_is_a_fault);
+	CU_add_test(s, "connection without ids after a refusal",
+		    test_connection_without_ids_is_not_kept_after_a_refusal);
+	CU_add_test(s, "refused request again",
+		    test_refused_request_is_repeated_on_another_connection);
 	CU_add_test(s, "answer without end is a fault",
 		    test_answer_without_end_is_a_fault);
 	CU_add_test(s, "answers without end are bounded together",
