home, attempt: keep to the limit that a worker names

A worker in need names in its answers how many requests a second it takes from all machines together.

The requests of a cell pass its home, so the home grants them at the rate of the limit, at most two at once. It learns the limit from the completions, and its end from an answer without it to a request that was granted after the worker had named it: answers may be older. Limits of each daemon were ruled out: with 44 daemons a limit of 1 a second is a request a daemon in 44 s.

A home that is new knows no limits. It says in a grant that it has not heard of the worker for 10 s; a daemon to which the worker has named a limit then returns the grant unused, with the limit and its age, and asks again. A home grants half of a limit that is new to it for 4 s, as another one may still grant the whole; a daemon that grants for a home which does not reply grants no limited workers at all. Requests do not wait for a limited worker while another one has room; the estimated wait counts the limits, so that refusals come early and Retry-After is true. Order is by rank as before.

Fields in messages are left out where no limit is named, so daemons of older versions decode them; with limits they drop the completions, which are sent again and then expire. Azurehold-Limit says the same in our own protocol.

--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -154,6 +154,7 @@
 	struct attempt attempts[CONCURRENT_ATTEMPTS_MAX];
 	uint32_t grants; /**< received, also those that could not be used */
 	uint32_t possible_runs; /**< sends that may have run */
+	uint32_t limit_returns; /**< grants returned, see LIMIT_RETURNS_MAX */
 	bool counted_by_home; /**< a grant request with first_grant_request was
 				 sent */
 	/** A worker may have received it: its retries are charged to the retry
@@ -209,6 +210,19 @@
 
 #define UNREACHABLE_WORKERS_MAX 32
 
+/** A limit that a worker has named in an answer to this daemon, for homes that
+ * are new and do not know it. */
+struct known_limit {
+	uint64_t worker_id; /**< 0: unused entry */
+	uint32_t mrps; /**< thousandths of a request per second */
+	int64_t named_us;
+};
+
+#define KNOWN_LIMITS_MAX 256
+/** Most grants of one request that are returned for a limit that the home does
+ * not know. */
+#define LIMIT_RETURNS_MAX 8
+
 struct attempts {
 	struct duty duty;
 	struct home_reply_sink home_sink;
@@ -222,6 +236,8 @@
 	struct silent_home silent_homes[SILENT_HOMES_MAX];
 	struct unreachable_worker unreachable_workers[UNREACHABLE_WORKERS_MAX];
 	uint32_t next_unreachable; /**< next entry to replace (modulo) */
+	struct known_limit known_limits[KNOWN_LIMITS_MAX];
+	uint32_t next_known_limit; /**< next entry to replace (modulo) */
 	struct full_cell full_cells[FULL_CELLS_MAX];
 	uint32_t next_full_cell; /**< next entry to replace (modulo) */
 	uint64_t newest_id; /**< atomic; of the last request submitted */
@@ -255,9 +271,11 @@
 void attempt_abandon(struct attempts *a, struct attempt *t);
 /** Marks an attempt as unused and forgets its sequence. */
 void attempt_free(struct attempts *a, struct attempt *t);
-/** Reports to the home how a granted attempt ended. */
+/** Reports to the home how a granted attempt ended. `limit` is the one that the
+ * worker has named, or NULL. */
 void attempt_report_completion(struct attempts *a, const struct attempt *t,
-			       enum home_event e, int64_t latency_us);
+			       enum home_event e, int64_t latency_us,
+			       const struct known_limit *limit);
 /** Handles a message of a remote home, or of this daemon's home if `local`. */
 void attempts_on_home_message(struct attempts *a, const struct home_msg *m,
 			      uint32_t ip, uint16_t port, bool local);
@@ -266,6 +284,19 @@
 int64_t attempts_resend_completions(struct attempts *a, int64_t now_us);
 void attempts_note_unreachable(struct attempts *a, uint64_t worker_id);
 
+/* limit.c */
+
+/** The worker has answered this daemon and named this limit; 0: none. */
+void attempts_note_limit(struct attempts *a, uint64_t worker_id,
+			 uint32_t limit_mrps);
+/** The limit that the worker named within LIMIT_HEARD_US, or NULL. */
+const struct known_limit *attempts_find_limit(const struct attempts *a,
+					      uint64_t worker_id);
+/** Returns an unused grant to tell the home of a limit that it may not know,
+ * and requests another one. */
+void attempt_return_for_limit(struct attempts *a, struct attempt *t,
+			      const struct known_limit *l);
+
 /* send.c */
 
 /** Sends the request to a granted worker. `typical_max_us` is the home's
--- a/attempt/attempt_test.c
+++ b/attempt/attempt_test.c
@@ -322,9 +322,63 @@
 	answer_free(a);
 }
 
+static const char limited_answer[] =
+	"HTTP/1.1 200 OK\r\nAzurehold-Limit: 0.5\r\nContent-Length: 2\r\n\r\n"
+	"ok";
+
+/* Guards against a worker that gets more requests than the limit which it has
+ * named: here 0.5 a second, while ten requests are sent one after the other. */
+static void test_limit_that_a_worker_names_is_kept(void)
+{
+	struct test_worker w[2] = { { 0 } };
+
+	start_worker(&w[0], limited_answer);
+	start_worker(&w[1], ok_answer);
+	set_workers(w, 1);
+	answer_free(submit_and_wait(true));
+	CU_ASSERT_EQUAL(w[0].requests, 1);
+	set_workers(w, 2);
+	for (uint32_t i = 0; i < 10; i++) {
+		struct answer *a = submit_and_wait(true);
+
+		CU_ASSERT_EQUAL(a->kind, ERR_NONE);
+		answer_free(a);
+	}
+	CU_ASSERT_EQUAL(w[0].requests, 1);
+	CU_ASSERT_EQUAL(w[1].requests, 10);
+	stop_worker(&w[0]);
+	stop_worker(&w[1]);
+}
+
+/* Guards against a home that is new and grants a worker to a daemon to which
+ * that worker has named a limit, which the home does not know. */
+static void test_new_home_is_told_of_a_limit(void)
+{
+	struct test_worker w[2] = { { 0 } };
+	struct conf *c;
+	uint64_t id = 0;
+
+	start_worker(&w[0], limited_answer);
+	start_worker(&w[1], ok_answer);
+	set_workers(w, 2);
+	c = conf_current_get(current);
+	for (uint32_t i = 0; i < 2; i++)
+		if (conf_find_service(c, "s")->workers[i].port == w[0].port)
+			id = conf_find_service(c, "s")->workers[i].id;
+	conf_release(c);
+	attempts_note_limit(attempts, id, 500);
+	for (uint32_t i = 0; i < 10; i++)
+		answer_free(submit_and_wait(true));
+	CU_ASSERT_EQUAL(w[0].requests, 0);
+	CU_ASSERT_EQUAL(w[1].requests, 10);
+	stop_worker(&w[0]);
+	stop_worker(&w[1]);
+}
+
 static void start_parts(void)
 {
 	struct member_settings ms = { .self = { .ip = INADDR_LOOPBACK,
+						.incarnation = 1,
 						.peer_port = 1,
 						.dc = conf_place_id("a1"),
 						.region = conf_place_id("a"),
@@ -392,6 +446,8 @@
 		    test_not_run_covers_all_attempts);
 	CU_add_test(s, "service without workers refused",
 		    test_service_without_workers_is_refused);
+	CU_add_test(s, "limit", test_limit_that_a_worker_names_is_kept);
+	CU_add_test(s, "limit and new home", test_new_home_is_told_of_a_limit);
 	CU_basic_run_tests();
 	stop_parts();
 	return CU_get_number_of_failures() != 0;
--- a/attempt/grant.c
+++ b/attempt/grant.c
@@ -253,7 +253,8 @@
 }
 
 void attempt_report_completion(struct attempts *a, const struct attempt *t,
-			       enum home_event e, int64_t latency_us)
+			       enum home_event e, int64_t latency_us,
+			       const struct known_limit *limit)
 {
 	struct home_msg m = {
 		.kind = HOME_COMPLETION,
@@ -262,6 +263,11 @@
 		.worker = t->worker_id,
 		.event = (uint8_t)e,
 		.latency_us = (uint32_t)latency_us,
+		.limit_mrps = limit ? limit->mrps : 0,
+		.limit_age_ms =
+			limit ? (uint32_t)((a->duty.now_us - limit->named_us) /
+					   US_PER_MS) :
+				0,
 	};
 
 	send_completion(a, &m, t->local_home, t->home_ip, t->home_port);
@@ -316,6 +322,19 @@
 	send_completion(a, &completion, local, ip, port);
 }
 
+static void on_grant(struct attempts *a, struct attempt *t,
+		     const struct home_msg *m)
+{
+	const struct known_limit *l =
+		m->worker_unheard ? attempts_find_limit(a, m->worker) : NULL;
+
+	t->worker_id = m->worker;
+	if (l && t->pending->limit_returns < LIMIT_RETURNS_MAX)
+		attempt_return_for_limit(a, t, l);
+	else
+		attempt_send(a, t, m->worker, m->typical_max_us);
+}
+
 void attempts_on_home_message(struct attempts *a, const struct home_msg *m,
 			      uint32_t ip, uint16_t port, bool local)
 {
@@ -343,7 +362,7 @@
 	t->unanswered_requests = 0;
 	switch (m->kind) {
 	case HOME_GRANT:
-		attempt_send(a, t, m->worker, m->typical_max_us);
+		on_grant(a, t, m);
 		return;
 	case HOME_QUEUED:
 		t->state = ATTEMPT_QUEUED;
--- a/attempt/send.c
+++ b/attempt/send.c
@@ -97,7 +97,7 @@
 	/* This daemon may have a newer configuration than the home, in which
 	 * the worker is no longer in service. */
 	if (!usable || !send_to(a, t, s, w)) {
-		attempt_report_completion(a, t, EVENT_NO_EVIDENCE, 0);
+		attempt_report_completion(a, t, EVENT_NO_EVIDENCE, 0, NULL);
 		attempt_free(a, t);
 		pending_exclude(p, worker_id);
 		/* Counted, so that ATTEMPT_GRANTS_MAX bounds the grants of
@@ -169,6 +169,13 @@
 	conf_release(conf);
 }
 
+/* True if the answer tells whether the worker names a limit. */
+static bool is_answer_of_worker(const struct upstream_result *r)
+{
+	return r->fault == UPSTREAM_OK &&
+	       (r->verdict == WORKER_ANSWERED || r->header_info.limit_mrps);
+}
+
 static void complete_attempt(struct attempts *a, struct attempt *t,
 			     struct upstream_result *r)
 {
@@ -183,7 +190,12 @@
 		attempts_note_unreachable(a, t->worker_id);
 	if (e == EVENT_ANSWERED)
 		histogram_add(a->service_times, r->total_us);
-	attempt_report_completion(a, t, e, r->total_us - r->connect_us);
+	if (is_answer_of_worker(r))
+		attempts_note_limit(a, t->worker_id, r->header_info.limit_mrps);
+	attempt_report_completion(a, t, e, r->total_us - r->connect_us,
+				  is_answer_of_worker(r) ?
+					  attempts_find_limit(a, t->worker_id) :
+					  NULL);
 	attempt_free(a, t);
 	p->may_have_arrived |= attempt_may_have_arrived(r->fault);
 	if (attempt_error_kind(r) != ERR_NONE &&
--- a/home/cells.c
+++ b/home/cells.c
@@ -183,11 +183,34 @@
 	return w->suspicion;
 }
 
-uint32_t home_cell_candidates(struct home_cell *c,
+/* False if this daemon grants for a home that did not reply. Only the home that
+ * the members agree on grants workers with a limit: each daemon's own share of
+ * it would be too small to be of use. */
+static bool is_elected(const struct home *h, const struct home_cell *c)
+{
+	const struct member_view *v = membership_view(h->settings.membership);
+	const struct member *m = member_choose_home(v, c->id, 0, c->region);
+	bool elected = !m || m->incarnation == h->settings.incarnation;
+
+	member_view_release(v);
+	return elected;
+}
+
+static bool has_limits(const struct home_cell *c)
+{
+	for (uint32_t i = 0; i < c->worker_count; i++)
+		if (c->workers[i].limit.mrps)
+			return true;
+	return false;
+}
+
+uint32_t home_cell_candidates(struct home *h, struct home_cell *c,
 			      const struct home_msg *grant_request,
-			      struct candidate *out, int64_t now_us)
+			      struct candidate *out)
 {
 	struct latency_baseline base = home_cell_baseline(c);
+	int64_t now_us = h->duty.now_us;
+	bool elected = !has_limits(c) || is_elected(h, c);
 
 	for (uint32_t i = 0; i < c->worker_count; i++) {
 		struct home_worker *w = &c->workers[i];
@@ -197,7 +220,10 @@
 		out[i].slots = w->conf ? w->conf->slots : 1;
 		out[i].unavailable = !w->conf ||
 				     w->conf->admin != WORKER_IN_SERVICE ||
+				     (w->limit.mrps && !elected) ||
 				     is_excluded(grant_request, w->id);
+		out[i].limit_mrps = worker_limit_rate_mrps(&w->limit, now_us);
+		out[i].at_limit = !worker_limit_allows(&w->limit, now_us);
 		out[i].same_dc = w->conf && w->conf->dc == grant_request->dc;
 	}
 	return c->worker_count;
--- a/home/choose.c
+++ b/home/choose.c
@@ -3,6 +3,8 @@
  * Choice of a worker by load, latency, suspicion, data centre and time since
  * its last request.
  */
+#include <math.h>
+
 #include "home/home.h"
 
 /* Cost of a unit of suspicion. All costs are in shares of a worker's slots. An
@@ -125,7 +127,9 @@
 				     CHOOSE_AVOIDED_MAX_PERCENT,
 		     s->avoided);
 	for (uint32_t i = 0; i < count; i++) {
-		bool healthy = !list[i].unavailable && !is_suspect(&list[i]);
+		/* A request does not wait for a limit. */
+		bool healthy = !list[i].unavailable && !list[i].limit_mrps &&
+			       !is_suspect(&list[i]);
 
 		any_same_dc |= healthy && list[i].same_dc;
 		any_healthy |= healthy;
@@ -134,6 +138,12 @@
 	s->only_healthy = d->may_wait && any_healthy;
 }
 
+/* True if the worker must get no further request now. */
+static bool is_full(const struct candidate *c)
+{
+	return c->at_limit || c->evidence->in_flight_count >= c->slots;
+}
+
 static bool is_eligible(const struct eligibility *s, const struct candidate *c,
 			uint32_t i)
 {
@@ -159,7 +169,7 @@
 		if (!c->same_dc || d->rank == RANK_URGENT)
 			over_us -= FLOOR_IDLE_LATER_US;
 		if (c->unavailable || s->avoided[i] || over_us <= longest_us ||
-		    c->evidence->in_flight_count >= c->slots)
+		    is_full(c))
 			continue;
 		longest_us = over_us;
 		best = (int32_t)i;
@@ -184,8 +194,7 @@
 		const struct candidate *c = &list[i];
 		double candidate_cost;
 
-		if (!is_eligible(&eligibility, c, i) ||
-		    c->evidence->in_flight_count >= c->slots)
+		if (!is_eligible(&eligibility, c, i) || is_full(c))
 			continue;
 		candidate_cost = cost(c, base, d, now_us);
 		if (best < 0 || candidate_cost < best_cost) {
@@ -225,8 +234,28 @@
 	for (uint32_t i = 0; i < count; i++) {
 		uint32_t n = hung_requests(list[i].evidence, base, now_us);
 
-		if (!list[i].unavailable && !avoided[i] && n < list[i].slots)
+		if (!list[i].unavailable && !list[i].limit_mrps &&
+		    !avoided[i] && n < list[i].slots)
 			slots += list[i].slots - n;
 	}
 	return slots;
 }
+
+int64_t choose_dispatch_interval_us(const struct candidate *list,
+				    uint32_t count,
+				    const struct latency_baseline *base,
+				    int64_t now_us)
+{
+	bool avoided[HOME_WORKERS_MAX];
+	double latency_s = (double)base->latency_us / US_PER_S;
+	double per_s =
+		choose_usable_slots(list, count, base, now_us) / latency_s;
+
+	mark_avoided(list, count, CHOOSE_AVOIDED_MAX_PERCENT, avoided);
+	for (uint32_t i = 0; i < count; i++)
+		if (!list[i].unavailable && list[i].limit_mrps && !avoided[i])
+			per_s += fmin(list[i].limit_mrps / 1000.0,
+				      list[i].slots / latency_s);
+	return per_s > 0 ? (int64_t)((double)US_PER_S / per_s) :
+			   base->latency_us;
+}
--- a/home/home.c
+++ b/home/home.c
@@ -70,6 +70,9 @@
 		.typical_max_us =
 			(uint32_t)(base.latency_us +
 				   TYPICAL_MAX_DEVIATIONS * base.deviation_us),
+		.worker_unheard = !worker_limit_is_heard(
+			&g->cell->workers[g->worker_index].limit,
+			h->duty.now_us),
 	};
 
 	reply(h, g, &m);
@@ -145,6 +148,7 @@
 	g->worker = w->id;
 	g->granted_us = h->duty.now_us;
 	worker_evidence_record_send(&w->evidence, g->granted_us);
+	worker_limit_take(&w->limit, g->granted_us);
 	w->suspicion_us = 0;
 	counter_add(h->granted, 1);
 	reply_granted(h, g);
@@ -160,12 +164,11 @@
 
 /* ---- dispatch from the queue ---- */
 
-static int32_t choose(const struct home *h, const struct grant *g)
+static int32_t choose(struct home *h, const struct grant *g)
 {
 	struct candidate list[HOME_WORKERS_MAX];
 	int64_t now_us = h->duty.now_us;
-	uint32_t n =
-		home_cell_candidates(g->cell, &g->grant_request, list, now_us);
+	uint32_t n = home_cell_candidates(h, g->cell, &g->grant_request, list);
 	struct latency_baseline base = home_cell_baseline(g->cell);
 	struct demand d = {
 		.rank = g->item.rank,
@@ -217,21 +220,21 @@
 		home_arm_timer(h, h->duty.now_us + QUEUE_TICK_US);
 }
 
-/* Estimates the interval between dispatches from the latency and the usable
- * slots of the workers. False if the grant request has no available worker. */
+/* Estimates the interval between dispatches from the latency, the usable slots
+ * and the limits of the workers. False if the grant request has no available
+ * worker. */
 static bool update_wait_estimate(struct home *h, struct home_cell *c,
 				 const struct home_msg *grant_request)
 {
 	struct candidate list[HOME_WORKERS_MAX];
-	uint32_t n =
-		home_cell_candidates(c, grant_request, list, h->duty.now_us);
+	uint32_t n = home_cell_candidates(h, c, grant_request, list);
 	struct latency_baseline base = home_cell_baseline(c);
-	uint32_t slots = choose_usable_slots(list, n, &base, h->duty.now_us);
 	bool any_available = false;
 
 	for (uint32_t i = 0; i < n; i++)
 		any_available |= !list[i].unavailable;
-	c->queue.dispatch_interval_us = base.latency_us / (slots ? slots : 1);
+	c->queue.dispatch_interval_us =
+		choose_dispatch_interval_us(list, n, &base, h->duty.now_us);
 	return any_available;
 }
 
@@ -418,6 +421,32 @@
 	dispatch(h, c);
 }
 
+/* Learns from a completion whether the worker names a limit. */
+static void update_limit(struct home *h, const struct grant *g,
+			 const struct home_msg *m)
+{
+	struct home_worker *w = worker_of(g);
+	int64_t now_us = h->duty.now_us;
+	bool changed = false;
+
+	if (!w)
+		return;
+	if (m->limit_mrps)
+		changed = worker_limit_named(
+			&w->limit, m->limit_mrps,
+			now_us - m->limit_age_ms * US_PER_MS, now_us);
+	else if (m->event == EVENT_ANSWERED || m->event == EVENT_SERVER_ERROR)
+		changed = worker_limit_absent(&w->limit, g->granted_us, now_us);
+	if (changed)
+		log_write(LOG_INFO, "home",
+			  "%s worker=%s cell=%016llx limit_mrps=%u age_ms=%u",
+			  w->limit.mrps ? "worker named a limit" :
+					  "worker's limit ended",
+			  w->conf ? w->conf->name : "-",
+			  (unsigned long long)g->cell->id, w->limit.mrps,
+			  m->limit_age_ms);
+}
+
 static void on_completion(struct home *h, const struct home_msg *m, uint32_t ip,
 			  uint16_t port, bool remote)
 {
@@ -428,8 +457,10 @@
 
 	if (remote)
 		reply(h, &to, &ack);
-	if (g && g->state == GRANT_ISSUED)
-		complete(h, g, (enum home_event)m->event, m->latency_us);
+	if (!g || g->state != GRANT_ISSUED)
+		return;
+	update_limit(h, g, m);
+	complete(h, g, (enum home_event)m->event, m->latency_us);
 }
 
 static void on_cancel(struct home *h, const struct home_msg *m)
--- a/home/home.h
+++ b/home/home.h
@@ -86,6 +86,9 @@
 	uint64_t worker;
 	uint32_t typical_max_us; /**< GRANT: latency that most requests of the
 				      cell stay below */
+	/** GRANT: 1 if the home has not heard of an answer of the worker for
+	 * LIMIT_HEARD_US, so that it may not know its limit. */
+	uint32_t worker_unheard;
 	/* QUEUED, REFUSE */
 	uint32_t wait_ms; /**< QUEUED: estimated wait; REFUSE: time after which
 			       to retry */
@@ -93,6 +96,8 @@
 	/* COMPLETION */
 	uint8_t event; /**< enum home_event */
 	uint32_t latency_us;
+	uint32_t limit_mrps; /**< that the worker has named; 0: none */
+	uint32_t limit_age_ms; /**< time since it named it */
 };
 
 #define HOME_DATAGRAM_MAX_BYTES 256
@@ -239,6 +244,48 @@
 				 const struct latency_baseline *base,
 				 int64_t now_us);
 
+/* ---- limit that a worker has named (limit.c) ---- */
+
+/** A home knows the limit of a worker whose answers it has heard of within this
+ * time. A daemon that knows a limit which the home may not know tells it. */
+#define LIMIT_HEARD_US (10 * US_PER_S)
+/** For this time a home grants half of a limit that is new to it: another home
+ * of the cell may grant the whole limit until all members know which one is the
+ * cell's. */
+#define LIMIT_NEW_US (4 * US_PER_S)
+/** A lower limit counts as this one, as only answers tell when it ends. */
+#define LIMIT_MIN_MRPS 250
+
+/** Requests that a worker takes from the whole fleet. The requests of a cell
+ * pass its home, which grants them. Load pattern: most workers of a cell name a
+ * limit of a few requests a second while the load stays the same. */
+struct worker_limit {
+	uint32_t mrps; /**< thousandths per second; 0: none */
+	int64_t since_us; /**< when the home learned of it */
+	int64_t named_us; /**< last answer that named it */
+	int64_t heard_us; /**< last answer of the worker; 0: none */
+	int64_t tokens_us; /**< tokens, each as the time it takes to refill */
+	int64_t filled_us;
+};
+
+/** The worker named a limit at `at_us`; an older one than the last answer heard
+ * of is ignored. True if the worker had none. */
+bool worker_limit_named(struct worker_limit *l, uint32_t mrps, int64_t at_us,
+			int64_t now_us);
+/** The worker answered a request that was granted at `granted_us` and named no
+ * limit. True if this ends the limit: an answer to a request that was granted
+ * before the worker named it may be older. */
+bool worker_limit_absent(struct worker_limit *l, int64_t granted_us,
+			 int64_t now_us);
+bool worker_limit_is_heard(const struct worker_limit *l, int64_t now_us);
+/** Thousandths of a request per second that the home grants now; 0: no limit.
+ */
+uint32_t worker_limit_rate_mrps(const struct worker_limit *l, int64_t now_us);
+/** True if a request may be granted now. */
+bool worker_limit_allows(const struct worker_limit *l, int64_t now_us);
+/** Counts a granted request. */
+void worker_limit_take(struct worker_limit *l, int64_t now_us);
+
 /* ---- share of a cell's requests that are not served (floor.c) ---- */
 
 /** Recent requests of a cell; the counts are decaying. */
@@ -265,6 +312,8 @@
 	uint8_t slots; /**< requests that the worker takes at a time */
 	bool unavailable; /**< not in service, or excluded by the requester */
 	bool same_dc; /**< in the requester's data centre */
+	uint32_t limit_mrps; /**< result of worker_limit_rate_mrps() */
+	bool at_limit; /**< it must get no request now */
 };
 
 /** Properties of the request that matter for the choice. */
@@ -309,12 +358,20 @@
  * worker while another one is free. Load pattern: a burst beyond capacity, in
  * which each idle slot means a refused request. */
 bool choose_queue_is_short(uint32_t queued, uint32_t workers);
-/** Returns the slots of the available workers that are not avoided, less those
- * that hung requests hold. */
+/** Returns the slots of the available workers that are not avoided and have no
+ * limit, less those that hung requests hold. */
 uint32_t choose_usable_slots(const struct candidate *list, uint32_t count,
 			     const struct latency_baseline *base,
 			     int64_t now_us);
 
+/** Returns the time between two dispatches of the whole cell: the usable slots
+ * serve a request each in the baseline latency, the other workers as many as
+ * their limits allow. */
+int64_t choose_dispatch_interval_us(const struct candidate *list,
+				    uint32_t count,
+				    const struct latency_baseline *base,
+				    int64_t now_us);
+
 /* ---- interface of the home's thread ---- */
 
 /** Receiver of the replies to grant requests of this daemon itself. */
@@ -378,6 +435,7 @@
 	uint64_t id; /**< 0: unused entry */
 	const struct conf_worker *conf; /**< NULL: no longer configured */
 	struct worker_evidence evidence;
+	struct worker_limit limit;
 	double suspicion; /**< cached value at suspicion_us */
 	int64_t suspicion_us; /**< 0: the evidence has changed since */
 };
@@ -447,9 +505,9 @@
 void home_cell_free(struct home_cell *c);
 /** Fills `out` with all workers of the cell, as candidates for a grant
  * request; returns their number. */
-uint32_t home_cell_candidates(struct home_cell *c,
+uint32_t home_cell_candidates(struct home *h, struct home_cell *c,
 			      const struct home_msg *grant_request,
-			      struct candidate *out, int64_t now_us);
+			      struct candidate *out);
 struct latency_baseline home_cell_baseline(const struct home_cell *c);
 /** Adds the latency of a complete answer to the cell's baseline. */
 void home_cell_record_latency(struct home_cell *c, int64_t latency_us);
--- a/home/home_test.c
+++ b/home/home_test.c
@@ -126,7 +126,9 @@
 {
 	memset(evidence, 0, sizeof(evidence));
 	for (uint32_t i = 0; i < WORKERS; i++)
-		list[i] = (struct candidate){ &evidence[i], 0, 6, false, true };
+		list[i] = (struct candidate){ .evidence = &evidence[i],
+					      .slots = 6,
+					      .same_dc = true };
 }
 
 static const struct demand cannot_wait = { .rank = RANK_NORMAL };
@@ -301,6 +303,126 @@
 			2);
 }
 
+/* ---- limits of workers ---- */
+
+#define RULE_WINDOW_US (4 * US_PER_S)
+
+/* Most grants within RULE_WINDOW_US by two homes that grant whenever they may.
+ * The second one learns of the limit ten seconds after the first. */
+static uint32_t most_grants(uint32_t mrps)
+{
+	struct worker_limit l[2] = { { 0 } };
+	int64_t granted_us[4096];
+	uint32_t count = 0;
+	uint32_t most = 0;
+
+	for (int64_t now_us = US_PER_S; now_us < 20 * US_PER_S;
+	     now_us += 10 * US_PER_MS)
+		for (uint32_t i = 0; i < 2; i++) {
+			if (now_us < (i ? 11 : 1) * US_PER_S)
+				continue;
+			if (!l[i].mrps)
+				worker_limit_named(&l[i], mrps, now_us, now_us);
+			if (!worker_limit_allows(&l[i], now_us))
+				continue;
+			worker_limit_take(&l[i], now_us);
+			/* The first home is no longer asked once all members
+			 * know the second one. */
+			if (i || now_us < 11 * US_PER_S + LIMIT_NEW_US)
+				granted_us[count++] = now_us;
+		}
+	for (uint32_t i = 0, first = 0; i < count; i++) {
+		while (granted_us[i] - granted_us[first] >= RULE_WINDOW_US)
+			first++;
+		if (i - first + 1 > most)
+			most = i - first + 1;
+	}
+	return most;
+}
+
+/* Guards against a worker that gets more than its limit while two daemons take
+ * themselves for the home. The users' rule allows one and a half times the
+ * limit and 5 requests in 4 s. */
+static void test_limit_is_kept_by_two_homes(void)
+{
+	for (uint32_t mrps = 250; mrps <= 20000; mrps += 250) {
+		uint32_t n = most_grants(mrps);
+
+		CU_ASSERT(n * 1000 <= mrps * 6 + 5000);
+		/* Nearly all of the limit is used. */
+		CU_ASSERT(n * 1000 >= mrps * 4);
+	}
+}
+
+/* Guards against a limit that ends because of an answer that is older than it,
+ * or is set again by news that are older than its end. */
+static void test_newest_answer_decides_on_the_limit(void)
+{
+	struct worker_limit l = { 0 };
+	int64_t now_us = 10 * US_PER_S;
+
+	CU_ASSERT(!worker_limit_is_heard(&l, now_us));
+	CU_ASSERT(worker_limit_allows(&l, now_us));
+	CU_ASSERT(worker_limit_named(&l, 1000, now_us, now_us));
+	CU_ASSERT(!worker_limit_allows(&l, now_us));
+	CU_ASSERT(!worker_limit_absent(&l, now_us - 1, now_us + 1));
+	CU_ASSERT(!worker_limit_allows(&l, now_us + 2));
+	CU_ASSERT(!worker_limit_named(&l, 1000, now_us + 5, now_us + 5));
+	CU_ASSERT(worker_limit_absent(&l, now_us + 6, now_us + 9));
+	CU_ASSERT(worker_limit_allows(&l, now_us + 9));
+	CU_ASSERT(!worker_limit_named(&l, 1000, now_us + 8, now_us + 9));
+	CU_ASSERT(worker_limit_allows(&l, now_us + 9));
+	CU_ASSERT(worker_limit_is_heard(&l, now_us + LIMIT_HEARD_US));
+	CU_ASSERT(!worker_limit_is_heard(&l, now_us + 9 + LIMIT_HEARD_US));
+}
+
+/* Guards against requests that go to a worker at its limit, or wait for it
+ * while another worker has room. */
+static void test_worker_at_its_limit_gets_nothing(void)
+{
+	struct demand floor = { .rank = RANK_NORMAL, .hold_floor = true };
+	int64_t now_us = 10 * US_PER_S;
+
+	reset_workers();
+	for (uint32_t i = 1; i < WORKERS; i++)
+		for (uint32_t k = 0; k < 5; k++)
+			worker_evidence_record_send(&evidence[i], now_us);
+	CU_ASSERT_EQUAL(choose(&cannot_wait, 0, now_us), 0);
+	list[0].limit_mrps = 1000;
+	CU_ASSERT_EQUAL(choose(&cannot_wait, 0, now_us), 0);
+	list[0].at_limit = true;
+	CU_ASSERT(choose(&cannot_wait, 0, now_us) > 0);
+	CU_ASSERT(choose(&can_wait, 0, now_us) > 0);
+	CU_ASSERT(choose(&floor, 0, now_us) > 0);
+	/* The only worker of the data centre is at its limit. */
+	for (uint32_t i = 1; i < WORKERS; i++)
+		list[i].same_dc = false;
+	CU_ASSERT(choose(&can_wait, 0, now_us) > 0);
+}
+
+/* Guards against requests that are queued although limits make the wait longer
+ * than their deadline, and against a Retry-After that is too short. */
+static void test_limits_lengthen_the_estimated_wait(void)
+{
+	int64_t now_us = 10 * US_PER_S;
+
+	reset_workers();
+	CU_ASSERT_EQUAL(
+		choose_dispatch_interval_us(list, WORKERS, &baseline, now_us),
+		baseline.latency_us / (6 * WORKERS));
+	for (uint32_t i = 0; i < WORKERS; i++)
+		list[i].limit_mrps = 500;
+	CU_ASSERT_EQUAL(
+		choose_dispatch_interval_us(list, WORKERS, &baseline, now_us),
+		200 * US_PER_MS);
+	/* A limit above what the worker can do changes nothing. */
+	for (uint32_t i = 0; i < WORKERS; i++)
+		list[i].limit_mrps = 1000000;
+	CU_ASSERT_EQUAL(
+		choose_dispatch_interval_us(list, WORKERS, &baseline, now_us),
+		baseline.latency_us / (6 * WORKERS));
+}
+
 /* ---- queue and retry budget ---- */
 
 /* Requests that are estimated to miss their deadline must be refused early, and
@@ -436,6 +558,38 @@
 	CU_ASSERT_EQUAL(home_encode(&grant_request, &other, data), 0);
 }
 
+/* Guards against limits that are lost or changed between daemons, and against
+ * messages without limits that daemons of older versions cannot decode. */
+static void test_limits_are_transferred(void)
+{
+	struct home_msg m = { .kind = HOME_COMPLETION,
+			      .worker = 1,
+			      .event = EVENT_ANSWERED,
+			      .latency_us = 2 };
+	struct fleet_keys k = keys(1);
+	uint8_t data[HOME_DATAGRAM_MAX_BYTES];
+	struct home_msg decoded;
+	uint32_t n = home_encode(&m, &k, data);
+
+	m.limit_mrps = 2500;
+	CU_ASSERT_EQUAL(home_encode(&m, &k, data), n + 4);
+	CU_ASSERT_EQUAL(home_decode(data, n + 4, &k, &decoded), AZ_OK);
+	CU_ASSERT_EQUAL(decoded.limit_mrps, 2500);
+	CU_ASSERT_EQUAL(decoded.limit_age_ms, 0);
+	m.limit_age_ms = 70;
+	CU_ASSERT_EQUAL(home_encode(&m, &k, data), n + 8);
+	CU_ASSERT_EQUAL(home_decode(data, n + 8, &k, &decoded), AZ_OK);
+	CU_ASSERT_EQUAL(decoded.limit_age_ms, 70);
+	m = (struct home_msg){ .kind = HOME_GRANT, .worker = 1 };
+	n = home_encode(&m, &k, data);
+	CU_ASSERT_EQUAL(home_decode(data, n, &k, &decoded), AZ_OK);
+	CU_ASSERT_EQUAL(decoded.worker_unheard, 0);
+	m.worker_unheard = 1;
+	CU_ASSERT_EQUAL(home_encode(&m, &k, data), n + 4);
+	CU_ASSERT_EQUAL(home_decode(data, n + 4, &k, &decoded), AZ_OK);
+	CU_ASSERT_EQUAL(decoded.worker_unheard, 1);
+}
+
 /* ---- simulated load patterns ---- */
 
 static double served_share(const struct replay_pattern *p,
@@ -538,6 +692,14 @@
 	CU_add_test(s, "retry burst",
 		    test_retries_of_a_window_may_come_in_a_burst);
 	CU_add_test(s, "messages", test_messages_round_trip);
+	CU_add_test(s, "limits transferred", test_limits_are_transferred);
+	CU_add_test(s, "limit and two homes", test_limit_is_kept_by_two_homes);
+	CU_add_test(s, "end of a limit",
+		    test_newest_answer_decides_on_the_limit);
+	CU_add_test(s, "worker at its limit",
+		    test_worker_at_its_limit_gets_nothing);
+	CU_add_test(s, "wait for limits",
+		    test_limits_lengthen_the_estimated_wait);
 	CU_add_test(s, "gray workers",
 		    test_choice_beats_random_one_with_gray_workers);
 	CU_add_test(s, "burst", test_burst_does_not_wait_for_better_workers);
--- a/home/replay.c
+++ b/home/replay.c
@@ -409,12 +409,10 @@
 {
 	struct candidate list[REPLAY_WORKERS_MAX];
 	struct latency_baseline base = baseline(sim);
-	uint32_t slots;
 
 	candidates(sim, 0, list);
-	slots = choose_usable_slots(list, sim->pattern->workers, &base,
-				    sim->now_us);
-	sim->queue.dispatch_interval_us = base.latency_us / (slots ? slots : 1);
+	sim->queue.dispatch_interval_us = choose_dispatch_interval_us(
+		list, sim->pattern->workers, &base, sim->now_us);
 }
 
 static void arrive(struct simulation *sim)
--- a/home/wire.c
+++ b/home/wire.c
@@ -55,6 +55,15 @@
 	return true;
 }
 
+/* A field at the end that is left out if it is 0, so that daemons of older
+ * versions decode messages without it. */
+static bool transcode_optional(XDR *x, uint32_t *v)
+{
+	if (x->x_op == XDR_ENCODE)
+		return !*v || xdr_uint32_t(x, v);
+	return !x->x_handy || xdr_uint32_t(x, v);
+}
+
 static bool transcode_body(XDR *x, struct home_msg *m)
 {
 	switch (m->kind) {
@@ -62,7 +71,8 @@
 		return transcode_grant_request(x, m);
 	case HOME_GRANT:
 		return xdr_uint64_t(x, &m->worker) &&
-		       xdr_uint32_t(x, &m->typical_max_us);
+		       xdr_uint32_t(x, &m->typical_max_us) &&
+		       transcode_optional(x, &m->worker_unheard);
 	case HOME_QUEUED:
 		return xdr_uint32_t(x, &m->wait_ms);
 	case HOME_REFUSE:
@@ -71,7 +81,9 @@
 	case HOME_COMPLETION:
 		return xdr_uint64_t(x, &m->worker) &&
 		       transcode_u8(x, &m->event, EVENT_COUNT) &&
-		       xdr_uint32_t(x, &m->latency_us);
+		       xdr_uint32_t(x, &m->latency_us) &&
+		       transcode_optional(x, &m->limit_mrps) &&
+		       transcode_optional(x, &m->limit_age_ms);
 	default:
 		return true;
 	}
--- a/lib/az.h
+++ b/lib/az.h
@@ -444,6 +444,13 @@
  * longer answers its packets. */
 void net_keep_alive(int32_t fd);
 
+/* ---- rates (rate.c) ---- */
+
+/** Parses a decimal number of requests per second, such as "2.5", to
+ * thousandths per second, at least 1. AZ_INVALID for any other text, and for
+ * more than a million. */
+enum az_status rate_parse(const char *s, uint32_t *mrps);
+
 /* ---- blocking HTTP calls (http_call.c) ---- */
 
 /** HTTP client that keeps its connection between calls. Only one thread at a
--- a/lib/lib_test.c
+++ b/lib/lib_test.c
@@ -217,6 +217,24 @@
 	request_free(c);
 }
 
+/* Guards against a limit that is read as another one, or as none. */
+static void test_rates_are_parsed(void)
+{
+	static const char *const bad[] = { "",	    "x",     "-1",	  "1x",
+					   "1.2.3", "1e999", "nan",	  " 1",
+					   "1,5",   ".",     "9999999999" };
+	uint32_t mrps = 0;
+
+	CU_ASSERT_EQUAL(rate_parse("2.5", &mrps), AZ_OK);
+	CU_ASSERT_EQUAL(mrps, 2500);
+	CU_ASSERT_EQUAL(rate_parse("0", &mrps), AZ_OK);
+	CU_ASSERT_EQUAL(mrps, 1);
+	CU_ASSERT_EQUAL(rate_parse("1000000", &mrps), AZ_OK);
+	CU_ASSERT_EQUAL(mrps, 1000000000);
+	for (uint32_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_EQUAL(rate_parse(bad[i], &mrps), AZ_INVALID);
+}
+
 /* ---- HTTP calls ---- */
 
 /** A server that answers one call with a start and a part without end. */
@@ -306,6 +324,7 @@
 	CU_add_test(s, "error table", test_error_table_is_complete);
 	CU_add_test(s, "span", test_span_keeps_trace);
 	CU_add_test(s, "copies", test_request_copy_is_independent);
+	CU_add_test(s, "rates", test_rates_are_parsed);
 	CU_add_test(s, "head without end",
 		    test_head_without_end_fails_the_call);
 	CU_basic_run_tests();
--- a/upstream/own.c
+++ b/upstream/own.c
@@ -19,7 +19,14 @@
 			    const char *value, struct worker_headers *h)
 {
 	(void)u;
-	(void)value;
+	if (!strcasecmp(name, "azurehold-limit")) {
+		if (rate_parse(value, &h->limit_mrps) != AZ_OK)
+			log_write(LOG_WARN, "upstream",
+				  "ignored an invalid limit of a worker "
+				  "reason=%s",
+				  az_last_message());
+		return false;
+	}
 	if (!strcasecmp(name, "azurehold-draining")) {
 		h->worker_draining = true;
 		return false;
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -50,6 +50,9 @@
 	uint32_t running; /**< requests that the worker runs */
 	uint32_t waiting; /**< requests in the worker's queue */
 	uint32_t slots; /**< requests that the worker can run at once */
+	/** Requests that the worker takes from all daemons together, in
+	 * thousandths per second; 0: it names no limit. */
+	uint32_t limit_mrps;
 	/** How long the worker keeps an idle connection; 0: not stated. */
 	uint32_t keep_alive_s;
 };
