--- a/feed/relay.c
+++ b/feed/relay.c
@@ -425,3 +425,9 @@
 {
 	duty_stop(&r->duty);
 }
+
+void relay_destroy(struct relay *r)
+{
+	duty_destroy(&r->duty);
+	free(r);
+}
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -101,6 +101,9 @@
 			   struct timer_service *timers);
 enum az_status relay_start(struct relay *r);
 void relay_stop(struct relay *r);
+/** Only after relay_stop(), when no other thread can send messages to it any
+ * more. */
+void relay_destroy(struct relay *r);
 /** Replaces the keys that sign and verify datagrams; without keys none are
  * sent. Any thread. */
 void relay_set_keys(struct relay *r, const struct fleet_keys *keys);
--- a/feed/relay_test.c
+++ b/feed/relay_test.c
@@ -388,6 +388,9 @@
 	relay_stop(n->relay);
 	peer_stop(n->peer);
 	feed_stop(n->feed);
+	relay_destroy(n->relay);
+	peer_destroy(n->peer);
+	membership_destroy(n->membership);
 }
 
 /* Guards against a daemon that stays behind although other members know the
