azhd: free the feed after the peer has stopped

At a planned stop the feed was freed while other daemons could still ask it for its state: the peer's thread would post to freed memory. Found by reading; more such requests come since daemons fetch from any member that is ahead. The feed now ends after the peer. No test shows it: the order is that of the program.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -475,7 +475,8 @@
 
 /* Stops the parts in the order from the callers to the workers, so that no part
  * on the path of a request sends to a stopped one. Calls of other daemons may
- * reach conf_duty until the peer has stopped, so it is destroyed after that. */
+ * reach the feed and conf_duty until the peer has stopped, so these are freed
+ * after that. */
 static void stop(struct azhd *d)
 {
 	if (d->admin)
@@ -487,13 +488,13 @@
 		relay_stop(d->relay);
 	if (d->platform_source)
 		platform_source_stop(d->platform_source);
-	if (d->feed)
-		feed_stop(d->feed);
 	ticket_stop(d->ticket);
 	attempts_stop(d->attempts);
 	upstream_stop(d->upstream);
 	home_stop(d->home);
 	peer_stop(d->peer);
+	if (d->feed)
+		feed_stop(d->feed);
 	membership_stop(d->membership);
 	if (d->conf_duty)
 		conf_duty_destroy(d->conf_duty);
