--- a/feed/feed.c
+++ b/feed/feed.c
@@ -154,10 +154,11 @@
 
 static void keep_text(struct feed *f)
 {
-	struct older_text *o = &f->older[f->next_older++ % OLDER_TEXTS];
+	struct older_text *o;
 
 	if (!f->text)
 		return;
+	o = &f->older[f->next_older++ % OLDER_TEXTS];
 	free(o->text);
 	o->text = az_strdup(f->text);
 	o->version = f->version;
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * Reduces calls to the source of configuration and workers. RELAY_WATCHERS
- * daemons of each data centre watch the source. They send their position (see
- * struct feed_state) to the others of the data centre, which fetch the state
+ * daemons of each data centre watch the source. They send their position
+ * (feed.h) to the others of the data centre, which fetch the state
  * from a watcher that is ahead of them. A daemon that receives no positions
  * watches the source itself. One that stays behind the fleet also fetches the
  * state from any member that is ahead.
