fault: a fleet is ready once the health checks answer 200

Fault case 9 showed `other` 1 in one of 7 runs: a restarted daemon issued tickets, so that the harness went on, and answered the health check with 503 not-configured 18 ms before its "ready" line; the caller's request that begins with that check then counted as `other`. fleet_wait_ready() waited for the tickets only; it now waits for the health check of each daemon too.

--- a/fault/fleet.c
+++ b/fault/fleet.c
@@ -352,10 +352,22 @@
 	return ok;
 }
 
-/* True if each daemon knows the tickets of each other one. Otherwise daemon
- * *from does not know those of daemon *to; both are equal if that daemon issues
- * none. */
-static bool all_tickets_known(struct fleet *f, uint32_t *from, uint32_t *to)
+/* True if the daemon's health check answers 200, which the callers' connections
+ * begin with. */
+static bool is_healthy(struct fleet *f, uint32_t n)
+{
+	struct http_answer a;
+	bool ok = http_single_request(daemon_port(f, n), "GET",
+				      "/.azurehold/health", &a);
+
+	http_answer_free(&a);
+	return ok;
+}
+
+/* True if each daemon knows the tickets of each other one and is healthy.
+ * Otherwise daemon *from does not know those of daemon *to; both are equal if
+ * that daemon issues none or is not healthy. */
+static bool all_are_ready(struct fleet *f, uint32_t *from, uint32_t *to)
 {
 	char text[TICKET_TEXT_MAX_BYTES];
 
@@ -370,7 +382,7 @@
 				i, f->daemons[i].process.status);
 			continue;
 		}
-		if (!read_incarnation(f, i, text))
+		if (!is_healthy(f, i) || !read_incarnation(f, i, text))
 			return false;
 		for (uint32_t j = 0; j < f->daemon_count; j++) {
 			*from = j;
@@ -388,7 +400,7 @@
 	uint32_t from;
 	uint32_t to;
 
-	while (!all_tickets_known(f, &from, &to)) {
+	while (!all_are_ready(f, &from, &to)) {
 		if (clock_now_us() >= until_us) {
 			report_failure(f,
 				       "d%u does not know the tickets of d%u",
