fault: a connection to a killed process is not cut by the next one's stop

A daemon is killed, started and told to stop within a few milliseconds; callers then send on connections to the killed process, and the failure was counted against the planned stop of the new one.

Such a connection does not count any more; those to the process that stops count as before.

--- a/fault/caller.c
+++ b/fault/caller.c
@@ -133,16 +133,21 @@
 
 /* Counts an attempt as cut if its connection failed after the request was sent
  * to a daemon in a planned stop. A connection that had been idle for longer
- * than drain_ms does not count: the daemon may close it. */
+ * than drain_ms does not count: the daemon may close it. Nor does one that was
+ * last used before the process was started: it was cut by the kill of the
+ * process before. */
 static void count_cut(struct load *l, const struct operation *p, uint32_t n,
 		      const struct http_conn *before)
 {
+	struct daemon *d = &l->fleet->daemons[n];
 	int64_t idle_us = clock_now_us() - before->last_used_us;
 
-	if (!__atomic_load_n(&l->fleet->daemons[n].stopping, __ATOMIC_ACQUIRE))
+	if (!__atomic_load_n(&d->stopping, __ATOMIC_ACQUIRE))
 		return;
 	if (before->last_used_us &&
-	    idle_us > l->fleet->options.drain_ms * US_PER_MS)
+	    (idle_us > l->fleet->options.drain_ms * US_PER_MS ||
+	     before->last_used_us <
+		     __atomic_load_n(&d->started_us, __ATOMIC_ACQUIRE)))
 		return;
 	log_write(
 		LOG_ERROR, "caller",
--- a/fault/fault.h
+++ b/fault/fault.h
@@ -80,6 +80,7 @@
 	struct process process;
 	uint64_t incarnation; /**< of its last start, as in its tickets */
 	int32_t stopping; /**< atomic: a planned stop has begun */
+	int64_t started_us; /**< atomic: when the process was started */
 	bool has_tcp_relay;
 	struct process tcp_relay; /**< between the other daemons and the peer
 				     port of this one */
--- a/fault/fleet.c
+++ b/fault/fleet.c
@@ -242,6 +242,7 @@
 			 NULL };
 
 	snprintf(log, sizeof(log), "%s/d%u.log", f->dir, n);
+	__atomic_store_n(&d->started_us, clock_now_us(), __ATOMIC_RELEASE);
 	spawn(&d->process, log, argv);
 	__atomic_store_n(&d->stopping, 0, __ATOMIC_RELEASE);
 }
