--- a/home/replay.c
+++ b/home/replay.c
@@ -69,6 +69,13 @@
 	.gray_for_s = 4.5, .gray_fail_share = 0.75
 #define LARGE_SITE \
 	.data_centres = 6, .slots = 6, .deadline_ms = 8000, .target_ms = 5000
+#define URGENT_CELL                                                         \
+	.workers = 18, .data_centres = 2, .slots = 6, .requests_per_s = 55, \
+	.urgent_share = 0.64, .service_ms = 330, .spread = 0.3,             \
+	.deadline_ms = 6000, .target_ms = 1000, .seconds = 300
+#define OFTEN_GRAY                                             \
+	.gray_share = 0.3, .gray_every_s = 5, .gray_for_s = 5, \
+	.gray_fail_share = 0.6
 
 const struct replay_pattern replay_patterns[] = {
 	{ .name = "gray hangs, low load",
@@ -169,49 +176,14 @@
 	  .gray_fail_share = 0.9,
 	  .seconds = 60 },
 	{ .name = "urgent requests, many gray errors",
-	  .workers = 18,
-	  .data_centres = 2,
-	  .slots = 6,
-	  .requests_per_s = 55,
-	  .urgent_share = 0.64,
-	  .service_ms = 330,
-	  .spread = 0.3,
-	  .deadline_ms = 6000,
-	  .target_ms = 1000,
+	  URGENT_CELL,
 	  .gray_fault = REPLAY_ERRORS,
-	  .gray_share = 0.3,
-	  .gray_every_s = 5,
-	  .gray_for_s = 5,
-	  .gray_fail_share = 0.6,
-	  .seconds = 300 },
+	  OFTEN_GRAY },
 	{ .name = "urgent requests, many gray hangs",
-	  .workers = 18,
-	  .data_centres = 2,
-	  .slots = 6,
-	  .requests_per_s = 55,
-	  .urgent_share = 0.64,
-	  .service_ms = 330,
-	  .spread = 0.3,
-	  .deadline_ms = 6000,
-	  .target_ms = 1000,
+	  URGENT_CELL,
 	  .gray_fault = REPLAY_HANGS,
-	  .gray_share = 0.3,
-	  .gray_every_s = 5,
-	  .gray_for_s = 5,
-	  .gray_fail_share = 0.6,
-	  .seconds = 300 },
-	{ .name = "all workers fail a part",
-	  .workers = 18,
-	  .data_centres = 2,
-	  .slots = 6,
-	  .requests_per_s = 55,
-	  .urgent_share = 0.64,
-	  .service_ms = 330,
-	  .spread = 0.3,
-	  .deadline_ms = 6000,
-	  .target_ms = 1000,
-	  .lost_share = 0.15,
-	  .seconds = 300 },
+	  OFTEN_GRAY },
+	{ .name = "all workers fail a part", URGENT_CELL, .lost_share = 0.15 },
 };
 const uint32_t replay_pattern_count =
 	sizeof(replay_patterns) / sizeof(replay_patterns[0]);
