--- a/review/stand/cases.c
+++ b/review/stand/cases.c
@@ -37,6 +37,7 @@
 	int64_t from_ms; /* requests that were sent from then on count */
 	int64_t to_ms;
 	int64_t late_ms; /* of the runs */
+	int64_t since_ms; /* the store's ack */
 	const struct worker *worker;
 	const char *service;
 	bool skip[DAEMONS_MAX];
@@ -132,7 +133,7 @@
 	       "the ack",
 	       x->id, (long long)x->sent_ms, daemons[x->daemon].name,
 	       x->signature,
-	       (long long)(x->sent_ms - stale.from_ms + CONFIG_APPLY_MS));
+	       (long long)(x->sent_ms - stale.since_ms));
 }
 
 static void end_stale(int all_min)
@@ -182,6 +183,7 @@
 	wait_until_ms(t + 300);
 	put_configuration(2, "ledger");
 	ack_ms = now_ms();
+	stale.since_ms = ack_ms;
 	stale.from_ms = ack_ms + CONFIG_APPLY_MS;
 	stale.to_ms = ack_ms + 9000;
 	stale.service = "press";
@@ -195,6 +197,54 @@
 	end_stale(50);
 }
 
+#define MUTE_MS 9000
+
+/* Rule CONFIG. The store is silent to two machines of six, those that watch it,
+ * and serves the others and the operator. */
+static void case_silence(void)
+{
+	static const char *const zones[] = { "hill" };
+	int64_t t;
+	int cut[DAEMONS_MAX];
+	int cut_count = 0;
+	int watches_before;
+
+	start_both_services(zones, 1);
+	if (!fleet_start(zones, 1, 6))
+		finish(2);
+	wait_until_ms(now_ms() + 5000);
+	for (int i = 0; i < daemon_count && cut_count < 2; i++)
+		if (store_waiting(i) >= 2)
+			cut[cut_count++] = i;
+	if (cut_count != 2)
+		finish(2);
+	/* A watch waits for up to 20 s: the change comes early in it. */
+	watches_before = store_watches(cut[0]) + store_watches(cut[1]);
+	while (store_watches(cut[0]) + store_watches(cut[1]) <
+		       watches_before + 4 &&
+	       now_ms() < 40000)
+		wait_until_ms(now_ms() + 20);
+	consumers_start("POST", HOST, "/order/7", 100, 8000);
+	t = now_ms() + 1500;
+	wait_until_ms(t);
+	for (int i = 0; i < cut_count; i++) {
+		stale.skip[cut[i]] = true;
+		if (trouble)
+			store_mute(cut[i], true);
+	}
+	wait_until_ms(t + 500);
+	put_configuration(2, "ledger");
+	stale.since_ms = now_ms();
+	stale.from_ms = t + MUTE_MS + STABLE_WINDOW_MS;
+	stale.to_ms = t + 24000;
+	stale.service = "press";
+	wait_until_ms(t + MUTE_MS);
+	for (int i = 0; trouble && i < cut_count; i++)
+		store_mute(cut[i], false);
+	wait_until_ms(t + 25000);
+	end_stale(50);
+}
+
 /* Rule CONFIG. The store's revision counter goes beyond 32 bits. */
 static void case_revision(void)
 {
@@ -216,6 +266,7 @@
 	wait_until_ms(t + 3000);
 	put_configuration(10, "ledger");
 	ack_ms = now_ms();
+	stale.since_ms = ack_ms;
 	stale.from_ms = ack_ms + CONFIG_APPLY_MS;
 	stale.to_ms = ack_ms + 12000;
 	stale.service = "press";
@@ -401,6 +452,8 @@
 		case_mixed();
 	if (!strcmp(name, "memory"))
 		case_memory();
+	if (!strcmp(name, "silence"))
+		case_silence();
 	if (!strcmp(name, "watchers"))
 		case_watchers();
 	if (!strcmp(name, "revision"))
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -265,6 +265,7 @@
 static int silent_up_to[DAEMONS_MAX]; /* connections by number */
 static int reset_up_to[DAEMONS_MAX];
 static bool silent_later[DAEMONS_MAX];
+static bool muted[DAEMONS_MAX];
 static int store_fds[DAEMONS_MAX];
 static int fillers[DAEMONS_MAX]; /* own connections that fill the queue */
 static int waiting[DAEMONS_MAX];
@@ -358,6 +359,16 @@
 	record("store: path of %s is back", daemons[daemon].name);
 }
 
+void store_mute(int daemon, bool on)
+{
+	pthread_mutex_lock(&lock);
+	silent_up_to[daemon] = newest_conn;
+	muted[daemon] = on;
+	pthread_mutex_unlock(&lock);
+	record("store: %s %s", on ? "does not answer" : "answers again to",
+	       daemons[daemon].name);
+}
+
 void store_reset(int daemon)
 {
 	pthread_mutex_lock(&lock);
@@ -384,7 +395,8 @@
 
 static bool is_silent(const struct store_conn *c)
 {
-	return silent_later[c->daemon] || c->number <= silent_up_to[c->daemon];
+	return silent_later[c->daemon] || muted[c->daemon] ||
+	       c->number <= silent_up_to[c->daemon];
 }
 
 static bool is_reset(void *arg)
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -30,6 +30,9 @@
  * also those that it opens later. */
 void store_silence(int daemon, bool later);
 void store_heal(int daemon);
+/* The store accepts the daemon's connections but answers none of its calls;
+ * calls that met the silence are never answered. */
+void store_mute(int daemon, bool on);
 /* Resets the daemon's connections to the store that are open now. */
 void store_reset(int daemon);
 /* Number of watch calls of a daemon that wait now. */
