--- a/review/stand/cases.c
+++ b/review/stand/cases.c
@@ -5,7 +5,6 @@
 #include "stand.h"
 
 #define HOST "orders.example"
-#define DRAIN_MS 2500
 #define CONFIG_APPLY_MS 2500
 #define STABLE_WINDOW_MS 4000
 /* After this time TCP keep-alive finds that a connection is dead: the daemon
@@ -36,85 +35,13 @@
 struct count {
 	int64_t from_ms; /* requests that were sent from then on count */
 	int64_t to_ms;
-	int64_t late_ms; /* of the runs */
 	int64_t since_ms; /* the store's ack */
-	const struct worker *worker;
 	const char *service;
 	bool skip[DAEMONS_MAX];
 	int broken;
 	int all;
 };
 
-/* ---- a removed worker ---- */
-
-static struct count removed;
-
-static void check_run(const struct run *r, void *arg)
-{
-	const struct exchange *x = arg;
-
-	if (strcmp(r->id, x->id) || r->worker != removed.worker ||
-	    r->at_ms <= removed.late_ms)
-		return;
-	removed.broken++;
-	record("broken: %s, sent at %lld to %s, reached %s at %lld, "
-	       "status=%d",
-	       x->id, (long long)x->sent_ms, daemons[x->daemon].name,
-	       r->worker->id, (long long)r->at_ms, x->status);
-}
-
-static void check_exchange(const struct exchange *x, void *arg)
-{
-	(void)arg;
-	if (x->sent_ms < removed.from_ms)
-		return;
-	removed.all++;
-	runs_each(check_run, (void *)x);
-}
-
-/* Rule DRAIN. A worker's entry is removed while the open connections between
- * the daemons and the store are silent. */
-static void case_removed(void)
-{
-	static const char *const zones[] = { "hill", "dock" };
-	struct worker *x;
-	int64_t t;
-	int64_t removed_ms;
-
-	put_configuration(1, "press");
-	for (int i = 0; i < 6; i++)
-		worker_register(worker_start("press", zones[i % 2], 100),
-				"ready");
-	x = &workers[1];
-	if (!fleet_start(zones, 2, 4))
-		finish(2);
-	wait_until_ms(now_ms() + 4000);
-	consumers_start("POST", HOST, "/order/7", 250, 8000);
-	t = now_ms() + 4000;
-	wait_until_ms(t);
-	for (int i = 0; trouble && i < daemon_count; i++)
-		store_silence(i, false);
-	wait_until_ms(t + 1000);
-	store_delete("servers", x->id);
-	removed_ms = now_ms();
-	wait_until_ms(t + KEEP_ALIVE_FINDS_MS);
-	for (int i = 0; trouble && i < daemon_count; i++)
-		store_reset(i);
-	removed = (struct count){
-		.from_ms = t + KEEP_ALIVE_FINDS_MS + STABLE_WINDOW_MS,
-		.late_ms = removed_ms + DRAIN_MS,
-		.worker = x,
-	};
-	wait_until_ms(t + 14000);
-	worker_end(x);
-	wait_until_ms(t + 16000);
-	consumers_stop();
-	exchanges_each(check_exchange, NULL);
-	record("checked %d requests, %d of them reached the removed worker",
-	       removed.all, removed.broken);
-	finish(removed.all < 50 ? 2 : removed.broken > 0);
-}
-
 /* ---- an older configuration ---- */
 
 static struct count stale;
@@ -282,32 +209,39 @@
 /* Windows of the disruption, and the time between two of them. */
 #define EXTRA_MS 5000
 #define EXTRA_GAP_MS 2000
-#define EXTRA_WINDOWS 8
+#define EXTRA_WINDOWS 11
 
 static struct count extra;
 
+#define IDS_MAX 200000
+
+/* What the workers did with a request; its id is a number. */
 struct answered {
-	const struct exchange *exchange;
 	int runs;
-	int status; /* of the worker's last answer */
+	int status; /* of the last answer */
 };
 
-static void add_run_of(const struct run *r, void *arg)
+static struct answered answered[IDS_MAX];
+
+static struct answered *answered_of(const char *id)
+{
+	return &answered[strtoul(id, NULL, 16) % IDS_MAX];
+}
+
+static void add_run(const struct run *r, void *arg)
 {
-	struct answered *a = arg;
+	struct answered *a = answered_of(r->id);
 
-	if (strcmp(r->id, a->exchange->id))
-		return;
+	(void)arg;
 	a->runs++;
 	a->status = r->status;
 }
 
 static void check_twice(const struct exchange *x, void *arg)
 {
-	struct answered a = { .exchange = x };
+	struct answered a = *answered_of(x->id);
 
 	(void)arg;
-	runs_each(add_run_of, &a);
 	extra.all++;
 	if (a.runs == 1 && x->status == 503)
 		record("rule REFUSED broken too: %s, sent at %lld to %s, got "
@@ -323,10 +257,9 @@
 
 static void check_mixed(const struct exchange *x, void *arg)
 {
-	struct answered a = { .exchange = x };
+	struct answered a = *answered_of(x->id);
 
 	(void)arg;
-	runs_each(add_run_of, &a);
 	extra.all++;
 	/* Only answers that bear a worker's signature. */
 	if (!x->signature[0] || !a.status || a.status == x->status)
@@ -367,6 +300,7 @@
 			workers[i].extra_percent = 0;
 	}
 	consumers_stop();
+	runs_each(add_run, NULL);
 	exchanges_each(check, NULL);
 	record("checked %d requests, %d of them show the fault", extra.all,
 	       extra.broken);
@@ -397,10 +331,9 @@
 
 static void check_lost(const struct exchange *x, void *arg)
 {
-	struct answered a = { .exchange = x };
+	struct answered a = *answered_of(x->id);
 
 	(void)arg;
-	runs_each(add_run_of, &a);
 	lost.all++;
 	if (!a.runs || x->status)
 		return;
@@ -435,6 +368,7 @@
 	}
 	for (int i = 0; i < 500 && uploads_running(); i++)
 		wait_until_ms(now_ms() + 20);
+	runs_each(add_run, NULL);
 	exchanges_each(check_lost, NULL);
 	record("checked %d requests, %d of them lost, peak %d MB", lost.all,
 	       lost.broken, daemons[0].peak_mb);
@@ -444,8 +378,6 @@
 
 void case_main(const char *name)
 {
-	if (!strcmp(name, "removed"))
-		case_removed();
 	if (!strcmp(name, "twice"))
 		case_twice();
 	if (!strcmp(name, "mixed"))
