--- a/review/stand/cases.c
+++ b/review/stand/cases.c
@@ -322,10 +322,10 @@
 /* ---- memory ---- */
 
 #define MEMORY_MB 260
-#define BODY_BYTES (15L << 20)
+#define BODY_BYTES (6L << 20)
 /* Requests at a time: usually, and with 2.5 times the traffic. */
-#define USUAL_UPLOADS 4
-#define BURST_UPLOADS 10
+#define USUAL_UPLOADS 10
+#define BURST_UPLOADS 25
 
 static struct count lost;
 
@@ -361,7 +361,7 @@
 	for (int64_t next = now_ms(); alive && now_ms() < end;) {
 		if (now_ms() >= next && uploads_running() < most) {
 			upload_start(0, HOST, "/order/7", BODY_BYTES);
-			next = now_ms() + 100;
+			next = now_ms() + 40;
 		}
 		wait_until_ms(now_ms() + 5);
 		alive = daemon_check_memory(&daemons[0], MEMORY_MB);
