feed: reports of a position may come in any order

The two threads that read the source each report the whole position. At the start one can read it before the other half is known and be handled last; the relay then kept the lower position until the next change. It now raises its position, half by half.

--- a/feed/relay.c
+++ b/feed/relay.c
@@ -317,7 +317,7 @@
 	if (pm->is_remote) {
 		on_remote_position(r, pm);
 	} else {
-		r->local_position = pm->position;
+		relay_position_raise(&r->local_position, pm->position);
 		relay_on_local_position(&r->role, r->local_position,
 					r->duty.now_us);
 		if (r->role.is_watcher)
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -35,6 +35,10 @@
  * position does not always show that the daemon has caught up. */
 #define RELAY_CATCH_UP_US (2 * US_PER_S)
 
+/** Raises `p` to another position that the same daemon has reached, whose
+ * reports may come in any order. True if the position has risen. */
+bool relay_position_raise(uint64_t *p, uint64_t to);
+
 struct relay_role {
 	bool is_watcher; /**< chosen as a watcher of its data centre */
 	uint64_t fleet_position; /**< highest position that another daemon was
--- a/feed/relay_test.c
+++ b/feed/relay_test.c
@@ -26,6 +26,18 @@
 	CU_ASSERT(relay_should_watch(&r, US_PER_S));
 }
 
+/* Guards against a daemon that fetches the same state again and again, as two
+ * threads report its position and the lower one is handled last. */
+static void test_reports_of_a_position_come_in_any_order(void)
+{
+	uint64_t p = 0x500000005;
+
+	CU_ASSERT(!relay_position_raise(&p, 0x500000000));
+	CU_ASSERT_EQUAL(p, 0x500000005);
+	CU_ASSERT(relay_position_raise(&p, 0x400000006));
+	CU_ASSERT_EQUAL(p, 0x500000006);
+}
+
 /* Guards against a daemon that stays behind the fleet because its watchers are
  * cut off from the source and have not noticed it yet. */
 static void test_daemon_that_is_behind_watches(void)
@@ -436,6 +448,8 @@
 	CU_initialize_registry();
 	s = CU_add_suite("relay", NULL, NULL);
 	CU_add_test(s, "silence", test_silent_watchers_make_a_daemon_watch);
+	CU_add_test(s, "any order",
+		    test_reports_of_a_position_come_in_any_order);
 	CU_add_test(s, "behind", test_daemon_that_is_behind_watches);
 	CU_add_test(s, "further changes",
 		    test_further_changes_do_not_restart_the_time_behind);
--- a/feed/role.c
+++ b/feed/role.c
@@ -30,6 +30,14 @@
 	       RELAY_BEHIND_US + RELAY_CATCH_UP_US;
 }
 
+bool relay_position_raise(uint64_t *p, uint64_t to)
+{
+	bool risen = feed_position_is_ahead(*p, to);
+
+	*p = feed_position_max(*p, to);
+	return risen;
+}
+
 bool relay_should_watch(const struct relay_role *r, int64_t now_us)
 {
 	return r->is_watcher || r->failed_fetches >= FAILED_FETCHES_MAX ||
