feed: positions are relied on only while the source confirms them

The store was silent to the two daemons that watch it and served the others, which never asked.

Cause: a watcher sent its position every 0.5 s until a call failed, and a watch without an answer failed after 21.5 s. The position told the others how far the watcher had read, not when it last knew that this was all.

A watch now ends after a second, so that its answer confirms the position; the position is sent with the age of that confirmation, and a receiver applies it to its own state once it has reached the position. After 1.6 s without one, daemons of the data centre watch in place of the watchers: two at first, twice as many after each 0.25 s. One that has just started, or is out of touch with its watchers, does the same. Only daemons that come before in the order are relied on, as two that watch in place of others would each stop because of the other. member_choose_watchers() becomes member_watcher_rank(); its checks stay, for all members of a data centre in place of the first.

Daemons of older versions cannot decode the new datagram and watch for themselves; their own datagrams have no age and confirm nothing.

Ruled out: a small read beside a long watch (it does not show that the watch's connection still carries answers), more watchers, an earlier time-out alone (the others would still trust the position for its length).

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -292,7 +292,16 @@
 
 	membership_set_digest(d->membership, position);
 	if (d->relay)
-		relay_set_local_position(d->relay, position);
+		relay_set_local_position(d->relay, position, 0);
+}
+
+static void on_source_confirmed(struct platform_listener *l, uint64_t position,
+				int64_t confirmed_us)
+{
+	struct azhd *d = az_container_of(l, struct azhd, platform_listener);
+
+	if (d->relay)
+		relay_set_local_position(d->relay, position, confirmed_us);
 }
 
 static void on_feed_state_imported(struct feed_listener *l, uint64_t position)
@@ -313,19 +322,10 @@
 	platform_source_set_active(d->platform_source, active);
 }
 
-static bool is_source_unreachable(struct relay_source *s)
-{
-	struct azhd *d = az_container_of(s, struct azhd, relay_source);
-
-	return platform_source_is_unreachable(d->platform_source);
-}
-
-static const struct relay_source_ops relay_source_ops = {
-	set_source_active, is_source_unreachable
-};
+static const struct relay_source_ops relay_source_ops = { set_source_active };
 
 static const struct platform_listener_ops platform_listener_ops = {
-	on_fleet_key, on_source_progress
+	on_fleet_key, on_source_progress, on_source_confirmed
 };
 
 /* With a platform the digests of the members are positions; see
--- a/feed/relay.c
+++ b/feed/relay.c
@@ -13,6 +13,9 @@
 #define RING_SLOTS 1024
 #define MAGIC 0x415a4e31U /* "AZN1" */
 #define DATAGRAM_MAX_BYTES 64
+/* Age of a position that was never confirmed, and of one from a daemon of an
+ * older version, which sends none. */
+#define AGE_UNKNOWN UINT32_MAX
 /* Time until the deadline of a fetch. */
 #define FETCH_TIMEOUT_US (800 * US_PER_MS)
 
@@ -35,8 +38,12 @@
 	bool watching; /**< watches the source itself */
 	/** A fetch has not been answered yet, by enum fetch_from. */
 	bool fetching[FETCH_FROM_COUNT];
-	uint64_t local_position; /**< changes of the source up to it are applied
-				    in this daemon */
+	struct relay_position local; /**< changes of the source up to it are
+					applied in this daemon; confirmed by its
+					own source */
+	int64_t sent_us; /**< when the position was last sent */
+	int64_t sent_confirmed_us; /**< local.confirmed_us at that time */
+	struct counter *takeovers;
 	struct counter *fetches;
 	struct counter *fetch_failures;
 };
@@ -47,9 +54,11 @@
 	uint64_t member;
 	uint64_t incarnation;
 	uint64_t position;
+	uint32_t age_ms; /**< time since the position was confirmed, or
+			    AGE_UNKNOWN */
 };
 
-static bool xdr_datagram(XDR *x, struct position_datagram *d)
+static bool xdr_position(XDR *x, struct position_datagram *d)
 {
 	return xdr_uint64_t(x, &d->member) &&
 	       xdr_uint64_t(x, &d->incarnation) &&
@@ -68,7 +77,7 @@
 		return 0;
 	xdrmem_create(&x, (char *)out + FLEET_PAYLOAD_OFFSET,
 		      DATAGRAM_MAX_BYTES - FLEET_PAYLOAD_OFFSET, XDR_ENCODE);
-	if (!xdr_datagram(&x, &copy))
+	if (!xdr_position(&x, &copy) || !xdr_uint32_t(&x, &copy.age_ms))
 		return 0;
 	len_bytes = FLEET_PAYLOAD_OFFSET + xdr_getpos(&x);
 	fleet_sign_datagram(k, MAGIC, out, len_bytes);
@@ -84,18 +93,32 @@
 		return false;
 	xdrmem_create(&x, (char *)data + FLEET_PAYLOAD_OFFSET,
 		      len_bytes - FLEET_PAYLOAD_OFFSET, XDR_DECODE);
-	return xdr_datagram(&x, out) &&
+	if (!xdr_position(&x, out))
+		return false;
+	out->age_ms = AGE_UNKNOWN;
+	if (xdr_getpos(&x) == len_bytes - FLEET_PAYLOAD_OFFSET)
+		return true;
+	return xdr_uint32_t(&x, &out->age_ms) &&
 	       xdr_getpos(&x) == len_bytes - FLEET_PAYLOAD_OFFSET;
 }
 
 /* ---- sending positions ---- */
 
+static uint32_t local_age_ms(const struct relay *r)
+{
+	int64_t age_us = r->duty.now_us - r->local.confirmed_us;
+
+	if (!r->local.confirmed_us)
+		return AGE_UNKNOWN;
+	return age_us < 0 ? 0 : (uint32_t)(age_us / US_PER_MS);
+}
+
 static void send_position_to_dc(struct relay *r)
 {
 	const struct relay_settings *s = &r->settings;
 	const struct member_view *v = membership_view(s->membership);
 	struct position_datagram d = { s->member_id, s->incarnation,
-				       r->local_position };
+				       r->local.position, local_age_ms(r) };
 	uint8_t data[DATAGRAM_MAX_BYTES];
 	uint32_t len_bytes = encode(&d, &r->keys, data);
 
@@ -107,21 +130,29 @@
 				    s->port);
 	}
 	member_view_release(v);
+	r->sent_us = r->duty.now_us;
+	r->sent_confirmed_us = r->local.confirmed_us;
 }
 
-static bool is_chosen_watcher(const struct relay *r)
+/* A position without a recent confirmation is not sent at the interval, so that
+ * the members of the data centre do not go on relying on it. */
+static bool has_recent_position(const struct relay *r)
 {
-	const struct relay_settings *s = &r->settings;
-	const struct member_view *v = membership_view(s->membership);
-	const struct member *list[RELAY_WATCHERS];
-	uint32_t n = member_choose_watchers(v, hash_string("relay"), s->dc,
-					    RELAY_WATCHERS, list);
-	bool chosen = false;
+	return r->local.position && r->local.confirmed_us &&
+	       r->duty.now_us - r->local.confirmed_us <= RELAY_CONFIRMED_MAX_US;
+}
 
-	for (uint32_t i = 0; i < n; i++)
-		chosen |= list[i]->id == s->member_id;
-	member_view_release(v);
-	return chosen;
+static uint32_t rank_of(const struct member_view *v, const struct member *m)
+{
+	return member_watcher_rank(v, hash_string("relay"), m);
+}
+
+/* A daemon that its own view lacks is not a watcher. */
+static uint32_t own_rank(const struct relay *r, const struct member_view *v)
+{
+	const struct member *self = member_view_by_id(v, r->settings.member_id);
+
+	return self ? rank_of(v, self) : UINT32_MAX;
 }
 
 /* Time since `since_us`, -1 if that is 0. */
@@ -131,8 +162,8 @@
 }
 
 /* In the log line, held and ahead are the positions of this daemon and the
- * highest one heard of (configuration, workers), heard_ms is the time since the
- * last position from a watcher. */
+ * highest one heard of (configuration, workers), confirmed_ms is the time since
+ * the watchers last confirmed this daemon's state. */
 static void update_watching(struct relay *r)
 {
 	struct relay_source *source = r->settings.local_source;
@@ -141,16 +172,19 @@
 	if (watching == r->watching)
 		return;
 	r->watching = watching;
+	if (watching && r->role.confirmed_us &&
+	    r->duty.now_us > relay_takeover_us(&r->role))
+		counter_add(r->takeovers, 1);
 	log_write(LOG_INFO, "relay",
-		  "%s chosen=%s failures=%u heard_ms=%lld behind_ms=%lld "
+		  "%s rank=%u failures=%u confirmed_ms=%lld behind_ms=%lld "
 		  "held=%u,%u ahead=%u,%u",
 		  watching ? "watches the source itself" :
 			     "fetches from the watchers",
-		  r->role.is_watcher ? "yes" : "no", r->role.failed_fetches,
-		  age_ms(r, r->role.last_watcher_position_us),
+		  r->role.rank, r->role.failed_fetches,
+		  age_ms(r, r->role.confirmed_us),
 		  age_ms(r, r->role.behind_since_us),
-		  (uint32_t)(r->local_position >> 32),
-		  (uint32_t)r->local_position,
+		  (uint32_t)(r->local.position >> 32),
+		  (uint32_t)r->local.position,
 		  (uint32_t)(r->role.fleet_position >> 32),
 		  (uint32_t)r->role.fleet_position);
 	source->ops->set_watching(source, watching);
@@ -178,8 +212,8 @@
 		  f->target.ip >> 8 & 255, f->target.ip & 255,
 		  f->from == FETCH_FROM_WATCHER ? "yes" : "no",
 		  error_info(f->answer->kind)->name, f->answer->body.len_bytes,
-		  age_ms(r, f->started_us), (uint32_t)(r->local_position >> 32),
-		  (uint32_t)r->local_position);
+		  age_ms(r, f->started_us), (uint32_t)(r->local.position >> 32),
+		  (uint32_t)r->local.position);
 }
 
 static void fetch_run(struct msg *m, struct duty *to)
@@ -249,17 +283,30 @@
 	return (struct peer_target){ m->ip, m->peer_port, m->incarnation };
 }
 
+static struct relay_position claim_of(const struct relay *r,
+				      const struct position_datagram *d)
+{
+	struct relay_position c = { .position = d->position };
+
+	if (d->age_ms != AGE_UNKNOWN)
+		c.confirmed_us = r->duty.now_us - d->age_ms * US_PER_MS;
+	return c;
+}
+
 static void on_datagram(struct relay *r, const struct position_datagram *d)
 {
 	const struct member_view *v = membership_view(r->settings.membership);
 	const struct member *m = member_view_by_id(v, d->member);
 
-	if (m && m->incarnation == d->incarnation) {
+	if (m && m->incarnation == d->incarnation && m->dc == r->settings.dc) {
 		struct peer_target target = target_of(m);
+		struct relay_position claim = claim_of(r, d);
 
-		r->role.last_watcher_position_us = r->duty.now_us;
+		r->role.rank = own_rank(r, v);
+		relay_on_claim(&r->role, rank_of(v, m), r->local.position,
+			       &claim);
 		if (!r->fetching[FETCH_FROM_WATCHER] &&
-		    feed_position_is_ahead(r->local_position, d->position))
+		    feed_position_is_ahead(r->local.position, d->position))
 			fetch(r, FETCH_FROM_WATCHER, &target);
 		update_watching(r);
 	}
@@ -289,6 +336,7 @@
 struct position_msg {
 	struct msg msg;
 	uint64_t position;
+	int64_t confirmed_us; /**< by this daemon's own source; 0: not */
 	bool is_remote; /**< reached by another daemon, not this one */
 	/* If is_remote: */
 	struct peer_target from; /**< that daemon */
@@ -300,29 +348,39 @@
  * the watchers of its data centre while it serves others. */
 static void on_remote_position(struct relay *r, const struct position_msg *pm)
 {
-	relay_on_remote_position(&r->role, r->local_position, pm->position,
+	relay_on_remote_position(&r->role, r->local.position, pm->position,
 				 r->duty.now_us);
 	if (!r->fetching[FETCH_FROM_AHEAD] &&
-	    feed_position_is_ahead(r->local_position, pm->position) &&
+	    feed_position_is_ahead(r->local.position, pm->position) &&
 	    relay_should_fetch(&r->role, pm->same_dc, r->duty.now_us))
 		fetch(r, FETCH_FROM_AHEAD, &pm->from);
 	update_watching(r);
 }
 
+static void on_local_position(struct relay *r, const struct position_msg *pm)
+{
+	const struct relay_position reached = { pm->position,
+						pm->confirmed_us };
+	bool risen = relay_position_raise(&r->local, &reached);
+
+	relay_on_local_position(&r->role, r->local.position, r->duty.now_us);
+	if (!relay_should_send(&r->role, r->duty.now_us))
+		return;
+	if (risen ||
+	    (has_recent_position(r) &&
+	     r->local.confirmed_us - r->sent_confirmed_us >= RELAY_PERIOD_US))
+		send_position_to_dc(r);
+}
+
 static void position_msg_run(struct msg *m, struct duty *to)
 {
 	struct position_msg *pm = az_container_of(m, struct position_msg, msg);
 	struct relay *r = az_container_of(to, struct relay, duty);
 
-	if (pm->is_remote) {
+	if (pm->is_remote)
 		on_remote_position(r, pm);
-	} else {
-		relay_position_raise(&r->local_position, pm->position);
-		relay_on_local_position(&r->role, r->local_position,
-					r->duty.now_us);
-		if (r->role.is_watcher)
-			send_position_to_dc(r);
-	}
+	else
+		on_local_position(r, pm);
 	free(pm);
 }
 
@@ -335,31 +393,28 @@
 						 position_msg_run,
 						 position_msg_drop };
 
-/* `from` NULL: this daemon has reached the position. */
-static void post_position(struct relay *r, uint64_t position,
-			  const struct member *from)
+void relay_set_local_position(struct relay *r, uint64_t position,
+			      int64_t confirmed_us)
 {
 	struct position_msg *pm = az_alloc(sizeof(*pm));
 
 	pm->msg.ops = &position_msg_ops;
 	pm->position = position;
-	pm->is_remote = from != NULL;
-	if (from) {
-		pm->from = target_of(from);
-		pm->same_dc = from->dc == r->settings.dc;
-	}
+	pm->confirmed_us = confirmed_us;
 	duty_send(&r->duty, &pm->msg);
 }
 
-void relay_set_local_position(struct relay *r, uint64_t position)
-{
-	post_position(r, position, NULL);
-}
-
 void relay_observe_remote_position(struct relay *r, uint64_t position,
 				   const struct member *from)
 {
-	post_position(r, position, from);
+	struct position_msg *pm = az_alloc(sizeof(*pm));
+
+	pm->msg.ops = &position_msg_ops;
+	pm->position = position;
+	pm->is_remote = true;
+	pm->from = target_of(from);
+	pm->same_dc = from->dc == r->settings.dc;
+	duty_send(&r->duty, &pm->msg);
 }
 
 void relay_set_keys(struct relay *r, const struct fleet_keys *keys)
@@ -369,20 +424,28 @@
 
 /* ---- the duty ---- */
 
-/* A watcher that does not reach the source sends no positions at the interval,
- * so that the other daemons of the data centre try to watch the source
- * themselves. */
+static void arm(struct relay *r)
+{
+	int64_t next_us = r->duty.now_us + RELAY_PERIOD_US;
+	int64_t takeover_us = relay_takeover_us(&r->role) + 1;
+
+	if (takeover_us > r->duty.now_us && takeover_us < next_us)
+		next_us = takeover_us;
+	duty_arm(&r->duty, next_us);
+}
+
 static void on_timer(struct duty *d, int64_t now_us)
 {
 	struct relay *r = az_container_of(d, struct relay, duty);
-	struct relay_source *source = r->settings.local_source;
+	const struct member_view *v = membership_view(r->settings.membership);
 
-	duty_arm(d, now_us + RELAY_PERIOD_US);
-	r->role.is_watcher = is_chosen_watcher(r);
+	r->role.rank = own_rank(r, v);
+	member_view_release(v);
 	update_watching(r);
-	if (r->role.is_watcher && r->local_position &&
-	    !source->ops->is_unreachable(source))
+	if (relay_should_send(&r->role, now_us) && has_recent_position(r) &&
+	    now_us - r->sent_us >= RELAY_PERIOD_US)
 		send_position_to_dc(r);
+	arm(r);
 }
 
 static void on_stop(struct duty *d)
@@ -401,7 +464,10 @@
 
 	r->settings = *s;
 	r->watching = true;
+	r->role.rank = UINT32_MAX;
+	r->role.started_us = clock_now_us();
 	r->socket.ops = &socket_ops;
+	r->takeovers = counter_get("relay_takeovers");
 	r->fetches = counter_get("relay_fetches");
 	r->fetch_failures = counter_get("relay_fetches_failed");
 	if (duty_init(&r->duty, &duty_ops, RING_SLOTS, timers) != AZ_OK ||
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -2,10 +2,12 @@
  * @file
  * Reduces calls to the source of configuration and workers. RELAY_WATCHERS
  * daemons of each data centre watch the source. They send their position
- * (feed.h) to the others of the data centre, which fetch the state
- * from a watcher that is ahead of them. A daemon that receives no positions
- * watches the source itself. One that stays behind the fleet also fetches the
- * state from any member that is ahead.
+ * (feed.h) to the others of the data centre, with the time since the source
+ * confirmed that nothing is missing from it; the others fetch the state from a
+ * watcher that is ahead of them. While the watchers have no recent
+ * confirmation, the next daemons of the data centre watch the source in their
+ * place. A daemon that stays behind the fleet watches the source itself and
+ * also fetches the state from any member that is ahead.
  */
 #ifndef FEED_RELAY_H
 #define FEED_RELAY_H
@@ -19,11 +21,17 @@
 
 /* ---- decisions (role.c): plain state, time passed in ---- */
 
-/** A watcher sends its position at this interval. */
+/** A watcher sends its position at least at this interval. */
 #define RELAY_PERIOD_US (500 * US_PER_MS)
-/** The watchers count as silent after this time without a position: three
- * missed ones in a row. */
-#define RELAY_SILENCE_US (1600 * US_PER_MS)
+/** Without a confirmation for this time, the watchers may be gone, cut off from
+ * the source or not answered by it, and others watch in their place. The source
+ * confirms a watcher's position every second (platform/source.c), later by its
+ * answer time of up to 240 ms and the way of the datagram. */
+#define RELAY_CONFIRMED_MAX_US (1600 * US_PER_MS)
+/** Time that the daemons that watch in place of the watchers have to get an
+ * answer, before as many again try: two at first, then four, eight and so on.
+ * The source would not bear all daemons of a large data centre at once. */
+#define RELAY_TAKEOVER_STEP_US (250 * US_PER_MS)
 
 /** A daemon that has been behind another daemon's position for this time
  * watches the source itself, and fetches from members that are ahead: a worker
@@ -35,12 +43,30 @@
  * position does not always show that the daemon has caught up. */
 #define RELAY_CATCH_UP_US (2 * US_PER_S)
 
+/** A position with its age. */
+struct relay_position {
+	uint64_t position;
+	int64_t confirmed_us; /**< no change made until then is missing from the
+				 position; 0: not confirmed */
+};
+
 /** Raises `p` to another position that the same daemon has reached, whose
- * reports may come in any order. True if the position has risen. */
-bool relay_position_raise(uint64_t *p, uint64_t to);
+ * reports may come in any order: a confirmation holds for every position that
+ * is not lower. True if the position has risen. */
+bool relay_position_raise(struct relay_position *p,
+			  const struct relay_position *to);
 
 struct relay_role {
-	bool is_watcher; /**< chosen as a watcher of its data centre */
+	uint32_t rank; /**< place of this daemon in the order in which those of
+			  its data centre watch; RELAY_WATCHERS of them do, the
+			  others in their place */
+	int64_t started_us;
+	int64_t confirmed_us; /**< time until which, by the claims of daemons of
+				 a lower rank, nothing is missing from this
+				 daemon's state; 0: never */
+	struct relay_position claim; /**< of a daemon of a lower rank, true of
+					this one when it reaches the position;
+					not confirmed: none */
 	uint64_t fleet_position; /**< highest position that another daemon was
 				    ahead with */
 	uint64_t awaited_position; /**< fleet_position at behind_since_us; later
@@ -48,13 +74,22 @@
 				      may come faster than it passes */
 	int64_t behind_since_us; /**< since when this daemon has not reached
 				    awaited_position; 0: it has */
-	int64_t last_watcher_position_us; /**< when the last position from a
-				     watcher was received; 0: never */
 	uint32_t failed_fetches; /**< consecutive failed fetches */
 };
 
+bool relay_is_watcher(const struct relay_role *r);
+/** When the last confirmation becomes too old for this daemon to rely on its
+ * watchers: it then watches in their place. */
+int64_t relay_takeover_us(const struct relay_role *r);
 /** True if this daemon must watch the source itself. */
 bool relay_should_watch(const struct relay_role *r, int64_t now_us);
+/** True if this daemon must send its position to its data centre, as a watcher
+ * or in the place of one. */
+bool relay_should_send(const struct relay_role *r, int64_t now_us);
+/** To be called when the daemon of the data centre with the rank `rank` has
+ * sent its position, and this daemon has reached `ours`. */
+void relay_on_claim(struct relay_role *r, uint32_t rank, uint64_t ours,
+		    const struct relay_position *claim);
 /** True if this daemon has been behind for so long that it fetches the state
  * from any member that is ahead. For one of another data centre (`same_dc`
  * false) daemons that are not watchers wait longer: the watchers will have the
@@ -79,9 +114,6 @@
 	/** Starts or stops watching the source. Called in the relay's thread.
 	 */
 	void (*set_watching)(struct relay_source *source, bool watching);
-	/** True if the source does not answer this daemon. Called in the
-	 * relay's thread. */
-	bool (*is_unreachable)(struct relay_source *source);
 };
 
 struct relay_source {
@@ -112,8 +144,11 @@
  * sent. Any thread. */
 void relay_set_keys(struct relay *r, const struct fleet_keys *keys);
 /** To be called when this daemon has applied all changes up to `position`,
- * delivered by the source or another daemon. Any thread. */
-void relay_set_local_position(struct relay *r, uint64_t position);
+ * delivered by the source or another daemon. If its own source has confirmed
+ * that nothing made until `confirmed_us` is missing, that time, else 0. Calls
+ * from several threads may come in any order. Any thread. */
+void relay_set_local_position(struct relay *r, uint64_t position,
+			      int64_t confirmed_us);
 /** To be called when the member `from`, possibly of another data centre, has
  * reached `position`. Any thread. */
 void relay_observe_remote_position(struct relay *r, uint64_t position,
--- a/feed/relay_test.c
+++ b/feed/relay_test.c
@@ -10,39 +10,136 @@
 #define HANG_STEPS 1000
 
 /* Guards against a daemon that keeps relying on watchers that are gone, cut off
- * or unable to reach the source. Such watchers send no positions. */
+ * or unable to reach the source. */
 static void test_silent_watchers_make_a_daemon_watch(void)
 {
-	struct relay_role r = { .last_watcher_position_us = US_PER_S };
+	struct relay_role r = { .rank = RELAY_WATCHERS,
+				.confirmed_us = US_PER_S };
 
-	CU_ASSERT(!relay_should_watch(&r, US_PER_S + RELAY_SILENCE_US));
-	CU_ASSERT(relay_should_watch(&r, US_PER_S + RELAY_SILENCE_US + 1));
+	CU_ASSERT(!relay_should_watch(&r, US_PER_S + RELAY_CONFIRMED_MAX_US));
+	CU_ASSERT(
+		relay_should_watch(&r, US_PER_S + RELAY_CONFIRMED_MAX_US + 1));
 	r.failed_fetches = 2;
 	CU_ASSERT(relay_should_watch(&r, US_PER_S));
-	r = (struct relay_role){ 0 };
+	r = (struct relay_role){ .rank = RELAY_WATCHERS };
 	CU_ASSERT(relay_should_watch(&r, 0));
-	r = (struct relay_role){ .is_watcher = true,
-				 .last_watcher_position_us = US_PER_S };
+	r = (struct relay_role){ .rank = RELAY_WATCHERS - 1,
+				 .confirmed_us = US_PER_S };
 	CU_ASSERT(relay_should_watch(&r, US_PER_S));
 }
 
+/* Guards against a data centre that uses an old configuration for as long as
+ * the source is silent to its watchers, which go on sending their position
+ * because no call has failed (review/5). */
+static void test_positions_without_confirmation_are_not_relied_on(void)
+{
+	struct relay_role r = { .rank = RELAY_WATCHERS };
+	const struct relay_position claim = { 5, US_PER_S };
+	int64_t silent_us = US_PER_S + RELAY_CONFIRMED_MAX_US + 1;
+
+	for (int64_t now_us = US_PER_S; now_us <= silent_us;
+	     now_us += RELAY_PERIOD_US) {
+		relay_on_claim(&r, 0, 5, &claim);
+		CU_ASSERT(!relay_should_watch(&r, now_us));
+	}
+	relay_on_claim(&r, 0, 5, &claim);
+	CU_ASSERT(relay_should_watch(&r, silent_us));
+	CU_ASSERT(relay_should_send(&r, silent_us));
+	/* A daemon of an older version sends no age. */
+	relay_on_claim(&r, 0, 5, &(struct relay_position){ 5, 0 });
+	CU_ASSERT(relay_should_watch(&r, silent_us));
+	relay_on_claim(&r, 1, 5, &(struct relay_position){ 5, silent_us });
+	CU_ASSERT(!relay_should_watch(&r, silent_us));
+	CU_ASSERT(!relay_should_send(&r, silent_us));
+}
+
+/* Guards against a daemon that takes the confirmation of a watcher's position
+ * for that of its own, lower one, and so waits for a fetch that fails. */
+static void test_confirmation_counts_once_its_position_is_reached(void)
+{
+	struct relay_role r = { .rank = RELAY_WATCHERS,
+				.confirmed_us = US_PER_S };
+	const struct relay_position first = { 7, 2 * US_PER_S };
+	const struct relay_position second = { 9, 3 * US_PER_S };
+
+	relay_on_claim(&r, 0, 5, &first);
+	relay_on_claim(&r, 0, 5, &second);
+	relay_on_claim(&r, 1, 5,
+		       &(struct relay_position){ 7, 2 * US_PER_S + 1 });
+	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
+	relay_on_local_position(&r, 6, 3 * US_PER_S);
+	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
+	relay_on_local_position(&r, 7, 3 * US_PER_S);
+	CU_ASSERT_EQUAL(r.confirmed_us, 2 * US_PER_S + 1);
+	relay_on_claim(&r, 0, 9, &second);
+	CU_ASSERT_EQUAL(r.confirmed_us, 3 * US_PER_S);
+}
+
+/* Guards against all daemons of a data centre that call the source at once when
+ * their watchers are silent, against a change that is in force later than 2.5 s
+ * with a source that is silent to more than the watchers, and against daemons
+ * that watch in their place and each stop because of the other. */
+static void test_others_watch_in_steps(void)
+{
+	static const uint32_t ranks[] = { 2, 3, 4, 7, 8, 15 };
+	static const int64_t steps[] = { 0, 0, 1, 1, 2, 2 };
+	struct relay_role r = { .confirmed_us = US_PER_S };
+
+	for (uint32_t i = 0; i < 6; i++) {
+		int64_t at_us = US_PER_S + RELAY_CONFIRMED_MAX_US +
+				steps[i] * RELAY_TAKEOVER_STEP_US;
+
+		r.rank = ranks[i];
+		CU_ASSERT_EQUAL(relay_takeover_us(&r), at_us);
+		CU_ASSERT(!relay_should_watch(&r, at_us));
+		CU_ASSERT(relay_should_watch(&r, at_us + 1));
+		CU_ASSERT(at_us - US_PER_S + RELAY_TAKEOVER_STEP_US <
+			  2500 * US_PER_MS);
+	}
+	r.rank = 3;
+	relay_on_claim(&r, 4, 5, &(struct relay_position){ 5, 2 * US_PER_S });
+	relay_on_claim(&r, 3, 5, &(struct relay_position){ 5, 2 * US_PER_S });
+	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
+	relay_on_claim(&r, 2, 5, &(struct relay_position){ 5, 2 * US_PER_S });
+	CU_ASSERT_EQUAL(r.confirmed_us, 2 * US_PER_S);
+}
+
+/* Guards against a daemon that has just started and sends its position to the
+ * whole data centre although its watchers are there. */
+static void test_started_daemon_waits_for_its_watchers(void)
+{
+	struct relay_role r = { .rank = RELAY_WATCHERS,
+				.started_us = US_PER_S };
+
+	CU_ASSERT(relay_should_watch(&r, US_PER_S));
+	CU_ASSERT(!relay_should_send(&r, US_PER_S + RELAY_CONFIRMED_MAX_US));
+	CU_ASSERT(relay_should_send(&r, US_PER_S + RELAY_CONFIRMED_MAX_US + 1));
+	r.rank = 0;
+	CU_ASSERT(relay_should_send(&r, US_PER_S));
+}
+
 /* Guards against a daemon that fetches the same state again and again, as two
  * threads report its position and the lower one is handled last. */
 static void test_reports_of_a_position_come_in_any_order(void)
 {
-	uint64_t p = 0x500000005;
-
-	CU_ASSERT(!relay_position_raise(&p, 0x500000000));
-	CU_ASSERT_EQUAL(p, 0x500000005);
-	CU_ASSERT(relay_position_raise(&p, 0x400000006));
-	CU_ASSERT_EQUAL(p, 0x500000006);
+	struct relay_position p = { 0x500000005, 3 };
+
+	CU_ASSERT(!relay_position_raise(
+		&p, &(struct relay_position){ 0x500000000, 4 }));
+	CU_ASSERT_EQUAL(p.position, 0x500000005);
+	CU_ASSERT_EQUAL(p.confirmed_us, 4);
+	CU_ASSERT(relay_position_raise(
+		&p, &(struct relay_position){ 0x400000006, 0 }));
+	CU_ASSERT_EQUAL(p.position, 0x500000006);
+	CU_ASSERT_EQUAL(p.confirmed_us, 4);
 }
 
 /* Guards against a daemon that stays behind the fleet because its watchers are
  * cut off from the source and have not noticed it yet. */
 static void test_daemon_that_is_behind_watches(void)
 {
-	struct relay_role r = { .last_watcher_position_us = 10 * US_PER_S };
+	struct relay_role r = { .rank = RELAY_WATCHERS,
+				.confirmed_us = 10 * US_PER_S };
 	int64_t now_us = 10 * US_PER_S;
 
 	relay_on_remote_position(&r, 5, 7, now_us);
@@ -58,19 +155,18 @@
 	/* It also ends after RELAY_CATCH_UP_US, as a whole list may have
 	 * contained the change without its revision. */
 	relay_on_remote_position(&r, 7, 9, now_us);
-	r.last_watcher_position_us =
-		now_us + RELAY_BEHIND_US + RELAY_CATCH_UP_US;
-	CU_ASSERT(!relay_should_watch(&r, r.last_watcher_position_us));
-	relay_on_remote_position(&r, 7, 9, r.last_watcher_position_us);
-	CU_ASSERT(!relay_should_watch(&r, r.last_watcher_position_us +
-						  RELAY_BEHIND_US));
+	r.confirmed_us = now_us + RELAY_BEHIND_US + RELAY_CATCH_UP_US;
+	CU_ASSERT(!relay_should_watch(&r, r.confirmed_us));
+	relay_on_remote_position(&r, 7, 9, r.confirmed_us);
+	CU_ASSERT(!relay_should_watch(&r, r.confirmed_us + RELAY_BEHIND_US));
 }
 
 /* Guards against a daemon that stays behind the fleet for as long as changes
  * come faster than RELAY_BEHIND_US, since each one restarts that time. */
 static void test_further_changes_do_not_restart_the_time_behind(void)
 {
-	struct relay_role r = { .last_watcher_position_us = 10 * US_PER_S };
+	struct relay_role r = { .rank = RELAY_WATCHERS,
+				.confirmed_us = 10 * US_PER_S };
 	int64_t now_us = 10 * US_PER_S;
 
 	for (uint32_t i = 0; i < 4; i++)
@@ -89,12 +185,12 @@
  * changes, and then stays behind until the series ends. */
 static void test_change_after_catch_up_time_is_awaited_again(void)
 {
-	struct relay_role r = { 0 };
+	struct relay_role r = { .rank = RELAY_WATCHERS };
 	int64_t given_up_us = RELAY_BEHIND_US + RELAY_CATCH_UP_US;
 
 	relay_on_remote_position(&r, 5, 7, 1);
 	relay_on_remote_position(&r, 5, 8, 1 + given_up_us);
-	r.last_watcher_position_us = 1 + given_up_us + RELAY_BEHIND_US;
+	r.confirmed_us = 1 + given_up_us + RELAY_BEHIND_US;
 	CU_ASSERT(!relay_should_watch(&r, 1 + given_up_us));
 	CU_ASSERT(relay_should_watch(&r, 1 + given_up_us + RELAY_BEHIND_US));
 }
@@ -118,7 +214,7 @@
  * against all daemons of a data centre that fetch across its border at once. */
 static void test_fetches_do_not_end_with_the_watching(void)
 {
-	struct relay_role r = { 0 };
+	struct relay_role r = { .rank = RELAY_WATCHERS };
 	int64_t late_us = 1 + 2 * RELAY_CATCH_UP_US;
 
 	relay_on_remote_position(&r, 5, 7, 1);
@@ -128,7 +224,7 @@
 	CU_ASSERT(relay_should_fetch(&r, false, 1 + 2 * RELAY_BEHIND_US));
 	CU_ASSERT(relay_should_fetch(&r, true, late_us));
 	CU_ASSERT(relay_should_fetch(&r, false, late_us));
-	r.is_watcher = true;
+	r.rank = 0;
 	CU_ASSERT(!relay_should_fetch(&r, false, RELAY_BEHIND_US));
 	CU_ASSERT(relay_should_fetch(&r, false, 1 + RELAY_BEHIND_US));
 	relay_on_local_position(&r, 7, 1 + RELAY_BEHIND_US);
@@ -327,20 +423,13 @@
 	(void)watching;
 }
 
-static bool is_unreachable(struct relay_source *source)
-{
-	(void)source;
-	return true;
-}
-
-static const struct relay_source_ops source_ops = { ignore_watching,
-						    is_unreachable };
+static const struct relay_source_ops source_ops = { ignore_watching };
 
 static void on_imported(struct feed_listener *l, uint64_t position)
 {
 	struct node *n = az_container_of(l, struct node, listener);
 
-	relay_set_local_position(n->relay, position);
+	relay_set_local_position(n->relay, position, 0);
 	__atomic_store_n(&n->imported_position, position, __ATOMIC_RELEASE);
 }
 
@@ -448,6 +537,12 @@
 	CU_initialize_registry();
 	s = CU_add_suite("relay", NULL, NULL);
 	CU_add_test(s, "silence", test_silent_watchers_make_a_daemon_watch);
+	CU_add_test(s, "not confirmed",
+		    test_positions_without_confirmation_are_not_relied_on);
+	CU_add_test(s, "confirmed when reached",
+		    test_confirmation_counts_once_its_position_is_reached);
+	CU_add_test(s, "steps", test_others_watch_in_steps);
+	CU_add_test(s, "start", test_started_daemon_waits_for_its_watchers);
 	CU_add_test(s, "any order",
 		    test_reports_of_a_position_come_in_any_order);
 	CU_add_test(s, "behind", test_daemon_that_is_behind_watches);
--- a/feed/role.c
+++ b/feed/role.c
@@ -18,7 +18,7 @@
 bool relay_should_fetch(const struct relay_role *r, bool same_dc,
 			int64_t now_us)
 {
-	if (same_dc || r->is_watcher)
+	if (same_dc || relay_is_watcher(r))
 		return is_overdue(r, now_us);
 	return r->behind_since_us &&
 	       now_us - r->behind_since_us >= 2 * RELAY_BEHIND_US;
@@ -30,22 +30,77 @@
 	       RELAY_BEHIND_US + RELAY_CATCH_UP_US;
 }
 
-bool relay_position_raise(uint64_t *p, uint64_t to)
+bool relay_position_raise(struct relay_position *p,
+			  const struct relay_position *to)
 {
-	bool risen = feed_position_is_ahead(*p, to);
+	bool risen = feed_position_is_ahead(p->position, to->position);
 
-	*p = feed_position_max(*p, to);
+	p->position = feed_position_max(p->position, to->position);
+	if (to->confirmed_us > p->confirmed_us)
+		p->confirmed_us = to->confirmed_us;
 	return risen;
 }
 
+bool relay_is_watcher(const struct relay_role *r)
+{
+	return r->rank < RELAY_WATCHERS;
+}
+
+/* Ranks 2 and 3 come first, then 4 to 7, 8 to 15 and so on. */
+static int64_t takeover_delay_us(uint32_t rank)
+{
+	int64_t steps = 0;
+
+	for (; rank >= 2 * RELAY_WATCHERS; rank /= 2)
+		steps++;
+	return RELAY_CONFIRMED_MAX_US + steps * RELAY_TAKEOVER_STEP_US;
+}
+
+int64_t relay_takeover_us(const struct relay_role *r)
+{
+	return r->confirmed_us + takeover_delay_us(r->rank);
+}
+
 bool relay_should_watch(const struct relay_role *r, int64_t now_us)
 {
-	return r->is_watcher || r->failed_fetches >= FAILED_FETCHES_MAX ||
-	       !r->last_watcher_position_us ||
-	       now_us - r->last_watcher_position_us > RELAY_SILENCE_US ||
+	return relay_is_watcher(r) || r->failed_fetches >= FAILED_FETCHES_MAX ||
+	       !r->confirmed_us || now_us > relay_takeover_us(r) ||
 	       (is_overdue(r, now_us) && !has_given_up(r, now_us));
 }
 
+/* A daemon that has just started watches the source until it hears from its
+ * watchers, but is not needed in their place yet. */
+bool relay_should_send(const struct relay_role *r, int64_t now_us)
+{
+	int64_t since_us = r->confirmed_us ? r->confirmed_us : r->started_us;
+
+	return relay_is_watcher(r) ||
+	       now_us > since_us + takeover_delay_us(r->rank);
+}
+
+static void confirm(struct relay_role *r, int64_t confirmed_us)
+{
+	if (confirmed_us > r->confirmed_us)
+		r->confirmed_us = confirmed_us;
+}
+
+/* Only claims of daemons of a lower rank count: two daemons that watch in the
+ * place of the watchers would each stop because of the other. The first
+ * position that is ahead of this daemon is kept until it has been reached, as
+ * higher ones may come faster than states are fetched. */
+void relay_on_claim(struct relay_role *r, uint32_t rank, uint64_t ours,
+		    const struct relay_position *claim)
+{
+	if (rank >= r->rank || !claim->confirmed_us)
+		return;
+	if (!feed_position_is_ahead(ours, claim->position))
+		confirm(r, claim->confirmed_us);
+	else if (!r->claim.confirmed_us)
+		r->claim = *claim;
+	else if (!feed_position_is_ahead(r->claim.position, claim->position))
+		relay_position_raise(&r->claim, claim);
+}
+
 static void begin_to_wait(struct relay_role *r, int64_t now_us)
 {
 	r->awaited_position = r->fleet_position;
@@ -66,6 +121,10 @@
 void relay_on_local_position(struct relay_role *r, uint64_t ours,
 			     int64_t now_us)
 {
+	if (!feed_position_is_ahead(ours, r->claim.position)) {
+		confirm(r, r->claim.confirmed_us);
+		r->claim = (struct relay_position){ 0 };
+	}
 	if (!r->behind_since_us ||
 	    feed_position_is_ahead(ours, r->awaited_position))
 		return;
--- a/member/home.c
+++ b/member/home.c
@@ -10,9 +10,6 @@
 
 #include "member/member.h"
 
-/* Largest number of watchers that one call can choose. */
-#define WATCHERS_MAX 16
-
 static uint64_t rendezvous_weight(uint64_t key, uint64_t id)
 {
 	return XXH3_64bits_withSeed(&id, sizeof(id), key);
@@ -96,39 +93,30 @@
 	return b.member;
 }
 
-static void insert_watcher(struct ranked_member *list, uint32_t *count,
-			   uint32_t n, const struct member *m, uint64_t key)
+/* The weight is shifted to make room for a top bit that is clear for stopping
+ * members, so that these come last. */
+static uint64_t watcher_weight(const struct member *m, uint64_t key)
 {
-	/* The weight is shifted to make room for a top bit that is clear for
-	 * stopping members, so that these come last. */
 	uint64_t w = rendezvous_weight(key, m->id) >> 1;
-	uint32_t i;
-
-	if (!m->stopping)
-		w |= UINT64_C(1) << 63;
-	for (i = 0; i < *count && list[i].weight >= w; i++)
-		;
-	if (i == n)
-		return;
-	if (*count < n)
-		(*count)++;
-	memmove(list + i + 1, list + i, (*count - 1 - i) * sizeof(*list));
-	list[i] = (struct ranked_member){ m, w };
+
+	return m->stopping ? w : w | UINT64_C(1) << 63;
 }
 
-uint32_t member_choose_watchers(const struct member_view *v, uint64_t key,
-				uint32_t dc, uint32_t n,
-				const struct member **out)
+uint32_t member_watcher_rank(const struct member_view *v, uint64_t key,
+			     const struct member *m)
 {
-	struct ranked_member best[WATCHERS_MAX];
-	uint32_t count = 0;
-
-	if (n > WATCHERS_MAX)
-		n = WATCHERS_MAX;
-	for (uint32_t i = 0; n && i < v->member_count; i++)
-		if (v->members[i].dc == dc)
-			insert_watcher(best, &count, n, &v->members[i], key);
-	for (uint32_t i = 0; i < count; i++)
-		out[i] = best[i].member;
-	return count;
+	uint64_t own = watcher_weight(m, key);
+	uint32_t rank = 0;
+
+	for (uint32_t i = 0; i < v->member_count; i++) {
+		const struct member *other = &v->members[i];
+		uint64_t w;
+
+		if (other->dc != m->dc)
+			continue;
+		w = watcher_weight(other, key);
+		if (w > own || (w == own && other->id > m->id))
+			rank++;
+	}
+	return rank;
 }
--- a/member/member.h
+++ b/member/member.h
@@ -99,13 +99,11 @@
 					uint64_t cell, uint32_t dc,
 					uint32_t region);
 
-/** Chooses at most `n` members of the data centre, and at most 16, by
- * rendezvous hashing with `key`, highest weight first; returns their number.
- * Stopping members come last. feed/ chooses so the daemons that watch the
- * source. */
-uint32_t member_choose_watchers(const struct member_view *v, uint64_t key,
-				uint32_t dc, uint32_t n,
-				const struct member **out);
+/** Place of the member among those of its data centre, 0 for the first, by
+ * rendezvous hashing with `key`. Stopping members come last. feed/ chooses so
+ * the daemons that watch the source. */
+uint32_t member_watcher_rank(const struct member_view *v, uint64_t key,
+			     const struct member *m);
 
 /* ---- views (view.c) ---- */
 
--- a/member/member_test.c
+++ b/member/member_test.c
@@ -685,13 +685,11 @@
 	struct member_view *v = some_view(MEMBERS);
 	struct member *list = (struct member *)v->members;
 	const struct member *h;
-	const struct member *w[4];
 
 	for (uint32_t i = 0; i < MEMBERS; i++)
 		list[i].stopping = list[i].dc == 2;
 	h = member_choose_home(v, 7, 2, 2);
 	CU_ASSERT(h && h->dc != 2 && h->region == 2);
-	CU_ASSERT_EQUAL(member_choose_watchers(v, 7, 2, 4, w), 4);
 	for (uint32_t i = 0; i < MEMBERS; i++)
 		list[i].stopping = list[i].region == 2;
 	h = member_choose_home(v, 7, 2, 2);
@@ -699,10 +697,36 @@
 	for (uint32_t i = 0; i < MEMBERS; i++)
 		list[i].stopping = true;
 	CU_ASSERT_PTR_NULL(member_choose_home(v, 7, 2, 2));
+	member_view_release(v);
+}
+
+/* Guards against a data centre in which no daemon watches the source, or two
+ * have the same place in the order, and against a stopping daemon that is
+ * preferred to one that goes on. */
+static void test_members_of_a_data_centre_have_an_order(void)
+{
+	struct member_view *v = some_view(MEMBERS);
+	struct member *list = (struct member *)v->members;
+	bool taken[MEMBERS] = { false };
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < MEMBERS; i++)
+		list[i].stopping = true;
 	list[1].stopping = false;
-	CU_ASSERT_EQUAL(member_choose_watchers(v, 7, 2, 2, w), 2);
-	CU_ASSERT_PTR_EQUAL(w[0], &list[1]);
-	CU_ASSERT(w[1]->dc == 2 && w[1] != w[0]);
+	CU_ASSERT_EQUAL_FATAL(list[1].dc, 2);
+	CU_ASSERT_EQUAL(member_watcher_rank(v, 7, &list[1]), 0);
+	for (uint32_t i = 0; i < MEMBERS; i++) {
+		uint32_t rank = member_watcher_rank(v, 7, &list[i]);
+
+		if (list[i].dc != 2)
+			continue;
+		CU_ASSERT_FATAL(rank < MEMBERS && !taken[rank]);
+		taken[rank] = true;
+		count++;
+	}
+	CU_ASSERT(count > 4);
+	for (uint32_t i = 0; i < count; i++)
+		CU_ASSERT(taken[i]);
 	member_view_release(v);
 }
 
@@ -862,6 +886,7 @@
 	  test_leaving_member_moves_only_its_cells },
 	{ "cut off home loses its cell", test_cut_off_home_loses_its_cell },
 	{ "home choice falls back", test_home_choice_falls_back },
+	{ "order of watchers", test_members_of_a_data_centre_have_an_order },
 	{ "duty", test_duty },
 	{ "command before first tick", test_command_before_first_tick },
 	{ "bad settings", test_bad_settings },
