feed: only the first watcher asks for confirmations

Now rank 0 asks for confirmations, 12 calls a second in six data centres in place of 24. Rank 1 goes on watching for changes with long waits and is, with rank 2, the first to ask in its place after 1.6 s: its watch in progress is ended and goes on from its revision, without a list.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -315,14 +315,19 @@
 	on_feed_state_imported
 };
 
-static void set_source_active(struct relay_source *s, bool active)
+static void set_source_watch(struct relay_source *s, enum relay_watch watch)
 {
+	static const enum platform_watch_mode modes[] = {
+		[RELAY_WATCH_NOTHING] = PLATFORM_WATCH_NOTHING,
+		[RELAY_WATCH_CHANGES] = PLATFORM_WATCH_CHANGES,
+		[RELAY_WATCH_CONFIRMED] = PLATFORM_WATCH_CONFIRMED,
+	};
 	struct azhd *d = az_container_of(s, struct azhd, relay_source);
 
-	platform_source_set_active(d->platform_source, active);
+	platform_source_set_mode(d->platform_source, modes[watch]);
 }
 
-static const struct relay_source_ops relay_source_ops = { set_source_active };
+static const struct relay_source_ops relay_source_ops = { set_source_watch };
 
 static const struct platform_listener_ops platform_listener_ops = {
 	on_fleet_key, on_source_progress, on_source_confirmed
--- a/feed/relay.c
+++ b/feed/relay.c
@@ -35,7 +35,7 @@
 	struct fleet_keys keys; /**< that sign and verify datagrams; used only
 				   by the relay thread */
 	struct relay_role role;
-	bool watching; /**< watches the source itself */
+	enum relay_watch watch; /**< how the source is watched */
 	/** A fetch has not been answered yet, by enum fetch_from. */
 	bool fetching[FETCH_FROM_COUNT];
 	struct relay_position local; /**< changes of the source up to it are
@@ -162,32 +162,34 @@
 }
 
 /* In the log line, held and ahead are the positions of this daemon and the
- * highest one heard of (configuration, workers), confirmed_ms is the time since
- * the watchers last confirmed this daemon's state. */
-static void update_watching(struct relay *r)
-{
+ * highest one heard of (configuration, workers), confirmed_ms is the age of the
+ * last confirmation of this daemon's state by another one. */
+static void update_watch(struct relay *r)
+{
+	static const char *const texts[] = {
+		[RELAY_WATCH_NOTHING] = "fetches from the watchers",
+		[RELAY_WATCH_CHANGES] = "watches the source itself",
+		[RELAY_WATCH_CONFIRMED] = "asks the source for confirmations",
+	};
 	struct relay_source *source = r->settings.local_source;
-	bool watching = relay_should_watch(&r->role, r->duty.now_us);
+	enum relay_watch watch = relay_choose_watch(&r->role, r->duty.now_us);
 
-	if (watching == r->watching)
+	if (watch == r->watch)
 		return;
-	r->watching = watching;
-	if (watching && r->role.confirmed_us &&
-	    r->duty.now_us > relay_takeover_us(&r->role))
+	r->watch = watch;
+	if (watch == RELAY_WATCH_CONFIRMED && r->role.rank)
 		counter_add(r->takeovers, 1);
 	log_write(LOG_INFO, "relay",
 		  "%s rank=%u failures=%u confirmed_ms=%lld behind_ms=%lld "
 		  "held=%u,%u ahead=%u,%u",
-		  watching ? "watches the source itself" :
-			     "fetches from the watchers",
-		  r->role.rank, r->role.failed_fetches,
+		  texts[watch], r->role.rank, r->role.failed_fetches,
 		  age_ms(r, r->role.confirmed_us),
 		  age_ms(r, r->role.behind_since_us),
 		  (uint32_t)(r->local.position >> 32),
 		  (uint32_t)r->local.position,
 		  (uint32_t)(r->role.fleet_position >> 32),
 		  (uint32_t)r->role.fleet_position);
-	source->ops->set_watching(source, watching);
+	source->ops->set_watch(source, watch);
 }
 
 /* ---- fetching the state of another daemon ---- */
@@ -230,7 +232,7 @@
 		counter_add(r->fetch_failures, 1);
 	if (f->from == FETCH_FROM_WATCHER) {
 		r->role.failed_fetches = ok ? 0 : r->role.failed_fetches + 1;
-		update_watching(r);
+		update_watch(r);
 	}
 	answer_free(f->answer);
 	free(f);
@@ -308,7 +310,7 @@
 		if (!r->fetching[FETCH_FROM_WATCHER] &&
 		    feed_position_is_ahead(r->local.position, d->position))
 			fetch(r, FETCH_FROM_WATCHER, &target);
-		update_watching(r);
+		update_watch(r);
 	}
 	member_view_release(v);
 }
@@ -354,7 +356,7 @@
 	    feed_position_is_ahead(r->local.position, pm->position) &&
 	    relay_should_fetch(&r->role, pm->same_dc, r->duty.now_us))
 		fetch(r, FETCH_FROM_AHEAD, &pm->from);
-	update_watching(r);
+	update_watch(r);
 }
 
 static void on_local_position(struct relay *r, const struct position_msg *pm)
@@ -441,7 +443,7 @@
 
 	r->role.rank = own_rank(r, v);
 	member_view_release(v);
-	update_watching(r);
+	update_watch(r);
 	if (relay_should_send(&r->role, now_us) && has_recent_position(r) &&
 	    now_us - r->sent_us >= RELAY_PERIOD_US)
 		send_position_to_dc(r);
@@ -463,7 +465,7 @@
 	struct relay *r = az_alloc(sizeof(*r));
 
 	r->settings = *s;
-	r->watching = true;
+	r->watch = RELAY_WATCH_CHANGES;
 	r->role.rank = UINT32_MAX;
 	r->role.started_us = clock_now_us();
 	r->socket.ops = &socket_ops;
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -1,13 +1,13 @@
 /**
  * @file
  * Reduces calls to the source of configuration and workers. RELAY_WATCHERS
- * daemons of each data centre watch the source. They send their position
- * (feed.h) to the others of the data centre, with the time since the source
- * confirmed that nothing is missing from it; the others fetch the state from a
- * watcher that is ahead of them. While the watchers have no recent
- * confirmation, the next daemons of the data centre watch the source in their
- * place. A daemon that stays behind the fleet watches the source itself and
- * also fetches the state from any member that is ahead.
+ * daemons of each data centre watch the source, and the first of them has it
+ * confirm each second that nothing has changed. They send their position
+ * (feed.h) to the others of the data centre, with the time since it was
+ * confirmed; the others fetch the state from a watcher that is ahead of them.
+ * While there is no recent confirmation, the next daemons of the data centre
+ * ask the source for one. A daemon that stays behind the fleet watches the
+ * source itself and also fetches the state from any member that is ahead.
  */
 #ifndef FEED_RELAY_H
 #define FEED_RELAY_H
@@ -23,13 +23,13 @@
 
 /** A watcher sends its position at least at this interval. */
 #define RELAY_PERIOD_US (500 * US_PER_MS)
-/** Without a confirmation for this time, the watchers may be gone, cut off from
- * the source or not answered by it, and others watch in their place. The source
- * confirms a watcher's position every second (platform/source.c), later by its
- * answer time of up to 240 ms and the way of the datagram. */
+/** Without a confirmation for this time, the first watcher may be gone, cut off
+ * from the source or not answered by it, and others ask the source. It confirms
+ * a position every second (platform/source.c), later by its answer time of up
+ * to 240 ms and the way of the datagram. */
 #define RELAY_CONFIRMED_MAX_US (1600 * US_PER_MS)
-/** Time that the daemons that watch in place of the watchers have to get an
- * answer, before as many again try: two at first, then four, eight and so on.
+/** Time that the daemons that ask in place of the first watcher have to get an
+ * answer, before the next ones try: two at first, then four, eight and so on.
  * The source would not bear all daemons of a large data centre at once. */
 #define RELAY_TAKEOVER_STEP_US (250 * US_PER_MS)
 
@@ -58,8 +58,7 @@
 
 struct relay_role {
 	uint32_t rank; /**< place of this daemon in the order in which those of
-			  its data centre watch; RELAY_WATCHERS of them do, the
-			  others in their place */
+			  its data centre watch and ask for confirmations */
 	int64_t started_us;
 	int64_t confirmed_us; /**< time until which, by the claims of daemons of
 				 a lower rank, nothing is missing from this
@@ -77,14 +76,19 @@
 	uint32_t failed_fetches; /**< consecutive failed fetches */
 };
 
-bool relay_is_watcher(const struct relay_role *r);
-/** When the last confirmation becomes too old for this daemon to rely on its
- * watchers: it then watches in their place. */
+/** How a daemon watches the source. */
+enum relay_watch {
+	RELAY_WATCH_NOTHING,
+	RELAY_WATCH_CHANGES,
+	RELAY_WATCH_CONFIRMED, /**< changes, and a confirmation every second
+				  that there are none */
+};
+
+/** When the last confirmation becomes too old for this daemon, so that it asks
+ * the source for one. */
 int64_t relay_takeover_us(const struct relay_role *r);
-/** True if this daemon must watch the source itself. */
-bool relay_should_watch(const struct relay_role *r, int64_t now_us);
-/** True if this daemon must send its position to its data centre, as a watcher
- * or in the place of one. */
+enum relay_watch relay_choose_watch(const struct relay_role *r, int64_t now_us);
+/** True if this daemon must send its position to its data centre. */
 bool relay_should_send(const struct relay_role *r, int64_t now_us);
 /** To be called when the daemon of the data centre with the rank `rank` has
  * sent its position, and this daemon has reached `ours`. */
@@ -111,9 +115,9 @@
 struct relay_source;
 
 struct relay_source_ops {
-	/** Starts or stops watching the source. Called in the relay's thread.
-	 */
-	void (*set_watching)(struct relay_source *source, bool watching);
+	/** Starts, changes or stops the watching of the source. Called in the
+	 * relay's thread. */
+	void (*set_watch)(struct relay_source *source, enum relay_watch watch);
 };
 
 struct relay_source {
--- a/feed/role.c
+++ b/feed/role.c
@@ -1,6 +1,6 @@
 /**
  * @file
- * Decides whether this daemon watches the source itself.
+ * Decides whether and how this daemon watches the source itself.
  */
 #include "feed/relay.h"
 
@@ -15,10 +15,15 @@
 	       now_us - r->behind_since_us >= RELAY_BEHIND_US;
 }
 
+static bool is_watcher(const struct relay_role *r)
+{
+	return r->rank < RELAY_WATCHERS;
+}
+
 bool relay_should_fetch(const struct relay_role *r, bool same_dc,
 			int64_t now_us)
 {
-	if (same_dc || relay_is_watcher(r))
+	if (same_dc || is_watcher(r))
 		return is_overdue(r, now_us);
 	return r->behind_since_us &&
 	       now_us - r->behind_since_us >= 2 * RELAY_BEHIND_US;
@@ -41,41 +46,38 @@
 	return risen;
 }
 
-bool relay_is_watcher(const struct relay_role *r)
-{
-	return r->rank < RELAY_WATCHERS;
-}
-
-/* Ranks 2 and 3 come first, then 4 to 7, 8 to 15 and so on. */
-static int64_t takeover_delay_us(uint32_t rank)
+/* Rank 0 asks always, ranks 1 and 2 come first in its place, then 3 to 6, 7 to
+ * 14 and so on. A daemon that has just started is not needed until then either.
+ */
+int64_t relay_takeover_us(const struct relay_role *r)
 {
 	int64_t steps = 0;
 
-	for (; rank >= 2 * RELAY_WATCHERS; rank /= 2)
+	for (uint64_t n = (uint64_t)r->rank + 1; n >= 4; n /= 2)
 		steps++;
-	return RELAY_CONFIRMED_MAX_US + steps * RELAY_TAKEOVER_STEP_US;
+	return (r->confirmed_us ? r->confirmed_us : r->started_us) +
+	       RELAY_CONFIRMED_MAX_US + steps * RELAY_TAKEOVER_STEP_US;
 }
 
-int64_t relay_takeover_us(const struct relay_role *r)
+static bool needs_confirmation(const struct relay_role *r, int64_t now_us)
 {
-	return r->confirmed_us + takeover_delay_us(r->rank);
+	return !r->rank || now_us > relay_takeover_us(r);
 }
 
-bool relay_should_watch(const struct relay_role *r, int64_t now_us)
+enum relay_watch relay_choose_watch(const struct relay_role *r, int64_t now_us)
 {
-	return relay_is_watcher(r) || r->failed_fetches >= FAILED_FETCHES_MAX ||
-	       !r->confirmed_us || now_us > relay_takeover_us(r) ||
-	       (is_overdue(r, now_us) && !has_given_up(r, now_us));
+	if (needs_confirmation(r, now_us))
+		return RELAY_WATCH_CONFIRMED;
+	if (is_watcher(r) || r->failed_fetches >= FAILED_FETCHES_MAX ||
+	    !r->confirmed_us ||
+	    (is_overdue(r, now_us) && !has_given_up(r, now_us)))
+		return RELAY_WATCH_CHANGES;
+	return RELAY_WATCH_NOTHING;
 }
 
-/* A daemon that has just started watches the source until it hears from its
- * watchers, but is not needed in their place yet. */
 bool relay_should_send(const struct relay_role *r, int64_t now_us)
 {
-	int64_t since_us = r->confirmed_us ? r->confirmed_us : r->started_us;
-
-	return relay_is_watcher(r) ||
-	       now_us > since_us + takeover_delay_us(r->rank);
+	return is_watcher(r) || needs_confirmation(r, now_us);
 }
 
 static void confirm(struct relay_role *r, int64_t confirmed_us)
@@ -84,10 +86,10 @@
 		r->confirmed_us = confirmed_us;
 }
 
-/* Only claims of daemons of a lower rank count: two daemons that watch in the
- * place of the watchers would each stop because of the other. The first
- * position that is ahead of this daemon is kept until it has been reached, as
- * higher ones may come faster than states are fetched. */
+/* Only claims of daemons of a lower rank count: two daemons that ask in place
+ * of the first watcher would each stop because of the other. The first position
+ * that is ahead of this daemon is kept until it has been reached, as higher
+ * ones may come faster than states are fetched. */
 void relay_on_claim(struct relay_role *r, uint32_t rank, uint64_t ours,
 		    const struct relay_position *claim)
 {
