attempt: a planned stop answers the requests in flight

Cause: at the end of its time a stopping daemon cancelled its requests with attempts_cancel(), which has no effect on a non-idempotent request that was sent: it is made for callers that leave. Ruled out: requests accepted too late (nothing is accepted after drain_ms) and answers lost by a reset.

The daemon then waits up to 0.15 s for callers to read and close.

--- a/attempt/attempt.c
+++ b/attempt/attempt.c
@@ -368,6 +368,46 @@
 	duty_send(&a->duty, &s->msg);
 }
 
+static void end_all_run(struct msg *m, struct duty *to)
+{
+	struct attempts *a = az_container_of(to, struct attempts, duty);
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, a->pending_by_id); i;
+	     i = apr_hash_next(i)) {
+		struct pending_request *p = apr_hash_this_val(i);
+
+		if (!p->reply)
+			continue;
+		log_write(LOG_WARN, "attempt",
+			  "request ended by the stop id=%s sent=%s",
+			  p->request->correlation ? p->request->correlation :
+						    "-",
+			  any_sent(p) ? "yes" : "no");
+		pending_finish(a, p,
+			       answer_new(p->possible_runs ?
+						  ERR_DEADLINE_UNKNOWN :
+						  ERR_STOPPING));
+	}
+	free(m);
+}
+
+static void end_all_drop(struct msg *m)
+{
+	free(m);
+}
+
+static const struct msg_ops end_all_ops = { "attempt-end-all", end_all_run,
+					    end_all_drop };
+
+void attempts_end_all(struct attempts *a)
+{
+	struct msg *m = az_alloc(sizeof(*m));
+
+	m->ops = &end_all_ops;
+	duty_send(&a->duty, m);
+}
+
 /* ---- receiving messages from homes ---- */
 
 struct home_reply_msg {
--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -86,10 +86,14 @@
  * Returns the id for attempts_cancel(). May be called from any thread. */
 uint64_t attempts_submit(struct attempts *a, struct request *q,
 			 struct reply_to *reply);
-/** Cancels a request because its caller has left or the daemon stops. Has no
- * effect on a non-idempotent request that was sent to a worker. `reply` gets
- * its answer in any case. */
+/** Cancels a request because its caller has left. Has no effect on a
+ * non-idempotent request that was sent to a worker. `reply` gets its answer in
+ * any case. */
 void attempts_cancel(struct attempts *a, uint64_t id);
+/** Answers all requests in flight because the daemon is about to exit:
+ * ERR_DEADLINE_UNKNOWN if a worker may run the request, else ERR_STOPPING. May
+ * be called from any thread. */
+void attempts_end_all(struct attempts *a);
 /** Requests not yet answered. May be called from any thread. */
 uint32_t attempts_in_flight(struct attempts *a);
 
--- a/cmd/azhd/drain.c
+++ b/cmd/azhd/drain.c
@@ -14,9 +14,9 @@
 /* Share of stop_timeout_ms after which the requests in flight are no longer
  * waited for; the handover and the exit need the rest. */
 #define REQUESTS_TIMEOUT_PERCENT 92
-/* Extra time after front_cancel_attempts() to deliver the answers that were
- * queued behind a cancelled request. */
-#define CANCEL_WAIT_US (150 * US_PER_MS)
+/* Time after attempts_end_all() to deliver the answers, also those that were
+ * queued behind a request without one. */
+#define END_WAIT_US (150 * US_PER_MS)
 #define HANDOVER_TIMEOUT_US (5 * US_PER_S)
 /* Gossip periods in which the fleet learns the successor before the exit. */
 #define SUCCESSOR_GOSSIP_PERIODS 3
@@ -34,17 +34,20 @@
 	       ticket_in_flight(d->ticket);
 }
 
-/* Waits until no request is in flight. At `until_us` cancels those that may be
- * cancelled (see attempts_cancel()) and waits CANCEL_WAIT_US more. */
+/* Waits until no request is in flight. At `until_us` answers those that still
+ * are, and waits END_WAIT_US more for their callers to read the answers and
+ * close: a connection that is closed with unread input is reset, and its last
+ * answer may be lost. */
 static void wait_until_idle(struct azhd *d, int64_t until_us)
 {
 	while (in_flight(d) && clock_now_us() < until_us)
 		sleep_ms(CHECK_INTERVAL_MS);
-	if (in_flight(d)) {
-		front_cancel_attempts(d->front);
-		until_us += CANCEL_WAIT_US;
-	}
-	while (in_flight(d) && clock_now_us() < until_us)
+	if (!in_flight(d))
+		return;
+	attempts_end_all(d->attempts);
+	until_us += END_WAIT_US;
+	while ((in_flight(d) || front_connections(d->front)) &&
+	       clock_now_us() < until_us)
 		sleep_ms(CHECK_INTERVAL_MS);
 	if (in_flight(d))
 		log_write(LOG_WARN, "stop",
--- a/front/conn.c
+++ b/front/conn.c
@@ -628,15 +628,6 @@
 	return next_us;
 }
 
-void front_conns_cancel_attempts(struct front *f)
-{
-	for (struct front_conn *c = f->conns; c; c = c->next)
-		for (struct exchange *x = c->first; x; x = x->next)
-			if (x->submitted && !x->answer && x->attempt_id)
-				attempts_cancel(f->settings.attempts,
-						x->attempt_id);
-}
-
 void front_conns_close(struct front *f)
 {
 	while (f->conns)
--- a/front/front.c
+++ b/front/front.c
@@ -126,11 +126,6 @@
 	run_on_connections(f, close_idle);
 }
 
-void front_cancel_attempts(struct front *f)
-{
-	run_on_connections(f, front_conns_cancel_attempts);
-}
-
 static void listener_ready(struct poll_handler *h, int16_t events)
 {
 	struct front_listener *l =
--- a/front/front.h
+++ b/front/front.h
@@ -203,9 +203,6 @@
 /** From now on new requests are refused (ERR_STOPPING) and idle connections are
  * closed. */
 void front_quiesce(struct front *f);
-/** Cancels the requests in flight, as far as attempts_cancel() can. Answers
- * that wait behind them on their connections are then delivered. */
-void front_cancel_attempts(struct front *f);
 /** Requests submitted whose answer was not yet passed to the connection. */
 uint32_t front_in_flight(struct front *f);
 /** Open connections of callers. */
@@ -288,8 +285,6 @@
 /** Handles the connections whose time-out has passed, and closes idle ones once
  * quiesced; returns the time of the next time-out. */
 int64_t front_conns_expire(struct front *f, int64_t now_us);
-/** Cancels the attempts of all requests without an answer. */
-void front_conns_cancel_attempts(struct front *f);
 void front_conns_close(struct front *f);
 /** Arms the timer for `at_us`, unless it fires earlier. */
 void front_arm(struct front *f, int64_t at_us);
--- a/front/front_test.c
+++ b/front/front_test.c
@@ -392,7 +392,7 @@
 
 	while (attempts_in_flight(attempts) > 1)
 		usleep(1000);
-	front_cancel_attempts(front);
+	attempts_end_all(attempts);
 	CU_ASSERT(read_until(fd, "second", all, sizeof(all)));
 	CU_ASSERT_PTR_NOT_NULL(strstr(all, "HTTP/1.1 504"));
 	close(fd);
@@ -400,6 +400,34 @@
 	close(other);
 }
 
+/* Guards against a planned stop that closes the connection of a request that
+ * may not be repeated without an answer, because its worker has not answered
+ * yet; the worker may still run it. */
+static void test_stop_answers_an_order_that_waits_at_its_worker(void)
+{
+	int32_t fd = connect_caller();
+	char received[2048] = "";
+	char all[4096] = "";
+	int64_t deadline_us = clock_now_us() + 20 * US_PER_S;
+	int32_t worker_fd;
+
+	front_set_stopping(front);
+	send_text(fd, "POST /order HTTP/1.1\r\nHost: a\r\n"
+		      "Azurehold-Organisation: open\r\n"
+		      "Azurehold-Deadline-Ms: 20000\r\n"
+		      "Content-Length: 0\r\n\r\n");
+	worker_fd = accept(worker_listener, NULL, NULL);
+	CU_ASSERT(
+		read_until(worker_fd, "\r\n\r\n", received, sizeof(received)));
+	attempts_end_all(attempts);
+	CU_ASSERT(read_until(fd, "HTTP/1.1 504", all, sizeof(all)));
+	CU_ASSERT(clock_now_us() < deadline_us);
+	CU_ASSERT(
+		read_until(fd, "Azurehold-Outcome: unknown", all, sizeof(all)));
+	close(fd);
+	close(worker_fd);
+}
+
 /* Guards against a planned stop that reads a pipelined request and exits before
  * it answers. The request has to be left unread, so that the caller sends it
  * again to another daemon. */
@@ -449,8 +477,13 @@
 		   "[data_centre a1]\nregion = a\n[service s]\n"
 		   "[worker s/w1]\naddress = 127.0.0.1:%u\ndata_centre = a1\n"
 		   "[route read]\npath = /read\nmethods = GET\nservice = s\n"
-		   "idempotent = yes\nattempts = 1\n[organisation open]\n",
-		   worker_port);
+		   "idempotent = yes\nattempts = 1\n[organisation open]\n"
+		   "[service orders]\nbare = yes\n"
+		   "[worker orders/w1]\naddress = 127.0.0.1:%u\n"
+		   "data_centre = a1\n"
+		   "[route order]\npath = /order\nmethods = POST\n"
+		   "service = orders\nidempotent = no\n",
+		   worker_port, worker_port);
 	buf_append(&all, "", 1);
 	if (conf_parse("t", (char *)all.data, NULL, NULL, &c, &errors))
 		abort();
@@ -537,7 +570,9 @@
 		    test_without_configuration_answers_503);
 	CU_add_test(s, "stop with hung request",
 		    test_stop_delivers_answers_behind_a_hung_request);
-	/* The last test, as the front stays in the state "stopping". */
+	/* The last tests, as the front stays in the state "stopping". */
+	CU_add_test(s, "stop with hung order",
+		    test_stop_answers_an_order_that_waits_at_its_worker);
 	CU_add_test(s, "stop with pipelined request",
 		    test_stop_leaves_pipelined_request_unread);
 	CU_basic_run_tests();
