feed: a removal that is found in a list raises the position

Cause: after a lost watch the watchers list all workers and drop the one that is missing, but their position is the highest revision of the objects that are left. The other daemons saw no reason to fetch. Ruled out: failed fetches, and watchers that keep the worker themselves.

A list that lacks a worker of the table now raises the position to the revision as of which it was read.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -304,7 +304,7 @@
 		relay_set_local_position(d->relay, position, confirmed_us);
 }
 
-static void on_feed_state_imported(struct feed_listener *l, uint64_t position)
+static void on_feed_position_raised(struct feed_listener *l, uint64_t position)
 {
 	struct azhd *d = az_container_of(l, struct azhd, feed_listener);
 
@@ -312,7 +312,7 @@
 }
 
 static const struct feed_listener_ops feed_listener_ops = {
-	on_feed_state_imported
+	on_feed_position_raised
 };
 
 static void set_source_watch(struct relay_source *s, enum relay_watch watch)
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -133,8 +133,8 @@
 struct feed_msg {
 	struct msg msg;
 	enum feed_msg_kind kind;
-	uint64_t version; /**< of the configuration; SET_POSITION: the position
-			   */
+	uint64_t version; /**< of the configuration; SET_POSITION: the position,
+			     REPLACE_WORKERS: the revision of the list */
 	char *text; /**< CONFIGURATION: the configuration, REMOVE_WORKER: the
 		       worker's name */
 	struct feed_worker *workers;
@@ -204,6 +204,7 @@
 		.packed = &f->packed,
 		.base_text = find_older_text(f, known->version),
 		.workers = f->workers,
+		.now_us = f->duty.now_us,
 	};
 
 	if (f->text && f->version > known->version && !f->packed.text_bytes)
@@ -239,7 +240,7 @@
 	f->workers_incomplete = !feed_state_complete_workers(s, f->workers);
 	if (!f->workers_incomplete)
 		changed = feed_table_replace(f->workers, s->workers, s->count,
-					     f->duty.now_us);
+					     0, f->duty.now_us);
 	for (uint32_t i = 0; f->workers_incomplete && i < s->count; i++)
 		changed |= feed_table_put(f->workers, &s->workers[i]);
 	if (changed)
@@ -262,7 +263,29 @@
 		position = position >> 32 << 32;
 	f->position = feed_position_max(f->position, position);
 	if (l && f->position != before)
-		l->ops->on_state_imported(l, f->position);
+		l->ops->on_position_raised(l, f->position);
+}
+
+/* The objects of a list do not show the revision of a removal. Without it the
+ * other daemons would not notice the removal and go on using the worker. */
+static void replace_workers(struct feed *f, const struct feed_msg *fm)
+{
+	struct feed_listener *l = f->settings.listener;
+	uint64_t before = f->position;
+
+	f->workers_incomplete = false;
+	if (feed_table_replace(f->workers, fm->workers, fm->count, fm->version,
+			       f->duty.now_us))
+		schedule_build(f);
+	f->position = feed_position_max(f->position,
+					(uint32_t)f->workers->missing_revision);
+	if (f->position == before)
+		return;
+	log_write(LOG_INFO, "feed",
+		  "workers are missing from the list revision=%llu",
+		  (unsigned long long)fm->version);
+	if (l)
+		l->ops->on_position_raised(l, f->position);
 }
 
 static void put_workers(struct feed *f, const struct feed_msg *fm)
@@ -313,10 +336,7 @@
 		put_workers(f, fm);
 		break;
 	case FEED_MSG_REPLACE_WORKERS:
-		f->workers_incomplete = false;
-		if (feed_table_replace(f->workers, fm->workers, fm->count,
-				       now_us))
-			schedule_build(f);
+		replace_workers(f, fm);
 		break;
 	case FEED_MSG_REMOVE_WORKER:
 		log_write(LOG_INFO, "feed", "worker removed worker=%s",
@@ -380,10 +400,12 @@
 }
 
 static void post_workers(struct feed *f, enum feed_msg_kind k,
-			 const struct feed_worker *list, uint32_t count)
+			 const struct feed_worker *list, uint32_t count,
+			 uint64_t revision)
 {
 	struct feed_msg *fm = feed_msg_new(k, NULL);
 
+	fm->version = revision;
 	fm->workers = az_alloc((count + 1) * sizeof(*list));
 	fm->count = count;
 	if (count)
@@ -402,13 +424,13 @@
 void feed_put_workers(struct feed *f, const struct feed_worker *list,
 		      uint32_t count)
 {
-	post_workers(f, FEED_MSG_PUT_WORKERS, list, count);
+	post_workers(f, FEED_MSG_PUT_WORKERS, list, count, 0);
 }
 
 void feed_replace_workers(struct feed *f, const struct feed_worker *list,
-			  uint32_t count)
+			  uint32_t count, uint64_t revision)
 {
-	post_workers(f, FEED_MSG_REPLACE_WORKERS, list, count);
+	post_workers(f, FEED_MSG_REPLACE_WORKERS, list, count, revision);
 }
 
 void feed_remove_worker(struct feed *f, const char *name)
--- a/feed/feed.h
+++ b/feed/feed.h
@@ -28,6 +28,9 @@
 			     start */
 	uint64_t revision; /**< of the worker's entry at the source; a higher
 			      one is newer */
+	uint32_t expires_ms; /**< in a state of another daemon: the source no
+				longer lists it, and it is dropped after this
+				time; 0: it is listed */
 };
 
 /* ---- worker table (table.c): plain state, time passed in ---- */
@@ -57,6 +60,9 @@
 struct feed_table {
 	apr_pool_t *pool;
 	apr_hash_t *by_name;
+	/** Of the last list of the source that lacked a worker of the table; 0:
+	 * none. */
+	uint64_t missing_revision;
 	bool source_unreachable;
 	int64_t source_recovered_us; /**< when the source last recovered; 0:
 					never */
@@ -72,12 +78,13 @@
 bool feed_table_put(struct feed_table *t, const struct feed_worker *w);
 /** Removes a worker; true if it was in the table. */
 bool feed_table_remove(struct feed_table *t, const char *name);
-/** Applies the source's whole list; true if the snapshot must be rebuilt.
+/** Applies the whole list as of `revision` of the source, or the state of
+ * another daemon with `revision` 0; true if the snapshot must be rebuilt.
  * Workers that are not in it are dropped. Within FEED_MISSING_GRACE_US of the
  * source's recovery they are kept until that time ends if more than
  * FEED_LAPSED_ABOVE_PERCENT of their service are missing. */
 bool feed_table_replace(struct feed_table *t, const struct feed_worker *list,
-			uint32_t count, int64_t now_us);
+			uint32_t count, uint64_t revision, int64_t now_us);
 void feed_table_source_unreachable(struct feed_table *t);
 void feed_table_source_recovered(struct feed_table *t, int64_t now_us);
 /** Drops entries whose `expires_us` has passed; true if there were any. Sets
@@ -160,6 +167,7 @@
 					     compressed */
 	const char *base_text; /**< that of the receiver's version, or NULL */
 	const struct feed_table *workers;
+	int64_t now_us; /**< for the time left of workers that expire */
 };
 
 /** Appends the encoded state for a receiver that holds `known`. */
@@ -185,9 +193,10 @@
 struct feed_listener;
 
 struct feed_listener_ops {
-	/** Called in the feed's thread after another daemon's state has raised
-	 * the feed's position. */
-	void (*on_state_imported)(struct feed_listener *l, uint64_t position);
+	/** Called in the feed's thread after the feed's position was raised by
+	 * another daemon's state, or by a list of the source that lacks workers
+	 * which were known. */
+	void (*on_position_raised)(struct feed_listener *l, uint64_t position);
 };
 
 struct feed_listener {
@@ -209,11 +218,12 @@
  * above the current one. Any thread. */
 void feed_set_configuration(struct feed *f, uint64_t version, const char *text);
 /** The next three apply what the source delivers about workers: some that are
- * new or changed, the whole list, or one that is gone. Any thread. */
+ * new or changed, the whole list as of its `revision`, or one that is gone. Any
+ * thread. */
 void feed_put_workers(struct feed *f, const struct feed_worker *list,
 		      uint32_t count);
 void feed_replace_workers(struct feed *f, const struct feed_worker *list,
-			  uint32_t count);
+			  uint32_t count, uint64_t revision);
 void feed_remove_worker(struct feed *f, const char *name);
 /** Raises the feed's position, after all changes of the
  * source up to it were passed to the feed. Any thread. */
--- a/feed/feed_test.c
+++ b/feed/feed_test.c
@@ -67,7 +67,7 @@
 	}
 	feed_table_source_unreachable(t);
 	feed_table_source_recovered(t, US_PER_S);
-	feed_table_replace(t, list, listed, US_PER_S);
+	feed_table_replace(t, list, listed, 9, US_PER_S);
 	feed_table_expire(t, US_PER_S + later_us, &next_us);
 	n = feed_table_size(t);
 	feed_table_destroy(t);
@@ -201,7 +201,7 @@
 	feed_remove_worker(feed, "w2");
 	CU_ASSERT(wait_for_workers("stock", 1));
 	CU_ASSERT(wait_for_workers("other", 0));
-	feed_replace_workers(feed, w, 2);
+	feed_replace_workers(feed, w, 2, 2);
 	CU_ASSERT(wait_for_workers("stock", 2));
 }
 
@@ -235,7 +235,7 @@
 	struct feed_worker w = worker("w1", 1, 1);
 
 	feed_set_configuration(feed, 20, base);
-	feed_replace_workers(feed, &w, 1);
+	feed_replace_workers(feed, &w, 1, 1);
 	feed_set_position(feed, 0x1400000014);
 	CU_ASSERT(wait_for_position(0x1400000014));
 	/* Newer configuration, older workers. */
@@ -253,9 +253,81 @@
 	CU_ASSERT(wait_for_workers("stock", 1));
 }
 
+static uint64_t raised_position; /* atomic; that the feed has told */
+
+static void note_raised(struct feed_listener *l, uint64_t position)
+{
+	(void)l;
+	__atomic_store_n(&raised_position, position, __ATOMIC_RELEASE);
+}
+
+static const struct feed_listener_ops listener_ops = { note_raised };
+static struct feed_listener listener = { &listener_ops };
+
+/* Guards against daemons that go on using a worker which was removed while the
+ * watchers had no watch (review/4): the objects of their list do not show the
+ * revision of the removal, so that their position did not rise. */
+static void test_removal_found_in_a_list_raises_the_position(void)
+{
+	struct feed_worker w[2] = { worker("w1", 1, 50), worker("w2", 2, 51) };
+
+	feed_replace_workers(feed, w, 2, 60);
+	feed_set_position(feed, 0x1500000033);
+	CU_ASSERT(wait_for_position(0x1500000033));
+	feed_replace_workers(feed, w, 2, 61);
+	feed_replace_workers(feed, w, 1, 62);
+	CU_ASSERT(wait_for_workers("stock", 1));
+	CU_ASSERT(wait_for_position(0x150000003e));
+	CU_ASSERT_EQUAL(__atomic_load_n(&raised_position, __ATOMIC_ACQUIRE),
+			0x150000003e);
+}
+
+/* Guards against a worker whose entry has lapsed at the source and that other
+ * daemons keep for good, because they were not told that it is to be dropped:
+ * the drop itself does not raise the position. */
+static void test_expiry_is_part_of_the_state(void)
+{
+	struct feed_table *sender = feed_table_create();
+	struct feed_table *receiver = feed_table_create();
+	struct feed_worker w[2] = { worker("w1", 1, 5), worker("w2", 2, 6) };
+	const struct feed_known known = { 6, 0, true };
+	struct feed_state_source source = { .position = 9,
+					    .workers = sender,
+					    .now_us = 2 * US_PER_S };
+	struct buf out = { 0 };
+	struct feed_state s;
+	int64_t next_us;
+
+	for (uint32_t i = 0; i < 2; i++) {
+		feed_table_put(sender, &w[i]);
+		feed_table_put(receiver, &w[i]);
+	}
+	feed_table_source_unreachable(sender);
+	feed_table_source_recovered(sender, US_PER_S);
+	feed_table_replace(sender, w, 1, 9, US_PER_S);
+	CU_ASSERT_EQUAL(feed_table_size(sender), 2);
+	CU_ASSERT_EQUAL(sender->missing_revision, 9);
+	feed_state_print(&source, &known, &out);
+	CU_ASSERT_EQUAL_FATAL(feed_state_parse(&out, &s), AZ_OK);
+	CU_ASSERT_EQUAL(s.count, 1);
+	CU_ASSERT(feed_state_complete_workers(&s, receiver));
+	feed_table_replace(receiver, s.workers, s.count, 0, 7 * US_PER_S);
+	CU_ASSERT_EQUAL(feed_table_size(receiver), 2);
+	feed_table_expire(receiver,
+			  7 * US_PER_S + FEED_MISSING_GRACE_US - US_PER_S,
+			  &next_us);
+	CU_ASSERT_EQUAL(feed_table_size(receiver), 1);
+	CU_ASSERT_PTR_NOT_NULL(feed_table_find(receiver, "w1"));
+	CU_ASSERT_EQUAL(receiver->missing_revision, 0);
+	feed_state_free(&s);
+	buf_free(&out);
+	feed_table_destroy(sender);
+	feed_table_destroy(receiver);
+}
+
 int main(void)
 {
-	struct feed_settings fs = { 0 };
+	struct feed_settings fs = { .listener = &listener };
 	apr_pool_t *pool;
 	CU_pSuite s;
 
@@ -278,6 +350,9 @@
 		    test_odd_worker_does_not_invalidate_the_configuration);
 	CU_add_test(s, "versions", test_configuration_version_only_increases);
 	CU_add_test(s, "halves", test_position_is_raised_by_halves);
+	CU_add_test(s, "removal",
+		    test_removal_found_in_a_list_raises_the_position);
+	CU_add_test(s, "expiry", test_expiry_is_part_of_the_state);
 	CU_basic_run_tests();
 	feed_stop(feed);
 	timer_service_stop(timers);
--- a/feed/relay_test.c
+++ b/feed/relay_test.c
@@ -410,7 +410,7 @@
 	struct membership *membership;
 	struct relay *relay;
 	struct member self;
-	uint64_t imported_position; /**< atomic */
+	uint64_t raised_position; /**< atomic */
 };
 
 static void serve_state(struct peer_handler *h, enum peer_procedure proc,
@@ -432,15 +432,15 @@
 
 static const struct relay_source_ops source_ops = { ignore_watch };
 
-static void on_imported(struct feed_listener *l, uint64_t position)
+static void on_raised(struct feed_listener *l, uint64_t position)
 {
 	struct node *n = az_container_of(l, struct node, listener);
 
 	relay_set_local_position(n->relay, position, 0);
-	__atomic_store_n(&n->imported_position, position, __ATOMIC_RELEASE);
+	__atomic_store_n(&n->raised_position, position, __ATOMIC_RELEASE);
 }
 
-static const struct feed_listener_ops listener_ops = { on_imported };
+static const struct feed_listener_ops listener_ops = { on_raised };
 
 /* Starts the parts of a daemon that does not reach the source. */
 static void start_node(struct node *n, uint64_t id,
@@ -527,7 +527,7 @@
 	}
 	CU_ASSERT(has_configuration(&behind));
 	CU_ASSERT_EQUAL(
-		__atomic_load_n(&behind.imported_position, __ATOMIC_ACQUIRE),
+		__atomic_load_n(&behind.raised_position, __ATOMIC_ACQUIRE),
 		0x700000004);
 	stop_node(&behind);
 	stop_node(&ahead);
--- a/feed/state.c
+++ b/feed/state.c
@@ -100,16 +100,30 @@
 	d->hash = hash_bytes(text, (uint32_t)text_bytes, 0);
 }
 
-static void print_worker(const struct feed_worker *w,
-			 const struct feed_known *known, struct buf *out)
+static uint32_t expires_ms(const struct feed_entry *e, int64_t now_us)
 {
-	if (w->revision && w->revision <= (uint32_t)known->position)
+	int64_t left_us = e->expires_us - now_us;
+
+	if (!e->expires_us)
+		return 0;
+	return left_us > US_PER_MS ? (uint32_t)(left_us / US_PER_MS) : 1;
+}
+
+static void print_worker(const struct feed_entry *e,
+			 const struct feed_known *known, int64_t now_us,
+			 struct buf *out)
+{
+	const struct feed_worker *w = &e->worker;
+
+	if (!e->expires_us && w->revision &&
+	    w->revision <= (uint32_t)known->position)
 		buf_printf(out, "%c%s\n", UNCHANGED_MARK, w->name);
 	else
-		buf_printf(out, "%s %s %s %u %u %u %d %llu %u %llu\n", w->name,
-			   w->service, w->data_centre, w->ip, w->port, w->slots,
-			   w->leaving, (unsigned long long)w->boot, w->cold_ms,
-			   (unsigned long long)w->revision);
+		buf_printf(out, "%s %s %s %u %u %u %d %llu %u %llu %u\n",
+			   w->name, w->service, w->data_centre, w->ip, w->port,
+			   w->slots, w->leaving, (unsigned long long)w->boot,
+			   w->cold_ms, (unsigned long long)w->revision,
+			   expires_ms(e, now_us));
 }
 
 /** The configuration as it is sent. */
@@ -167,9 +181,7 @@
 	buf_append(out, "\n", 1);
 	for (i = apr_hash_first(NULL, s->workers->by_name); i;
 	     i = apr_hash_next(i))
-		print_worker(
-			&((struct feed_entry *)apr_hash_this_val(i))->worker,
-			known, out);
+		print_worker(apr_hash_this_val(i), known, s->now_us, out);
 	if (e.bytes)
 		buf_append(out, e.data, e.bytes);
 }
@@ -189,9 +201,11 @@
 	unsigned int port;
 	int leaving;
 
-	if (sscanf(line, "%63s %63s %63s %u %u %u %d %llu %u %llu", w->name,
+	/* Daemons of older versions end the line after the revision. */
+	w->expires_ms = 0;
+	if (sscanf(line, "%63s %63s %63s %u %u %u %d %llu %u %llu %u", w->name,
 		   w->service, w->data_centre, &w->ip, &port, &slots, &leaving,
-		   &boot, &w->cold_ms, &revision) != 10 ||
+		   &boot, &w->cold_ms, &revision, &w->expires_ms) < 10 ||
 	    port > UINT16_MAX || slots > UINT8_MAX)
 		return false;
 	w->port = (uint16_t)port;
--- a/feed/table.c
+++ b/feed/table.c
@@ -96,6 +96,17 @@
 	return e != NULL;
 }
 
+/* Workers of another daemon's state keep the time at which they are dropped. */
+static void set_expiry(struct feed_table *t, const struct feed_worker *w,
+		       int64_t now_us)
+{
+	struct feed_entry *e = find(t, w->name);
+
+	e->worker.expires_ms = 0;
+	if (w->expires_ms)
+		e->expires_us = now_us + w->expires_ms * US_PER_MS;
+}
+
 static bool is_in_list(const struct feed_worker *list, uint32_t count,
 		       const char *name)
 {
@@ -137,7 +148,7 @@
 }
 
 bool feed_table_replace(struct feed_table *t, const struct feed_worker *list,
-			uint32_t count, int64_t now_us)
+			uint32_t count, uint64_t revision, int64_t now_us)
 {
 	bool in_grace = t->source_recovered_us &&
 			now_us < t->source_recovered_us + FEED_MISSING_GRACE_US;
@@ -145,13 +156,18 @@
 	struct feed_entry **all;
 	uint32_t n;
 
-	for (uint32_t i = 0; i < count; i++)
+	for (uint32_t i = 0; i < count; i++) {
 		changed |= feed_table_put(t, &list[i]);
+		set_expiry(t, &list[i], now_us);
+	}
 	all = list_entries(t);
 	n = feed_table_size(t);
-	for (uint32_t i = 0; i < n; i++)
+	for (uint32_t i = 0; i < n; i++) {
 		all[i]->in_new_list =
 			is_in_list(list, count, all[i]->worker.name);
+		if (!all[i]->in_new_list && !all[i]->expires_us && revision)
+			t->missing_revision = revision;
+	}
 	for (uint32_t i = 0; in_grace && i < n; i++)
 		if (!all[i]->in_new_list && !all[i]->expires_us &&
 		    have_lapsed(all, n, all[i]->worker.service))
