upstream: test that a head broken off anywhere is a fault

A report of other operators: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It does not happen here: four answers (with a length, without one, after an interim answer, chunked), cut after each byte, are faults, also in a dialect whose answers may end with the connection.

The report of bytes without end, in a head or a body, is covered by "answer without end is a fault" and "answers without end are bounded together".

--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -438,6 +438,38 @@
 };
 static const struct worker_dialect id_dialect = { &id_ops };
 
+/* Guards against an empty or short answer that callers take for a whole one,
+ * because the worker has stopped and closed in the middle of the head. Its
+ * dialect allows answers without a length, which end with the connection. */
+static void test_head_broken_off_anywhere_is_a_fault(void)
+{
+	static const char *const whole[] = {
+		"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nId: mine\r\nX-Y: z\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"2\r\nok\r\n0\r\n\r\n",
+	};
+	char part[128];
+
+	upstream_set_dialect(up, &id_dialect);
+	for (uint32_t i = 0; i < sizeof(whole) / sizeof(whole[0]); i++)
+		for (size_t n = 1; n <= strlen(whole[i]); n++) {
+			const char *const answers[] = { part };
+			struct scripted_worker s;
+
+			memcpy(part, whole[i], n);
+			part[n] = '\0';
+			script_start(&s, answers, 1);
+			CU_ASSERT_EQUAL(send_and_wait(&s, post),
+					n < strlen(whole[i]) ?
+						UPSTREAM_TRUNCATED :
+						UPSTREAM_OK);
+			script_stop(&s);
+		}
+	upstream_set_dialect(up, &upstream_own_dialect);
+}
+
 #define BYTES_64 \
 	"0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 #define CHUNK "100\r\n" BYTES_64 BYTES_64 BYTES_64 BYTES_64 "\r\n"
@@ -630,6 +662,8 @@
 		    test_connection_without_ids_is_not_kept_after_a_refusal);
 	CU_add_test(s, "refused request again",
 		    test_refused_request_is_repeated_on_another_connection);
+	CU_add_test(s, "head broken off anywhere",
+		    test_head_broken_off_anywhere_is_a_fault);
 	CU_add_test(s, "answer without end is a fault",
 		    test_answer_without_end_is_a_fault);
 	CU_add_test(s, "answers without end are bounded together",
