attempt, home: keep to what a worker says of itself

The daemon that reads such an answer keeps it as a notice of that boot of the worker and tells the cell's home with the completion; the home grants the worker to nobody. A grant against a notice is returned with it, so that a new home, one of two, or the daemon's own home learns it. A worker in a pause is no evidence against it and does not count as available. If all are in a pause, requests that cannot be served by their deadline are refused at once, with a Retry-After from the end of the pause on. The former table of limits is part of the notices.

Retry-After is read by upstream/ for all dialects; Azurehold-Draining, which was read and not used, is the same word in the product's own one.

--- a/attempt/attempt.c
+++ b/attempt/attempt.c
@@ -550,12 +550,16 @@
 	a->pending_by_id = apr_hash_make(a->duty.pool);
 	a->attempts_by_sequence = apr_hash_make(a->duty.pool);
 	a->unacked_completions = apr_hash_make(a->duty.pool);
+	a->notices = apr_hash_make(a->duty.pool);
 	a->requests = counter_get("attempt_requests");
 	a->sends = counter_get("attempt_sends");
 	a->retries = counter_get("attempt_retries");
 	a->hedges = counter_get("attempt_hedges");
 	a->local_fallbacks = counter_get("attempt_home_silent");
 	a->refused = counter_get("attempt_refused");
+	a->leaving_notices = counter_get("workers_say_leaving");
+	a->pause_notices = counter_get("workers_ask_for_pause");
+	a->returned_grants = counter_get("attempt_grants_returned");
 	a->send_delays = histogram_get("attempt_wait");
 	a->service_times = histogram_get("worker_latency");
 	a->socket.ops = &socket_ops;
@@ -591,6 +595,7 @@
 	for (i = apr_hash_first(NULL, a->unacked_completions); i;
 	     i = apr_hash_next(i))
 		free(apr_hash_this_val(i));
+	attempts_free_notices(a);
 	duty_destroy(&a->duty);
 	free(a);
 }
--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -158,7 +158,7 @@
 	struct attempt attempts[CONCURRENT_ATTEMPTS_MAX];
 	uint32_t grants; /**< received, also those that could not be used */
 	uint32_t possible_runs; /**< sends that may have run */
-	uint32_t limit_returns; /**< grants returned, see LIMIT_RETURNS_MAX */
+	uint32_t grant_returns; /**< grants returned, see GRANT_RETURNS_MAX */
 	bool counted_by_home; /**< a grant request with first_grant_request was
 				 sent */
 	/** A worker may have received it: its retries are charged to the retry
@@ -214,18 +214,27 @@
 
 #define UNREACHABLE_WORKERS_MAX 32
 
-/** A limit that a worker has named in an answer to this daemon, for homes that
- * are new and do not know it. */
-struct known_limit {
-	uint64_t worker_id; /**< 0: unused entry */
-	uint32_t mrps; /**< thousandths of a request per second */
-	int64_t named_us;
+/** What a worker has said of itself in answers to this daemon, which holds it
+ * also against a home that does not know it. The id of a worker is that of one
+ * start of its process, so that a worker that starts again has said nothing. */
+struct worker_notice {
+	uint64_t worker_id;
+	uint64_t service_id;
+	uint32_t limit_mrps; /**< thousandths of a request per second that it
+				takes from the whole fleet; 0: no limit */
+	int64_t limit_named_us;
+	bool leaving; /**< it wants no further requests */
+	int64_t said_us; /**< when it first said so, or last asked for a pause
+			  */
+	int64_t paused_until_us; /**< it wants no requests until then */
 };
 
-#define KNOWN_LIMITS_MAX 256
-/** Most grants of one request that are returned for a limit that the home does
+/** Notices that are kept; more than the workers of the planned size that say
+ * something at a time. */
+#define WORKER_NOTICES_MAX 4096
+/** Most grants of one request that are returned for a notice that the home does
  * not know. */
-#define LIMIT_RETURNS_MAX 8
+#define GRANT_RETURNS_MAX 8
 
 struct attempts {
 	struct duty duty;
@@ -240,8 +249,7 @@
 	struct silent_home silent_homes[SILENT_HOMES_MAX];
 	struct unreachable_worker unreachable_workers[UNREACHABLE_WORKERS_MAX];
 	uint32_t next_unreachable; /**< next entry to replace (modulo) */
-	struct known_limit known_limits[KNOWN_LIMITS_MAX];
-	uint32_t next_known_limit; /**< next entry to replace (modulo) */
+	apr_hash_t *notices; /**< struct worker_notice by worker id; owned */
 	struct full_cell full_cells[FULL_CELLS_MAX];
 	uint32_t next_full_cell; /**< next entry to replace (modulo) */
 	uint64_t newest_id; /**< atomic; of the last request submitted */
@@ -254,6 +262,9 @@
 	struct counter *hedges;
 	struct counter *local_fallbacks; /**< a remote home did not reply */
 	struct counter *refused; /**< answers with an error kind */
+	struct counter *leaving_notices;
+	struct counter *pause_notices;
+	struct counter *returned_grants; /**< for a notice of the worker */
 	struct histogram *send_delays; /**< from submission to each send */
 	struct histogram *service_times; /**< from send to complete answer */
 };
@@ -275,11 +286,12 @@
 void attempt_abandon(struct attempts *a, struct attempt *t);
 /** Marks an attempt as unused and forgets its sequence. */
 void attempt_free(struct attempts *a, struct attempt *t);
-/** Reports to the home how a granted attempt ended. `limit` is the one that the
- * worker has named, or NULL. */
+/** Reports to the home how a granted attempt ended, and what the worker has
+ * said of itself. `names_limit`: the limit, or that it has none, is part of
+ * that. */
 void attempt_report_completion(struct attempts *a, const struct attempt *t,
 			       enum home_event e, int64_t latency_us,
-			       const struct known_limit *limit);
+			       bool names_limit);
 /** Handles a message of a remote home, or of this daemon's home if `local`. */
 void attempts_on_home_message(struct attempts *a, const struct home_msg *m,
 			      uint32_t ip, uint16_t port, bool local);
@@ -288,21 +300,32 @@
 int64_t attempts_resend_completions(struct attempts *a, int64_t now_us);
 void attempts_note_unreachable(struct attempts *a, uint64_t worker_id);
 
-/* limit.c */
-
-/** The worker has answered this daemon and named this limit; 0: none. */
-void attempts_note_limit(struct attempts *a, uint64_t worker_id,
-			 uint32_t limit_mrps);
-/** The limit that the worker named within LIMIT_HEARD_US, or NULL. */
-const struct known_limit *attempts_find_limit(const struct attempts *a,
-					      uint64_t worker_id);
-/** Returns an unused grant to tell the home of a limit that it may not know,
+/* notice.c */
+
+/** A worker has answered this daemon and named this limit; 0: none. */
+void attempts_note_limit(struct attempts *a, uint64_t service_id,
+			 uint64_t worker_id, uint32_t limit_mrps);
+/** A worker has answered an attempt: keeps what it says of itself. */
+void attempt_note_answer(struct attempts *a, const struct attempt *t,
+			 const struct upstream_result *r);
+/** What the worker has said, or NULL. */
+const struct worker_notice *attempts_find_notice(const struct attempts *a,
+						 uint64_t worker_id);
+/** True if the worker named a limit within LIMIT_HEARD_US. */
+bool worker_notice_has_limit(const struct worker_notice *n, int64_t now_us);
+/** True if the worker must get no request now. */
+bool worker_notice_forbids(const struct worker_notice *n, int64_t now_us);
+/** Returns an unused grant to tell the home of a notice that it does not know,
  * and requests another one. */
-void attempt_return_for_limit(struct attempts *a, struct attempt *t,
-			      const struct known_limit *l);
+void attempt_return_grant(struct attempts *a, struct attempt *t);
+void attempts_free_notices(struct attempts *a);
 
 /* send.c */
 
+/** The worker in a configuration, or NULL. */
+const struct conf_worker *attempt_find_worker(const struct conf *conf,
+					      uint64_t service_id,
+					      uint64_t worker_id);
 /** Sends the request to a granted worker. `typical_max_us` is the home's
  * estimate of the latency that most requests stay below; after it a hedge may
  * start. */
--- a/attempt/attempt_test.c
+++ b/attempt/attempt_test.c
@@ -155,6 +155,10 @@
 static struct home *home;
 static struct attempts *attempts;
 
+/* Each worker of the service is named by this letter and its number. What a
+ * worker has said is bound to its name. */
+static char worker_letter = 'w';
+
 static void set_workers(const struct test_worker *w, uint32_t count)
 {
 	struct conf_errors errors = { 0 };
@@ -166,9 +170,9 @@
 			  "shed_is_not_run = yes\n");
 	for (uint32_t i = 0; i < count; i++)
 		buf_printf(&text,
-			   "[worker s/w%u]\naddress = 127.0.0.1:%u\n"
+			   "[worker s/%c%u]\naddress = 127.0.0.1:%u\n"
 			   "data_centre = a1\n",
-			   i, w[i].port);
+			   worker_letter, i, w[i].port);
 	buf_append(&text, "", 1);
 	CU_ASSERT_EQUAL_FATAL(
 		conf_parse("t", (char *)text.data, NULL, NULL, &c, &errors),
@@ -215,6 +219,15 @@
 	return w.answer;
 }
 
+static enum error_kind submit_kind(void)
+{
+	struct answer *a = submit_and_wait(false);
+	enum error_kind k = a->kind;
+
+	answer_free(a);
+	return k;
+}
+
 static const char ok_answer[] =
 	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
@@ -366,7 +379,7 @@
 		if (conf_find_service(c, "s")->workers[i].port == w[0].port)
 			id = conf_find_service(c, "s")->workers[i].id;
 	conf_release(c);
-	attempts_note_limit(attempts, id, 500);
+	attempts_note_limit(attempts, hash_string("s"), id, 500);
 	for (uint32_t i = 0; i < 10; i++)
 		answer_free(submit_and_wait(true));
 	CU_ASSERT_EQUAL(w[0].requests, 0);
@@ -375,6 +388,128 @@
 	stop_worker(&w[1]);
 }
 
+/* Makes the home forget the workers that are configured: others take their
+ * entries. */
+static void replace_home_entries(void)
+{
+	struct test_worker other[2] = { { .port = 1 }, { .port = 2 } };
+
+	char before = worker_letter;
+
+	worker_letter = 'x';
+	set_workers(other, 2);
+	answer_free(submit_and_wait(true));
+	worker_letter = before;
+}
+
+static const char leaving_answer[] =
+	"HTTP/1.1 200 OK\r\nAzurehold-Draining: yes\r\n"
+	"Content-Length: 2\r\n\r\nok";
+
+static void expect_only_second(struct test_worker w[2])
+{
+	uint32_t before = w[0].requests;
+
+	set_workers(w, 2);
+	for (uint32_t i = 0; i < 10; i++) {
+		struct answer *a = submit_and_wait(i % 2);
+
+		CU_ASSERT_EQUAL(a->kind, ERR_NONE);
+		answer_free(a);
+	}
+	CU_ASSERT_EQUAL(w[0].requests, before);
+}
+
+/* Guards against requests to a worker that has said in an answer that it
+ * leaves, while the source goes on to list it; also with a home that has not
+ * heard it, and with one that knows no other worker. */
+static void test_worker_that_says_it_leaves_gets_no_more(void)
+{
+	struct test_worker w[2] = { { 0 } };
+	struct answer *a;
+
+	worker_letter = 'l';
+	start_worker(&w[0], leaving_answer);
+	start_worker(&w[1], ok_answer);
+	set_workers(w, 1);
+	answer_free(submit_and_wait(true));
+	CU_ASSERT_EQUAL(w[0].requests, 1);
+	expect_only_second(w);
+	replace_home_entries();
+	expect_only_second(w);
+	set_workers(w, 1);
+	a = submit_and_wait(true);
+	CU_ASSERT_EQUAL(a->kind, ERR_NO_WORKER);
+	answer_free(a);
+	CU_ASSERT_EQUAL(w[0].requests, 1);
+	stop_worker(&w[0]);
+	stop_worker(&w[1]);
+}
+
+#define PAUSE_S 40
+
+static const char paused_answer[] =
+	"HTTP/1.1 503 Full\r\nRetry-After: 40.0\r\nContent-Length: 0\r\n\r\n";
+
+/* Guards against requests to a worker that has asked for none for a time, and
+ * against callers that wait for it, or are told to come back too early, when no
+ * other worker is left. The deadline is 30 s, the pause is longer. */
+static void test_worker_that_asks_for_a_pause_gets_it(void)
+{
+	struct test_worker w[2] = { { 0 } };
+	struct answer *a;
+
+	worker_letter = 'p';
+	start_worker(&w[0], paused_answer);
+	start_worker(&w[1], ok_answer);
+	set_workers(w, 1);
+	a = submit_and_wait(false);
+	CU_ASSERT_EQUAL(a->outcome, OUTCOME_NOT_RUN);
+	answer_free(a);
+	CU_ASSERT_EQUAL(w[0].requests, 1);
+	expect_only_second(w);
+	replace_home_entries();
+	expect_only_second(w);
+	set_workers(w, 1);
+	a = submit_and_wait(false);
+	CU_ASSERT_EQUAL(a->kind, ERR_OVERLOADED);
+	CU_ASSERT_EQUAL(a->outcome, OUTCOME_NOT_RUN);
+	CU_ASSERT(a->retry_after_us > (PAUSE_S - 30) * US_PER_S);
+	answer_free(a);
+	CU_ASSERT_EQUAL(w[0].requests, 1);
+	stop_worker(&w[0]);
+	stop_worker(&w[1]);
+}
+
+/* Guards against a worker that is left out, or a caller that gets an error,
+ * because of a Retry-After that is no time. */
+static void test_odd_retry_after_is_ignored(void)
+{
+	static const char *const odd[] = {
+		"HTTP/1.1 503 x\r\nRetry-After: -3\r\nContent-Length: 0"
+		"\r\n\r\n",
+		"HTTP/1.1 503 x\r\nRetry-After: soon\r\nContent-Length: 0"
+		"\r\n\r\n",
+		"HTTP/1.1 503 x\r\nRetry-After: Sat, 05 Dec 2026 16:00:00 GMT"
+		"\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nRetry-After: 40\r\nContent-Length: 2"
+		"\r\n\r\nok",
+	};
+
+	for (uint32_t i = 0; i < 4; i++) {
+		struct test_worker w = { 0 };
+
+		worker_letter = (char)('1' + i);
+		start_worker(&w, odd[i]);
+		set_workers(&w, 1);
+		answer_free(submit_and_wait(false));
+		stop_worker(&w);
+		start_worker(&w, ok_answer);
+		CU_ASSERT_EQUAL(submit_kind(), ERR_NONE);
+		stop_worker(&w);
+	}
+}
+
 static void start_parts(void)
 {
 	struct member_settings ms = { .self = { .ip = INADDR_LOOPBACK,
@@ -448,6 +583,9 @@
 		    test_service_without_workers_is_refused);
 	CU_add_test(s, "limit", test_limit_that_a_worker_names_is_kept);
 	CU_add_test(s, "limit and new home", test_new_home_is_told_of_a_limit);
+	CU_add_test(s, "leaving", test_worker_that_says_it_leaves_gets_no_more);
+	CU_add_test(s, "pause", test_worker_that_asks_for_a_pause_gets_it);
+	CU_add_test(s, "odd pause", test_odd_retry_after_is_ignored);
 	CU_basic_run_tests();
 	stop_parts();
 	return CU_get_number_of_failures() != 0;
--- a/attempt/grant.c
+++ b/attempt/grant.c
@@ -252,10 +252,25 @@
 	send_datagram(a, m, ip, port);
 }
 
+static void add_notice(const struct attempts *a, const struct worker_notice *n,
+		       bool names_limit, struct home_msg *m)
+{
+	int64_t now_us = a->duty.now_us;
+
+	if (names_limit && worker_notice_has_limit(n, now_us)) {
+		m->limit_mrps = n->limit_mrps;
+		m->limit_age_ms =
+			(uint32_t)((now_us - n->limit_named_us) / US_PER_MS);
+	}
+	m->worker_leaving = n->leaving;
+	m->pause_ms = ms_until(a, n->paused_until_us);
+}
+
 void attempt_report_completion(struct attempts *a, const struct attempt *t,
 			       enum home_event e, int64_t latency_us,
-			       const struct known_limit *limit)
+			       bool names_limit)
 {
+	const struct worker_notice *n = attempts_find_notice(a, t->worker_id);
 	struct home_msg m = {
 		.kind = HOME_COMPLETION,
 		.requester_incarnation = a->settings.incarnation,
@@ -263,13 +278,10 @@
 		.worker = t->worker_id,
 		.event = (uint8_t)e,
 		.latency_us = (uint32_t)latency_us,
-		.limit_mrps = limit ? limit->mrps : 0,
-		.limit_age_ms =
-			limit ? (uint32_t)((a->duty.now_us - limit->named_us) /
-					   US_PER_MS) :
-				0,
 	};
 
+	if (n)
+		add_notice(a, n, names_limit, &m);
 	send_completion(a, &m, t->local_home, t->home_ip, t->home_port);
 }
 
@@ -322,15 +334,25 @@
 	send_completion(a, &completion, local, ip, port);
 }
 
+/* True if the home would not have granted the worker had it known what the
+ * worker has said. */
+static bool is_against_notice(const struct attempts *a,
+			      const struct home_msg *m)
+{
+	const struct worker_notice *n = attempts_find_notice(a, m->worker);
+	int64_t now_us = a->duty.now_us;
+
+	return n && (worker_notice_forbids(n, now_us) ||
+		     (m->worker_unheard && worker_notice_has_limit(n, now_us)));
+}
+
 static void on_grant(struct attempts *a, struct attempt *t,
 		     const struct home_msg *m)
 {
-	const struct known_limit *l =
-		m->worker_unheard ? attempts_find_limit(a, m->worker) : NULL;
-
 	t->worker_id = m->worker;
-	if (l && t->pending->limit_returns < LIMIT_RETURNS_MAX)
-		attempt_return_for_limit(a, t, l);
+	if (is_against_notice(a, m) &&
+	    t->pending->grant_returns < GRANT_RETURNS_MAX)
+		attempt_return_grant(a, t);
 	else
 		attempt_send(a, t, m->worker, m->typical_max_us);
 }
--- a/attempt/send.c
+++ b/attempt/send.c
@@ -11,8 +11,9 @@
 	return p->request->correlation ? p->request->correlation : "-";
 }
 
-static const struct conf_worker *
-find_worker(const struct conf *conf, uint64_t service_id, uint64_t worker_id)
+const struct conf_worker *attempt_find_worker(const struct conf *conf,
+					      uint64_t service_id,
+					      uint64_t worker_id)
 {
 	const struct conf_service *s = conf_find_service_id(conf, service_id);
 
@@ -90,14 +91,17 @@
 	const struct conf_service *s =
 		conf_find_service_id(conf, p->service_id);
 	const struct conf_worker *w =
-		find_worker(conf, p->service_id, worker_id);
-	bool usable = w && w->admin == WORKER_IN_SERVICE;
+		attempt_find_worker(conf, p->service_id, worker_id);
+	const struct worker_notice *n = attempts_find_notice(a, worker_id);
+	bool usable = w && w->admin == WORKER_IN_SERVICE &&
+		      !(n && worker_notice_forbids(n, a->duty.now_us));
 
 	t->worker_id = worker_id;
 	/* This daemon may have a newer configuration than the home, in which
-	 * the worker is no longer in service. */
+	 * the worker is no longer in service, or know that it wants no
+	 * requests. */
 	if (!usable || !send_to(a, t, s, w)) {
-		attempt_report_completion(a, t, EVENT_NO_EVIDENCE, 0, NULL);
+		attempt_report_completion(a, t, EVENT_NO_EVIDENCE, 0, false);
 		attempt_free(a, t);
 		pending_exclude(p, worker_id);
 		/* Counted, so that ATTEMPT_GRANTS_MAX bounds the grants of
@@ -190,12 +194,9 @@
 		attempts_note_unreachable(a, t->worker_id);
 	if (e == EVENT_ANSWERED)
 		histogram_add(a->service_times, r->total_us);
-	if (is_answer_of_worker(r))
-		attempts_note_limit(a, t->worker_id, r->header_info.limit_mrps);
+	attempt_note_answer(a, t, r);
 	attempt_report_completion(a, t, e, r->total_us - r->connect_us,
-				  is_answer_of_worker(r) ?
-					  attempts_find_limit(a, t->worker_id) :
-					  NULL);
+				  is_answer_of_worker(r));
 	attempt_free(a, t);
 	p->may_have_arrived |= attempt_may_have_arrived(r->fault);
 	if (attempt_error_kind(r) != ERR_NONE &&
--- a/home/choose.c
+++ b/home/choose.c
@@ -72,23 +72,30 @@
 	       (c->same_dc ? 0 : COST_OTHER_DC) - idle_bonus(c, d, now_us);
 }
 
+static bool is_paused(const struct candidate *c, int64_t now_us)
+{
+	return now_us < c->paused_until_us;
+}
+
 static bool is_suspect(const struct candidate *c)
 {
 	return c->suspicion >= CHOOSE_SUSPICION_MAX;
 }
 
 /* Marks the workers to avoid: the suspect ones of the highest suspicion, up to
- * `max_percent` of the available workers. In a cell too small for that
- * percentage one worker may be avoided if another is available. */
+ * `max_percent` of the available workers that take requests now. In a cell too
+ * small for that percentage one worker may be avoided if another is available.
+ */
 static void mark_avoided(const struct candidate *list, uint32_t count,
-			 uint32_t max_percent, bool *avoided)
+			 uint32_t max_percent, int64_t now_us, bool *avoided)
 {
 	uint32_t available = 0;
 	uint32_t allowed;
 
 	for (uint32_t i = 0; i < count; i++) {
 		avoided[i] = false;
-		available += !list[i].unavailable;
+		available +=
+			!list[i].unavailable && !is_paused(&list[i], now_us);
 	}
 	allowed = available * max_percent / 100;
 	if (!allowed && available > 1)
@@ -98,6 +105,7 @@
 
 		for (uint32_t i = 0; i < count; i++)
 			if (!list[i].unavailable && !avoided[i] &&
+			    !is_paused(&list[i], now_us) &&
 			    is_suspect(&list[i]) &&
 			    (worst < 0 ||
 			     list[i].suspicion > list[worst].suspicion))
@@ -117,7 +125,8 @@
 };
 
 static void set_eligibility(struct eligibility *s, const struct candidate *list,
-			    uint32_t count, const struct demand *d)
+			    uint32_t count, const struct demand *d,
+			    int64_t now_us)
 {
 	bool any_same_dc = false;
 	bool any_healthy = false;
@@ -125,10 +134,11 @@
 	mark_avoided(list, count,
 		     d->hold_floor ? CHOOSE_AVOIDED_FLOOR_PERCENT :
 				     CHOOSE_AVOIDED_MAX_PERCENT,
-		     s->avoided);
+		     now_us, s->avoided);
 	for (uint32_t i = 0; i < count; i++) {
-		/* A request does not wait for a limit. */
+		/* A request does not wait for a limit or a pause to end. */
 		bool healthy = !list[i].unavailable && !list[i].limit_mrps &&
+			       !is_paused(&list[i], now_us) &&
 			       !is_suspect(&list[i]);
 
 		any_same_dc |= healthy && list[i].same_dc;
@@ -139,9 +149,10 @@
 }
 
 /* True if the worker must get no further request now. */
-static bool is_full(const struct candidate *c)
+static bool is_full(const struct candidate *c, int64_t now_us)
 {
-	return c->at_limit || c->evidence->in_flight_count >= c->slots;
+	return c->at_limit || is_paused(c, now_us) ||
+	       c->evidence->in_flight_count >= c->slots;
 }
 
 static bool is_eligible(const struct eligibility *s, const struct candidate *c,
@@ -169,7 +180,7 @@
 		if (!c->same_dc || d->rank == RANK_URGENT)
 			over_us -= FLOOR_IDLE_LATER_US;
 		if (c->unavailable || s->avoided[i] || over_us <= longest_us ||
-		    is_full(c))
+		    is_full(c, now_us))
 			continue;
 		longest_us = over_us;
 		best = (int32_t)i;
@@ -185,7 +196,7 @@
 	int32_t best;
 	double best_cost = 0;
 
-	set_eligibility(&eligibility, list, count, d);
+	set_eligibility(&eligibility, list, count, d, now_us);
 	best = choose_for_floor(list, count, &eligibility, d, now_us);
 	if (best >= 0)
 		return best;
@@ -194,7 +205,7 @@
 		const struct candidate *c = &list[i];
 		double candidate_cost;
 
-		if (!is_eligible(&eligibility, c, i) || is_full(c))
+		if (!is_eligible(&eligibility, c, i) || is_full(c, now_us))
 			continue;
 		candidate_cost = cost(c, base, d, now_us);
 		if (best < 0 || candidate_cost < best_cost) {
@@ -230,12 +241,13 @@
 	bool avoided[HOME_WORKERS_MAX];
 	uint32_t slots = 0;
 
-	mark_avoided(list, count, CHOOSE_AVOIDED_MAX_PERCENT, avoided);
+	mark_avoided(list, count, CHOOSE_AVOIDED_MAX_PERCENT, now_us, avoided);
 	for (uint32_t i = 0; i < count; i++) {
 		uint32_t n = hung_requests(list[i].evidence, base, now_us);
 
 		if (!list[i].unavailable && !list[i].limit_mrps &&
-		    !avoided[i] && n < list[i].slots)
+		    !is_paused(&list[i], now_us) && !avoided[i] &&
+		    n < list[i].slots)
 			slots += list[i].slots - n;
 	}
 	return slots;
@@ -251,9 +263,10 @@
 	double per_s =
 		choose_usable_slots(list, count, base, now_us) / latency_s;
 
-	mark_avoided(list, count, CHOOSE_AVOIDED_MAX_PERCENT, avoided);
+	mark_avoided(list, count, CHOOSE_AVOIDED_MAX_PERCENT, now_us, avoided);
 	for (uint32_t i = 0; i < count; i++)
-		if (!list[i].unavailable && list[i].limit_mrps && !avoided[i])
+		if (!list[i].unavailable && list[i].limit_mrps &&
+		    !is_paused(&list[i], now_us) && !avoided[i])
 			per_s += fmin(list[i].limit_mrps / 1000.0,
 				      list[i].slots / latency_s);
 	return per_s > 0 ? (int64_t)((double)US_PER_S / per_s) :
--- a/home/home.c
+++ b/home/home.c
@@ -100,16 +100,28 @@
 	reply(h, g, &m);
 }
 
+/* Time until a worker of the cell takes requests, if all want none now. */
+static int64_t pause_left_us(const struct home_cell *c, int64_t now_us)
+{
+	return c->queue.blocked_until_us > now_us ?
+		       c->queue.blocked_until_us - now_us :
+		       0;
+}
+
 /* Refused callers retry when the queue ahead of them will have been served.
- * The time is random between once and twice that, to spread the retries. */
-static uint32_t retry_after_ms(const struct home_cell *c, enum rank r)
+ * The time is random between once and twice that, to spread the retries. It
+ * begins when the pause that all workers have asked for ends. */
+static uint32_t retry_after_ms(const struct home_cell *c, enum rank r,
+			       int64_t now_us)
 {
 	uint32_t ms = queue_wait_ms(c, r);
 
 	if (ms < RETRY_AFTER_MIN_MS)
 		ms = RETRY_AFTER_MIN_MS;
 	ms += (uint32_t)(random_u64() % ms);
-	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : ms;
+	if (ms > RETRY_AFTER_MAX_MS)
+		ms = RETRY_AFTER_MAX_MS;
+	return ms + (uint32_t)(pause_left_us(c, now_us) / US_PER_MS);
 }
 
 static void refuse(struct home *h, struct grant *g, enum error_kind k)
@@ -117,7 +129,8 @@
 	struct home_msg m = {
 		.kind = HOME_REFUSE,
 		.error = (uint8_t)k,
-		.wait_ms = retry_after_ms(g->cell, g->item.rank),
+		.wait_ms =
+			retry_after_ms(g->cell, g->item.rank, h->duty.now_us),
 	};
 
 	counter_add(h->refused, 1);
@@ -220,9 +233,27 @@
 		home_arm_timer(h, h->duty.now_us + QUEUE_TICK_US);
 }
 
+/* Returns when the first of the available workers takes requests, or 0 if one
+ * does so now. */
+static int64_t all_paused_until_us(const struct candidate *list, uint32_t n,
+				   int64_t now_us)
+{
+	int64_t until_us = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (list[i].unavailable)
+			continue;
+		if (list[i].paused_until_us <= now_us)
+			return 0;
+		if (!until_us || list[i].paused_until_us < until_us)
+			until_us = list[i].paused_until_us;
+	}
+	return until_us;
+}
+
 /* Estimates the interval between dispatches from the latency, the usable slots
- * and the limits of the workers. False if the grant request has no available
- * worker. */
+ * and the limits of the workers, and the time at which they begin. False if the
+ * grant request has no available worker. */
 static bool update_wait_estimate(struct home *h, struct home_cell *c,
 				 const struct home_msg *grant_request)
 {
@@ -235,6 +266,8 @@
 		any_available |= !list[i].unavailable;
 	c->queue.dispatch_interval_us =
 		choose_dispatch_interval_us(list, n, &base, h->duty.now_us);
+	c->queue.blocked_until_us =
+		all_paused_until_us(list, n, h->duty.now_us);
 	return any_available;
 }
 
@@ -282,14 +315,17 @@
 		reply_queued(h, g);
 }
 
-static bool is_long_wait(const struct home_cell *c, const struct grant *g)
+static bool is_long_wait(const struct home_cell *c, const struct grant *g,
+			 int64_t now_us)
 {
 	int64_t max_us = g->grant_request.target_ms * US_PER_MS *
 			 LONG_WAIT_TARGET_PERCENT / 100;
 
 	if (!g->grant_request.target_ms)
 		max_us = LONG_WAIT_US;
-	return rank_queue_wait_us(&c->queue, g->item.rank) > max_us;
+	return pause_left_us(c, now_us) +
+		       rank_queue_wait_us(&c->queue, g->item.rank) >
+	       max_us;
 }
 
 /* True if the requester should try another region, which may have a free
@@ -301,7 +337,7 @@
 		return false;
 	if (g->grant_request.no_queueing)
 		return rank_queue_depth(&g->cell->queue) || choose(h, g) < 0;
-	return is_long_wait(g->cell, g);
+	return is_long_wait(g->cell, g, h->duty.now_us);
 }
 
 static void admit(struct home *h, struct grant *g)
@@ -448,6 +484,42 @@
 			  m->limit_age_ms);
 }
 
+/* Learns from a completion what the worker has said to the requester, which
+ * holds for the whole fleet. */
+static void update_notice(struct home *h, const struct grant *g,
+			  const struct home_msg *m)
+{
+	struct home_worker *w = worker_of(g);
+	int64_t until_us = h->duty.now_us + m->pause_ms * US_PER_MS;
+
+	if (!w)
+		return;
+	if (m->worker_leaving && !w->leaving) {
+		w->leaving = true;
+		log_write(LOG_INFO, "home",
+			  "worker leaves, as it says worker=%s cell=%016llx",
+			  w->conf ? w->conf->name : "-",
+			  (unsigned long long)g->cell->id);
+	}
+	if (!m->pause_ms || until_us <= w->paused_until_us)
+		return;
+	if (w->paused_until_us <= h->duty.now_us)
+		log_write(LOG_INFO, "home",
+			  "worker gets no requests, as it asks "
+			  "worker=%s cell=%016llx ms=%u",
+			  w->conf ? w->conf->name : "-",
+			  (unsigned long long)g->cell->id, m->pause_ms);
+	w->paused_until_us = until_us;
+}
+
+/* A worker that names the time for which it is full is not gray. */
+static enum home_event evidence_of(const struct home_msg *m)
+{
+	return m->event == EVENT_SHED && m->pause_ms ?
+		       EVENT_NO_EVIDENCE :
+		       (enum home_event)m->event;
+}
+
 static void on_completion(struct home *h, const struct home_msg *m, uint32_t ip,
 			  uint16_t port, bool remote)
 {
@@ -461,7 +533,8 @@
 	if (!g || g->state != GRANT_ISSUED)
 		return;
 	update_limit(h, g, m);
-	complete(h, g, (enum home_event)m->event, m->latency_us);
+	update_notice(h, g, m);
+	complete(h, g, evidence_of(m), m->latency_us);
 }
 
 static void on_cancel(struct home *h, const struct home_msg *m)
--- a/home/home.h
+++ b/home/home.h
@@ -98,6 +98,8 @@
 	uint32_t latency_us;
 	uint32_t limit_mrps; /**< that the worker has named; 0: none */
 	uint32_t limit_age_ms; /**< time since it named it */
+	uint32_t worker_leaving; /**< 1: the worker says that it leaves */
+	uint32_t pause_ms; /**< time for which the worker wants no requests */
 };
 
 #define HOME_DATAGRAM_MAX_BYTES 256
@@ -145,6 +147,8 @@
 					   smoothed, or set by the owner of the
 					   queue */
 	int64_t last_dispatch_us; /**< 0: none yet */
+	int64_t blocked_until_us; /**< no item is dispatched before; set by the
+				     owner of the queue */
 };
 
 void rank_queue_init(struct rank_queue *q, const struct queue_settings *s);
@@ -317,6 +321,7 @@
 	bool same_dc; /**< in the requester's data centre */
 	uint32_t limit_mrps; /**< result of worker_limit_rate_mrps() */
 	bool at_limit; /**< it must get no request now */
+	int64_t paused_until_us; /**< it wants no requests until then */
 };
 
 /** Properties of the request that matter for the choice. */
@@ -439,6 +444,8 @@
 	const struct conf_worker *conf; /**< NULL: no longer configured */
 	struct worker_evidence evidence;
 	struct worker_limit limit;
+	bool leaving; /**< it has said that it leaves */
+	int64_t paused_until_us; /**< it has asked for no requests until then */
 	double suspicion; /**< cached value at suspicion_us */
 	int64_t suspicion_us; /**< 0: the evidence has changed since */
 };
--- a/home/home_test.c
+++ b/home/home_test.c
@@ -400,6 +400,35 @@
 	CU_ASSERT(choose(&can_wait, 0, now_us) > 0);
 }
 
+/* Guards against requests that go to a worker in a pause that it has asked for,
+ * or wait for its end while another worker has room, and against a cell whose
+ * last workers are avoided because those in a pause count as available. */
+static void test_paused_worker_gets_nothing(void)
+{
+	struct demand floor = { .rank = RANK_NORMAL, .hold_floor = true };
+	int64_t now_us = 10 * US_PER_S;
+
+	reset_workers();
+	list[0].paused_until_us = now_us + 1;
+	for (uint32_t i = 1; i < WORKERS; i++) {
+		list[i].same_dc = false;
+		for (uint32_t k = 0; k < 5; k++)
+			worker_evidence_record_send(&evidence[i], now_us);
+	}
+	CU_ASSERT(choose(&cannot_wait, 0, now_us) > 0);
+	CU_ASSERT(choose(&can_wait, 0, now_us) > 0);
+	CU_ASSERT(choose(&floor, 0, now_us) > 0);
+	CU_ASSERT_EQUAL(choose(&cannot_wait, 0, now_us + 1), 0);
+	reset_workers();
+	for (uint32_t i = 0; i < WORKERS - 2; i++)
+		list[i].paused_until_us = now_us + 1;
+	record_failure(WORKERS - 1, now_us);
+	record_failure(WORKERS - 2, now_us);
+	CU_ASSERT(choose(&cannot_wait, 0, now_us) >= (int32_t)WORKERS - 2);
+	CU_ASSERT_EQUAL(choose_usable_slots(list, WORKERS, &baseline, now_us),
+			6);
+}
+
 /* Guards against requests that are queued although limits make the wait longer
  * than their deadline, and against a Retry-After that is too short. */
 static void test_limits_lengthen_the_estimated_wait(void)
@@ -605,6 +634,14 @@
 	CU_ASSERT_EQUAL(home_encode(&m, &k, data), n + 8);
 	CU_ASSERT_EQUAL(home_decode(data, n + 8, &k, &decoded), AZ_OK);
 	CU_ASSERT_EQUAL(decoded.limit_age_ms, 70);
+	/* Fields in the middle are sent for those after them. */
+	m.limit_mrps = m.limit_age_ms = 0;
+	m.pause_ms = 1500;
+	CU_ASSERT_EQUAL(home_encode(&m, &k, data), n + 16);
+	CU_ASSERT_EQUAL(home_decode(data, n + 16, &k, &decoded), AZ_OK);
+	CU_ASSERT_EQUAL(decoded.limit_mrps, 0);
+	CU_ASSERT_EQUAL(decoded.worker_leaving, 0);
+	CU_ASSERT_EQUAL(decoded.pause_ms, 1500);
 	m = (struct home_msg){ .kind = HOME_GRANT, .worker = 1 };
 	n = home_encode(&m, &k, data);
 	CU_ASSERT_EQUAL(home_decode(data, n, &k, &decoded), AZ_OK);
@@ -725,6 +762,7 @@
 		    test_newest_answer_decides_on_the_limit);
 	CU_add_test(s, "worker at its limit",
 		    test_worker_at_its_limit_gets_nothing);
+	CU_add_test(s, "paused worker", test_paused_worker_gets_nothing);
 	CU_add_test(s, "wait for limits",
 		    test_limits_lengthen_the_estimated_wait);
 	CU_add_test(s, "gray workers",
--- a/home/queue.c
+++ b/home/queue.c
@@ -49,6 +49,12 @@
 	return ahead * q->dispatch_interval_us * 100 / share_percent;
 }
 
+/* Time from which items are dispatched. */
+static int64_t dispatch_from_us(const struct rank_queue *q, int64_t now_us)
+{
+	return q->blocked_until_us > now_us ? q->blocked_until_us : now_us;
+}
+
 enum error_kind rank_queue_push(struct rank_queue *q, struct queue_item *i,
 				int64_t now_us)
 {
@@ -57,7 +63,8 @@
 	if (i->deadline_us <= now_us)
 		return ERR_DEADLINE_NOT_RUN;
 	if (q->depth[r] >= q->settings.limit[r] ||
-	    now_us + rank_queue_wait_us(q, r) > i->deadline_us)
+	    dispatch_from_us(q, now_us) + rank_queue_wait_us(q, r) >
+		    i->deadline_us)
 		return ERR_OVERLOADED;
 	i->enqueued_us = now_us;
 	i->next = NULL;
@@ -203,6 +210,7 @@
 					      int64_t now_us)
 {
 	struct queue_item *unservable = NULL;
+	int64_t from_us = dispatch_from_us(q, now_us);
 
 	for (uint32_t r = 0; r < RANK_COUNT; r++) {
 		struct queue_item *prev = NULL;
@@ -217,7 +225,7 @@
 			struct queue_item *next = i->next;
 
 			wait_us += q->dispatch_interval_us;
-			if (now_us + wait_us * 100 / WAIT_TOLERANCE_PERCENT >
+			if (from_us + wait_us * 100 / WAIT_TOLERANCE_PERCENT >
 			    i->deadline_us) {
 				unlink_item(q, prev, i);
 				i->next = unservable;
--- a/home/queue_test.c
+++ b/home/queue_test.c
@@ -111,6 +111,23 @@
 	CU_ASSERT_EQUAL(rank_queue_depth(&q), 0);
 }
 
+/* Guards against a request that waits for the end of a pause of all workers
+ * although its deadline is earlier. */
+static void test_hopeless_wait_for_a_pause_is_refused(void)
+{
+	struct queue_item early = item(RANK_NORMAL, US_PER_S);
+	struct queue_item late = item(RANK_NORMAL, 5 * US_PER_S);
+	struct rank_queue q;
+
+	rank_queue_init(&q, &settings);
+	CU_ASSERT_EQUAL(rank_queue_push(&q, &early, 0), ERR_NONE);
+	q.blocked_until_us = 2 * US_PER_S;
+	CU_ASSERT_EQUAL(rank_queue_push(&q, &late, 0), ERR_NONE);
+	CU_ASSERT_PTR_EQUAL(rank_queue_take_unservable(&q, 0), &early);
+	CU_ASSERT_EQUAL(rank_queue_push(&q, &early, 0), ERR_OVERLOADED);
+	CU_ASSERT_EQUAL(rank_queue_depth(&q), 1);
+}
+
 int main(void)
 {
 	CU_pSuite s;
@@ -122,6 +139,7 @@
 	CU_add_test(s, "shares", test_lower_rank_keeps_its_share);
 	CU_add_test(s, "bounds", test_queue_is_bounded_and_keeps_deadlines);
 	CU_add_test(s, "fits", test_item_that_does_not_fit_is_passed_over);
+	CU_add_test(s, "pause", test_hopeless_wait_for_a_pause_is_refused);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() != 0;
 }
--- a/home/wire.c
+++ b/home/wire.c
@@ -55,24 +55,32 @@
 	return true;
 }
 
-/* A field at the end that is left out if it is 0, so that daemons of older
- * versions decode messages without it. */
-static bool transcode_optional(XDR *x, uint32_t *v)
+/* Fields at the end, of which the last ones are left out if they are 0, so that
+ * daemons of older versions decode messages without them. */
+static bool transcode_optional(XDR *x, uint32_t *const *fields, uint32_t count)
 {
-	if (x->x_op == XDR_ENCODE)
-		return !*v || xdr_uint32_t(x, v);
-	return !x->x_handy || xdr_uint32_t(x, v);
+	while (x->x_op == XDR_ENCODE && count && !*fields[count - 1])
+		count--;
+	for (uint32_t i = 0; i < count; i++)
+		if ((x->x_op == XDR_ENCODE || x->x_handy) &&
+		    !xdr_uint32_t(x, fields[i]))
+			return false;
+	return true;
 }
 
 static bool transcode_body(XDR *x, struct home_msg *m)
 {
+	uint32_t *const of_grant[] = { &m->worker_unheard };
+	uint32_t *const of_completion[] = { &m->limit_mrps, &m->limit_age_ms,
+					    &m->worker_leaving, &m->pause_ms };
+
 	switch (m->kind) {
 	case HOME_GRANT_REQUEST:
 		return transcode_grant_request(x, m);
 	case HOME_GRANT:
 		return xdr_uint64_t(x, &m->worker) &&
 		       xdr_uint32_t(x, &m->typical_max_us) &&
-		       transcode_optional(x, &m->worker_unheard);
+		       transcode_optional(x, of_grant, 1);
 	case HOME_QUEUED:
 		return xdr_uint32_t(x, &m->wait_ms);
 	case HOME_REFUSE:
@@ -82,8 +90,7 @@
 		return xdr_uint64_t(x, &m->worker) &&
 		       transcode_u8(x, &m->event, EVENT_COUNT) &&
 		       xdr_uint32_t(x, &m->latency_us) &&
-		       transcode_optional(x, &m->limit_mrps) &&
-		       transcode_optional(x, &m->limit_age_ms);
+		       transcode_optional(x, of_completion, 4);
 	default:
 		return true;
 	}
--- a/lib/az.h
+++ b/lib/az.h
@@ -450,6 +450,9 @@
  * thousandths per second, at least 1. AZ_INVALID for any other text, and for
  * more than a million. */
 enum az_status rate_parse(const char *s, uint32_t *mrps);
+/** Parses a decimal number of seconds, such as "0.5", to milliseconds; more
+ * than a million seconds count as a million. AZ_INVALID for any other text. */
+enum az_status delay_parse(const char *s, uint32_t *ms);
 
 /* ---- blocking HTTP calls (http_call.c) ---- */
 
--- a/lib/lib_test.c
+++ b/lib/lib_test.c
@@ -235,6 +235,26 @@
 		CU_ASSERT_EQUAL(rate_parse(bad[i], &mrps), AZ_INVALID);
 }
 
+/* Guards against a time that is read as another one, or as none. */
+static void test_delays_are_parsed(void)
+{
+	static const char *const bad[] = {
+		"",   "x",     "-1",
+		"1s", "1.2.3", "nan",
+		" 1", ".",     "Sat, 05 Dec 2026 16:00:00 GMT"
+	};
+	uint32_t ms = 0;
+
+	CU_ASSERT_EQUAL(delay_parse("2.5", &ms), AZ_OK);
+	CU_ASSERT_EQUAL(ms, 2500);
+	CU_ASSERT_EQUAL(delay_parse("0", &ms), AZ_OK);
+	CU_ASSERT_EQUAL(ms, 0);
+	CU_ASSERT_EQUAL(delay_parse("99999999999999999999", &ms), AZ_OK);
+	CU_ASSERT_EQUAL(ms, 1000000000);
+	for (uint32_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_EQUAL(delay_parse(bad[i], &ms), AZ_INVALID);
+}
+
 /* ---- HTTP calls ---- */
 
 /** A server that answers one call with a start and a part without end. */
@@ -325,6 +345,7 @@
 	CU_add_test(s, "span", test_span_keeps_trace);
 	CU_add_test(s, "copies", test_request_copy_is_independent);
 	CU_add_test(s, "rates", test_rates_are_parsed);
+	CU_add_test(s, "delays", test_delays_are_parsed);
 	CU_add_test(s, "head without end",
 		    test_head_without_end_fails_the_call);
 	CU_basic_run_tests();
--- a/upstream/own.c
+++ b/upstream/own.c
@@ -28,7 +28,7 @@
 		return false;
 	}
 	if (!strcasecmp(name, "azurehold-draining")) {
-		h->worker_draining = true;
+		h->worker_leaving = true;
 		return false;
 	}
 	return strcasecmp(name, "azurehold-outcome") &&
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -225,7 +225,6 @@
 	r->connect_us = c->connect_us;
 	r->total_us = clock_now_us() - c->started_us;
 	r->fresh = c->fresh;
-	r->draining = c->header_info.worker_draining;
 	r->header_info = c->header_info;
 	if (r->answer && c->req.request) {
 		r->verdict = c->upstream->dialect->classify_answer(
@@ -315,6 +314,16 @@
 			timeout + strlen("timeout="), NULL, 10);
 }
 
+static void read_retry_after(struct conn *c, const char *value)
+{
+	if (c->parser.status_code == 503 &&
+	    delay_parse(value, &c->header_info.retry_after_ms) != AZ_OK)
+		log_write(LOG_WARN, "upstream",
+			  "ignored an invalid Retry-After of a worker "
+			  "reason=%s",
+			  az_last_message());
+}
+
 static void header_complete(struct conn *c)
 {
 	if (!c->header_name.len_bytes)
@@ -323,6 +332,8 @@
 	buf_append(&c->header_value, "", 1);
 	if (!strcasecmp((char *)c->header_name.data, "keep-alive"))
 		read_keep_alive(c, (char *)c->header_value.data);
+	if (!strcasecmp((char *)c->header_name.data, "retry-after"))
+		read_retry_after(c, (char *)c->header_value.data);
 	if (!is_hop_header((char *)c->header_name.data) && c->req.request &&
 	    c->upstream->dialect->read_header(
 		    &c->req, (char *)c->header_name.data,
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -45,7 +45,8 @@
 	/** The body has an encoding that was not requested. */
 	bool has_content_encoding;
 	bool worker_id_differs; /**< not that of the expected worker */
-	bool worker_draining; /**< the worker says that it drains */
+	bool worker_leaving; /**< the worker will exit and wants no further
+				requests */
 	bool has_load; /**< the next three fields are set */
 	uint32_t running; /**< requests that the worker runs */
 	uint32_t waiting; /**< requests in the worker's queue */
@@ -53,6 +54,9 @@
 	/** Requests that the worker takes from all daemons together, in
 	 * thousandths per second; 0: it names no limit. */
 	uint32_t limit_mrps;
+	/** Time for which the worker wants no requests from this daemon, if the
+	 * status is 503; 0: not stated. */
+	uint32_t retry_after_ms;
 	/** How long the worker keeps an idle connection; 0: not stated. */
 	uint32_t keep_alive_s;
 };
@@ -102,7 +106,6 @@
 	int64_t connect_us; /**< 0 on a reused connection */
 	int64_t total_us; /**< from the start, with the connect time */
 	bool fresh; /**< sent on a new connection */
-	bool draining; /**< header_info.worker_draining */
 	struct worker_headers header_info;
 	enum worker_verdict verdict; /**< of an UPSTREAM_OK answer */
 };
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -362,7 +362,7 @@
 	upstream_send(up, &r);
 	result = wait_result();
 	CU_ASSERT_EQUAL(result->fault, UPSTREAM_OK);
-	CU_ASSERT(result->draining);
+	CU_ASSERT(result->header_info.worker_leaving);
 	if (result->answer) {
 		CU_ASSERT_EQUAL(result->answer->http_status, 201);
 		CU_ASSERT_EQUAL(result->answer->headers.len_bytes,
