--- a/admin/admin.c
+++ b/admin/admin.c
@@ -125,6 +125,22 @@
 	return list;
 }
 
+static json_t *notices_json(const struct admin_status *s)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < s->notice_count; i++) {
+		const struct admin_notice *n = &s->notices[i];
+
+		json_array_append_new(
+			list, json_pack("{s:s, s:s, s:b, s:I}", "service",
+					n->service, "worker", n->worker,
+					"leaving", n->leaving, "pause_left_ms",
+					(json_int_t)n->pause_left_ms));
+	}
+	return list;
+}
+
 static json_t *conf_json(const struct conf_duty_status *s)
 {
 	json_t *objects = json_object();
@@ -150,11 +166,12 @@
 	if (apr_pool_create_unmanaged_ex(&pool, NULL, NULL) != APR_SUCCESS)
 		return MHD_NO;
 	a->settings.source->ops->status(a->settings.source, pool, &s);
-	root = json_pack("{s:s, s:o, s:b, s:I, s:o, s:o}", "name",
+	root = json_pack("{s:s, s:o, s:b, s:I, s:o, s:o, s:o}", "name",
 			 s.name ? s.name : "", "incarnation",
 			 json_hex(s.incarnation), "stopping", s.stopping,
 			 "in_flight", (json_int_t)s.in_flight, "members",
-			 members_json(&s), "cells", cells_json(&s));
+			 members_json(&s), "cells", cells_json(&s), "notices",
+			 notices_json(&s));
 	if (s.has_conf)
 		json_object_set_new(root, "configuration", conf_json(&s.conf));
 	text = json_dumps(root, JSON_INDENT(1));
--- a/admin/admin.h
+++ b/admin/admin.h
@@ -26,6 +26,14 @@
 	uint32_t in_flight; /**< requests at workers */
 };
 
+/** A worker of such a cell that has said something of itself. */
+struct admin_notice {
+	const char *service;
+	const char *worker;
+	bool leaving;
+	uint32_t pause_left_ms; /**< it wants no requests for this time */
+};
+
 /** Contents of the status page. The lists are allocated from the pool that
  * status() is given. */
 struct admin_status {
@@ -37,6 +45,8 @@
 	struct admin_member *members;
 	uint32_t cell_count;
 	struct admin_cell *cells;
+	uint32_t notice_count;
+	struct admin_notice *notices;
 	bool has_conf;
 	struct conf_duty_status
 		conf; /**< valid if has_conf; freed by the API */
--- a/admin/admin_test.c
+++ b/admin/admin_test.c
@@ -30,6 +30,9 @@
 	out->cell_count = 1;
 	out->cells = apr_pcalloc(p, sizeof(*out->cells));
 	out->cells[0] = (struct admin_cell){ 9, "shop", 3, 2 };
+	out->notice_count = 1;
+	out->notices = apr_pcalloc(p, sizeof(*out->notices));
+	out->notices[0] = (struct admin_notice){ "shop", "w1", true, 70 };
 	out->has_conf = true;
 	out->conf.digest_in_force = 0x1f;
 	out->conf.object_count = 1;
@@ -120,6 +123,7 @@
 static void test_status_and_counters(void)
 {
 	struct buf b = { 0 };
+	json_t *notice;
 	json_t *root;
 	json_t *conf;
 
@@ -135,6 +139,13 @@
 				"azurehold/base/fleet")),
 			12);
 	CU_ASSERT_EQUAL(json_array_size(json_object_get(root, "cells")), 1);
+	notice = json_array_get(json_object_get(root, "notices"), 0);
+	CU_ASSERT_STRING_EQUAL(
+		json_string_value(json_object_get(notice, "worker")), "w1");
+	CU_ASSERT(json_is_true(json_object_get(notice, "leaving")));
+	CU_ASSERT_EQUAL(
+		json_integer_value(json_object_get(notice, "pause_left_ms")),
+		70);
 	CU_ASSERT_EQUAL(json_array_size(json_object_get(root, "members")), 1);
 	json_decref(root);
 	buf_free(&b);
--- a/cmd/azhd/status.c
+++ b/cmd/azhd/status.c
@@ -49,6 +49,24 @@
 		};
 }
 
+static void add_notices(struct azhd *d, apr_pool_t *pool,
+			struct admin_status *out)
+{
+	struct home_notice_info *info =
+		apr_pcalloc(pool, HOME_INFO_MAX * sizeof(*info));
+
+	out->notice_count = home_notice_info(d->home, info);
+	out->notices = apr_pcalloc(pool, (out->notice_count + 1) *
+						 sizeof(*out->notices));
+	for (uint32_t i = 0; i < out->notice_count; i++)
+		out->notices[i] = (struct admin_notice){
+			.service = info[i].service,
+			.worker = info[i].worker,
+			.leaving = info[i].leaving,
+			.pause_left_ms = info[i].pause_left_ms,
+		};
+}
+
 static void on_status(struct admin_source *s, apr_pool_t *pool,
 		      struct admin_status *out)
 {
@@ -60,6 +78,7 @@
 	out->in_flight = front_in_flight(d->front);
 	add_members(d, pool, out);
 	add_cells(d, pool, out);
+	add_notices(d, pool, out);
 	out->has_conf = d->conf_duty &&
 			conf_duty_status(d->conf_duty, &out->conf) == AZ_OK;
 }
--- a/home/home.c
+++ b/home/home.c
@@ -688,12 +688,35 @@
 		i->in_flight_requests += c->workers[w].evidence.in_flight_count;
 }
 
+static void fill_notices(struct home *h, const struct home_cell *c)
+{
+	for (uint32_t i = 0; i < c->worker_count; i++) {
+		const struct home_worker *w = &c->workers[i];
+		int64_t left_us = w->paused_until_us - h->duty.now_us;
+		struct home_notice_info *n = &h->notices[h->notice_count];
+
+		if (!w->conf || (!w->leaving && left_us <= 0) ||
+		    h->notice_count == HOME_INFO_MAX)
+			continue;
+		snprintf(n->service, sizeof(n->service), "%s",
+			 c->conf_service ? c->conf_service->name : "-");
+		snprintf(n->worker, sizeof(n->worker), "%s", w->conf->name);
+		n->leaving = w->leaving;
+		n->pause_left_ms =
+			left_us > 0 ? (uint32_t)(left_us / US_PER_MS) : 0;
+		h->notice_count++;
+	}
+}
+
 static void publish_info(struct home *h)
 {
 	uint32_t n = 0;
 	apr_hash_index_t *i;
 
 	pthread_mutex_lock(&h->info_lock);
+	h->notice_count = 0;
+	for (i = apr_hash_first(NULL, h->cells); i; i = apr_hash_next(i))
+		fill_notices(h, apr_hash_this_val(i));
 	for (i = apr_hash_first(NULL, h->cells); i && n < HOME_INFO_MAX;
 	     i = apr_hash_next(i))
 		fill_info(apr_hash_this_val(i), &h->info[n++]);
@@ -712,6 +735,18 @@
 	return n;
 }
 
+uint32_t home_notice_info(struct home *h,
+			  struct home_notice_info out[HOME_INFO_MAX])
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&h->info_lock);
+	n = h->notice_count;
+	memcpy(out, h->notices, n * sizeof(out[0]));
+	pthread_mutex_unlock(&h->info_lock);
+	return n;
+}
+
 static void on_timer(struct duty *d, int64_t now_us)
 {
 	struct home *h = az_container_of(d, struct home, duty);
--- a/home/home.h
+++ b/home/home.h
@@ -422,12 +422,24 @@
 	uint32_t in_flight_requests;
 };
 
-/* Most cells on the status page. */
+/** Entry of the status page about a worker of such a cell that has said that it
+ * leaves, or that it wants no requests for a time. */
+struct home_notice_info {
+	char service[CONF_NAME_MAX_BYTES];
+	char worker[CONF_NAME_MAX_BYTES];
+	bool leaving;
+	uint32_t pause_left_ms; /**< as of the last sweep */
+};
+
+/* Most cells, and most workers with a notice, on the status page. */
 #define HOME_INFO_MAX 64
 
 /** Copies the state as of the last sweep; returns the number of cells. Callable
  * from any thread. */
 uint32_t home_info(struct home *h, struct home_info out[HOME_INFO_MAX]);
+/** The same for the workers with a notice. */
+uint32_t home_notice_info(struct home *h,
+			  struct home_notice_info out[HOME_INFO_MAX]);
 /** Passes a message of this daemon itself (grant request, completion or cancel)
  * to the home's thread. `sink` must outlive the home. */
 void home_submit_local(struct home *h, const struct home_msg *m,
@@ -502,6 +514,8 @@
 	pthread_mutex_t info_lock;
 	struct home_info info[HOME_INFO_MAX];
 	uint32_t info_count;
+	struct home_notice_info notices[HOME_INFO_MAX];
+	uint32_t notice_count;
 	struct counter *grant_requests; /**< without repeated ones */
 	struct counter *granted;
 	struct counter *queued;
