home, attempt: a worker without a boot may come back after it said it leaves

In the product's own interface workers are configured by name and address, and a boot is optional. A worker that had said that it leaves would never have been used again by the same daemons after its restart, as its id is the same. It is now tried again after 60 s; with a boot the notice has no end.

--- a/attempt/attempt.h
+++ b/attempt/attempt.h
@@ -223,9 +223,8 @@
 	uint32_t limit_mrps; /**< thousandths of a request per second that it
 				takes from the whole fleet; 0: no limit */
 	int64_t limit_named_us;
-	bool leaving; /**< it wants no further requests */
-	int64_t said_us; /**< when it first said so, or last asked for a pause
-			  */
+	int64_t leaving_until_us; /**< it leaves, and wants no further requests
+				   */
 	int64_t paused_until_us; /**< it wants no requests until then */
 };
 
--- a/attempt/grant.c
+++ b/attempt/grant.c
@@ -262,7 +262,7 @@
 		m->limit_age_ms =
 			(uint32_t)((now_us - n->limit_named_us) / US_PER_MS);
 	}
-	m->worker_leaving = n->leaving;
+	m->worker_leaving = now_us < n->leaving_until_us;
 	m->pause_ms = ms_until(a, n->paused_until_us);
 }
 
--- a/attempt/notice.c
+++ b/attempt/notice.c
@@ -34,7 +34,7 @@
 
 bool worker_notice_forbids(const struct worker_notice *n, int64_t now_us)
 {
-	return n->leaving || now_us < n->paused_until_us;
+	return now_us < n->leaving_until_us || now_us < n->paused_until_us;
 }
 
 /* Drops the notices that have no effect any more. */
@@ -103,12 +103,17 @@
 
 static void note_leaving(struct attempts *a, const struct attempt *t)
 {
-	struct worker_notice *n = get(a, t->pending->service_id, t->worker_id);
+	uint64_t service_id = t->pending->service_id;
+	struct worker_notice *n = get(a, service_id, t->worker_id);
+	struct conf *conf = conf_current_get(a->settings.conf);
+	const struct conf_worker *w =
+		attempt_find_worker(conf, service_id, t->worker_id);
+	uint64_t boot = w ? w->boot : 0;
 
-	if (!n || n->leaving)
+	conf_release(conf);
+	if (!n || a->duty.now_us < n->leaving_until_us)
 		return;
-	n->leaving = true;
-	n->said_us = a->duty.now_us;
+	n->leaving_until_us = worker_leaving_until_us(boot, a->duty.now_us);
 	counter_add(a->leaving_notices, 1);
 	log_write(LOG_INFO, "attempt",
 		  "worker says that it leaves worker=%s id=%s", t->worker_name,
@@ -125,7 +130,6 @@
 	if (!n || until_us <= n->paused_until_us)
 		return;
 	n->paused_until_us = until_us;
-	n->said_us = a->duty.now_us;
 	counter_add(a->pause_notices, 1);
 	log_write(ms < asked_ms ? LOG_WARN : LOG_INFO, "attempt",
 		  "worker wants no requests for a time worker=%s id=%s "
--- a/home/cells.c
+++ b/home/cells.c
@@ -217,10 +217,11 @@
 		out[i].evidence = &w->evidence;
 		out[i].suspicion = cached_suspicion(w, &base, now_us);
 		out[i].slots = w->conf ? w->conf->slots : 1;
-		out[i].unavailable =
-			!w->conf || w->conf->admin != WORKER_IN_SERVICE ||
-			w->leaving || (w->limit.mrps && !elected) ||
-			is_excluded(grant_request, w->id);
+		out[i].unavailable = !w->conf ||
+				     w->conf->admin != WORKER_IN_SERVICE ||
+				     now_us < w->leaving_until_us ||
+				     (w->limit.mrps && !elected) ||
+				     is_excluded(grant_request, w->id);
 		out[i].limit_mrps = worker_limit_rate_mrps(&w->limit, now_us);
 		out[i].at_limit = !worker_limit_allows(&w->limit, now_us);
 		out[i].paused_until_us = w->paused_until_us;
--- a/home/home.c
+++ b/home/home.c
@@ -494,8 +494,9 @@
 
 	if (!w)
 		return;
-	if (m->worker_leaving && !w->leaving) {
-		w->leaving = true;
+	if (m->worker_leaving && h->duty.now_us >= w->leaving_until_us) {
+		w->leaving_until_us = worker_leaving_until_us(
+			w->conf ? w->conf->boot : 0, h->duty.now_us);
 		log_write(LOG_INFO, "home",
 			  "worker leaves, as it says worker=%s cell=%016llx",
 			  w->conf ? w->conf->name : "-",
@@ -693,15 +694,16 @@
 	for (uint32_t i = 0; i < c->worker_count; i++) {
 		const struct home_worker *w = &c->workers[i];
 		int64_t left_us = w->paused_until_us - h->duty.now_us;
+		bool leaving = h->duty.now_us < w->leaving_until_us;
 		struct home_notice_info *n = &h->notices[h->notice_count];
 
-		if (!w->conf || (!w->leaving && left_us <= 0) ||
+		if (!w->conf || (!leaving && left_us <= 0) ||
 		    h->notice_count == HOME_INFO_MAX)
 			continue;
 		snprintf(n->service, sizeof(n->service), "%s",
 			 c->conf_service ? c->conf_service->name : "-");
 		snprintf(n->worker, sizeof(n->worker), "%s", w->conf->name);
-		n->leaving = w->leaving;
+		n->leaving = leaving;
 		n->pause_left_ms =
 			left_us > 0 ? (uint32_t)(left_us / US_PER_MS) : 0;
 		h->notice_count++;
--- a/home/home.h
+++ b/home/home.h
@@ -251,6 +251,15 @@
 				 const struct latency_baseline *base,
 				 int64_t now_us);
 
+/** A worker that has said that it leaves gets no requests until its process
+ * starts again, which its configured `boot` shows. Without a boot it is tried
+ * again after this time. */
+#define LEAVING_WITHOUT_BOOT_US (60 * US_PER_S)
+
+/** Returns until when a worker of this boot (0: unknown) is leaving that says
+ * so now. */
+int64_t worker_leaving_until_us(uint64_t boot, int64_t now_us);
+
 /* ---- limit that a worker has named (limit.c) ---- */
 
 /** A home knows the limit of a worker whose answers it has heard of within this
@@ -456,7 +465,7 @@
 	const struct conf_worker *conf; /**< NULL: no longer configured */
 	struct worker_evidence evidence;
 	struct worker_limit limit;
-	bool leaving; /**< it has said that it leaves */
+	int64_t leaving_until_us; /**< it has said that it leaves */
 	int64_t paused_until_us; /**< it has asked for no requests until then */
 	double suspicion; /**< cached value at suspicion_us */
 	int64_t suspicion_us; /**< 0: the evidence has changed since */
--- a/home/home_test.c
+++ b/home/home_test.c
@@ -429,6 +429,15 @@
 			6);
 }
 
+/* Guards against a worker that is never used again because its restart cannot
+ * be told from its going on. */
+static void test_leaving_ends_with_the_boot(void)
+{
+	CU_ASSERT_EQUAL(worker_leaving_until_us(5, 9), INT64_MAX);
+	CU_ASSERT_EQUAL(worker_leaving_until_us(0, 9),
+			9 + LEAVING_WITHOUT_BOOT_US);
+}
+
 /* Guards against requests that are queued although limits make the wait longer
  * than their deadline, and against a Retry-After that is too short. */
 static void test_limits_lengthen_the_estimated_wait(void)
@@ -763,6 +772,7 @@
 	CU_add_test(s, "worker at its limit",
 		    test_worker_at_its_limit_gets_nothing);
 	CU_add_test(s, "paused worker", test_paused_worker_gets_nothing);
+	CU_add_test(s, "leaving", test_leaving_ends_with_the_boot);
 	CU_add_test(s, "wait for limits",
 		    test_limits_lengthen_the_estimated_wait);
 	CU_add_test(s, "gray workers",
--- a/home/limit.c
+++ b/home/limit.c
@@ -1,12 +1,18 @@
 /**
  * @file
- * Keeps to the limit of requests per second that a worker has named.
+ * Keeps to what a worker says of itself: that it leaves, and the limit of
+ * requests per second that it has named.
  */
 #include "home/home.h"
 
 /* Requests that may be granted at once after a pause. */
 #define BURST 2
 
+int64_t worker_leaving_until_us(uint64_t boot, int64_t now_us)
+{
+	return boot ? INT64_MAX : now_us + LEAVING_WITHOUT_BOOT_US;
+}
+
 uint32_t worker_limit_rate_mrps(const struct worker_limit *l, int64_t now_us)
 {
 	uint32_t mrps = l->mrps;
