upstream: bytes of an earlier answer are not part of the next one

Cause: a faulty worker left the first bytes of an earlier answer on a kept connection, broken off inside a header. The real answer's status line became part of that header's value, and the id, which came last, was the right one: "not run" was believed and the order sent again. Ruled out: input before the request (such a connection is closed) and whole earlier answers (they have another id and are skipped).

Cuts at other places do not parse.

--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -105,6 +106,15 @@
 	       f == UPSTREAM_CLOSED_UNSENT || f == UPSTREAM_CANCELLED_UNSENT;
 }
 
+enum request_id_state request_id_add(enum request_id_state s, bool matches)
+{
+	enum request_id_state added =
+		matches ? REQUEST_ID_MATCHES : REQUEST_ID_DIFFERS;
+
+	return s == REQUEST_ID_ABSENT || s == added ? added :
+						      REQUEST_ID_AMBIGUOUS;
+}
+
 /* ---- endpoints and their connections ---- */
 
 static void list_add(struct conn **list, struct conn *c)
@@ -324,12 +334,44 @@
 			  az_last_message());
 }
 
-static void header_complete(struct conn *c)
+/* True if the text contains a status line. The worker then began an answer and
+ * broke it off before this one: a faulty worker may leave the first bytes of an
+ * earlier answer on a kept connection. Status and headers are those of both. */
+static bool has_status_line(const struct buf *text)
+{
+	const char *s = text->data ? (char *)text->data : "";
+
+	while ((s = strstr(s, "HTTP/"))) {
+		s += strlen("HTTP/");
+		if (isdigit(s[0]) && s[1] == '.' && isdigit(s[2]) &&
+		    s[3] == ' ' && isdigit(s[4]) && isdigit(s[5]) &&
+		    isdigit(s[6]))
+			return true;
+	}
+	return false;
+}
+
+/* Ends the reason phrase, which is read into `header_value`. False if it
+ * contains another status line. */
+static bool reason_complete(struct conn *c)
+{
+	bool good;
+
+	buf_append(&c->header_value, "", 1);
+	good = !has_status_line(&c->header_value);
+	c->header_value.len_bytes = 0;
+	return good;
+}
+
+/* False if the header contains a status line. */
+static bool header_complete(struct conn *c)
 {
 	if (!c->header_name.len_bytes)
-		return;
+		return reason_complete(c);
 	buf_append(&c->header_name, "", 1);
 	buf_append(&c->header_value, "", 1);
+	if (has_status_line(&c->header_value))
+		return false;
 	if (!strcasecmp((char *)c->header_name.data, "keep-alive"))
 		read_keep_alive(c, (char *)c->header_value.data);
 	if (!strcasecmp((char *)c->header_name.data, "retry-after"))
@@ -344,6 +386,7 @@
 	c->header_name.len_bytes = 0;
 	c->header_value.len_bytes = 0;
 	c->in_header_value = false;
+	return true;
 }
 
 static int on_begin(http_parser *p)
@@ -369,12 +412,23 @@
 	return true;
 }
 
+static int on_status(http_parser *p, const char *at, size_t n)
+{
+	struct conn *c = p->data;
+
+	if (exceeds_limit(c, n))
+		return 1;
+	buf_append(&c->header_value, at, (uint32_t)n);
+	return 0;
+}
+
 static int on_field(http_parser *p, const char *at, size_t n)
 {
 	struct conn *c = p->data;
 
-	if (c->in_header_value)
-		header_complete(c);
+	if ((c->in_header_value || !c->header_name.len_bytes) &&
+	    !header_complete(c))
+		return 1;
 	if (exceeds_limit(c, n))
 		return 1;
 	buf_append(&c->header_name, at, (uint32_t)n);
@@ -397,7 +451,8 @@
 	struct conn *c = p->data;
 	bool head = !strcmp(c->req.request->method, "HEAD");
 
-	header_complete(c);
+	if (!header_complete(c))
+		return -1;
 	c->answer->http_status = p->status_code;
 	/* Returning 1 tells the parser that the answer has no body. */
 	if (head || p->status_code / 100 == 1 || p->status_code == 204 ||
@@ -429,7 +484,8 @@
 
 	if (p->status_code / 100 == 1)
 		return 0;
-	if (!http_should_keep_alive(p))
+	if (!http_should_keep_alive(p) ||
+	    c->header_info.request_id == REQUEST_ID_AMBIGUOUS)
 		c->close_after = true;
 	c->answer_complete = true;
 	c->answers_other_request =
@@ -440,6 +496,7 @@
 
 static const http_parser_settings parser_settings = {
 	.on_message_begin = on_begin,
+	.on_status = on_status,
 	.on_header_field = on_field,
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers,
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -35,8 +35,13 @@
 	REQUEST_ID_ABSENT, /**< the answer carries no id */
 	REQUEST_ID_MATCHES,
 	REQUEST_ID_DIFFERS,
+	REQUEST_ID_AMBIGUOUS, /**< the answer carries several that differ */
 };
 
+/** The state after a further id of the answer, which matches that of the
+ * request or not. */
+enum request_id_state request_id_add(enum request_id_state s, bool matches);
+
 /** What the headers of a worker's answer state. */
 struct worker_headers {
 	enum request_id_state request_id;
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -410,12 +410,10 @@
 		    const char *value, struct worker_headers *h)
 {
 	if (!strcmp(name, "Id"))
-		h->request_id =
+		h->request_id = request_id_add(
+			h->request_id,
 			u->request->correlation &&
-					!strcmp(value,
-						u->request->correlation) ?
-				REQUEST_ID_MATCHES :
-				REQUEST_ID_DIFFERS;
+				!strcmp(value, u->request->correlation));
 	return true;
 }
 
@@ -575,6 +573,53 @@
 	upstream_set_dialect(up, &upstream_own_dialect);
 }
 
+/* Guards against an order that runs twice, or is answered with a status that
+ * its worker did not give: the first bytes of an earlier answer, left on a kept
+ * connection, are read with the real answer as one (review/1). */
+static void test_bytes_of_an_earlier_answer_are_not_part_of_the_next(void)
+{
+	static const char *const earlier[] = {
+		"HTTP/1.1 503 Full\r\nId: old\r\nX: 1\r\nContent-Length: 0"
+		"\r\n\r\n",
+		"HTTP/1.1 503 Full\r\nX: 1\r\nContent-Length: 3\r\nId: old"
+		"\r\n\r\nbad",
+		"HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\nId: old"
+		"\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+	};
+	static const char next[] = "HTTP/1.1 200 OK\r\nId: mine\r\n"
+				   "Content-Length: 2\r\n\r\nok";
+	char text[256];
+
+	upstream_set_dialect(up, &id_dialect);
+	free(post->correlation);
+	post->correlation = az_strdup("mine");
+	for (uint32_t i = 0; i < sizeof(earlier) / sizeof(earlier[0]); i++)
+		for (size_t n = 0; n <= strlen(earlier[i]); n++) {
+			const char *const answers[] = { text };
+			struct scripted_worker s;
+			struct upstream_request r;
+			struct upstream_result *result;
+
+			snprintf(text, sizeof(text), "%.*s%s", (int)n,
+				 earlier[i], next);
+			script_start(&s, answers, 1);
+			r = make_request(&s, post, 30 * US_PER_S);
+			upstream_send(up, &r);
+			result = wait_result();
+			if (!n || n == strlen(earlier[i]))
+				CU_ASSERT_EQUAL(result->fault, UPSTREAM_OK);
+			if (result->fault == UPSTREAM_OK) {
+				CU_ASSERT_EQUAL(result->answer->http_status,
+						200);
+				CU_ASSERT_EQUAL(result->verdict,
+						WORKER_ANSWERED);
+			}
+			free_result(result);
+			script_stop(&s);
+		}
+	upstream_set_dialect(up, &upstream_own_dialect);
+}
+
 #define ENDLESS_WORKERS 24
 
 static uint32_t ended; /* atomic */
@@ -664,6 +709,8 @@
 		    test_refused_request_is_repeated_on_another_connection);
 	CU_add_test(s, "head broken off anywhere",
 		    test_head_broken_off_anywhere_is_a_fault);
+	CU_add_test(s, "bytes of an earlier answer",
+		    test_bytes_of_an_earlier_answer_are_not_part_of_the_next);
 	CU_add_test(s, "answer without end is a fault",
 		    test_answer_without_end_is_a_fault);
 	CU_add_test(s, "answers without end are bounded together",
