soak, fake: workers that say that they leave or want no requests

The stand-in of a worker has the fault mode "pause" (503 with Retry-After) beside "drain", and counts requests against what it has said on the same connection, which belongs to one daemon: after 2.5 s of leaving, and more than two between 0.5 s and the end of a pause. The soak draws one such step for each seed, after its other faults, and a count fails the seed. AZ_TEST_BREAK_NOTICE switches the daemon's notices off.

--- a/attempt/notice.c
+++ b/attempt/notice.c
@@ -12,6 +12,12 @@
 
 #include "attempt/attempt.h"
 
+/* Test-only, set by "fault/run.sh --broken" in a separate build folder: what
+ * workers say of themselves is not heard. */
+#ifndef AZ_TEST_BREAK_NOTICE
+#define AZ_TEST_BREAK_NOTICE 0
+#endif
+
 /* Longest pause that a worker can ask for: in ten minutes it will have started
  * again, or an operator has seen the log line. */
 #define PAUSE_MAX_MS (10 * 60 * 1000)
@@ -145,7 +151,7 @@
 	const struct worker_headers *h = &r->header_info;
 
 	if (r->fault != UPSTREAM_OK || r->verdict == WORKER_ID_MISMATCH ||
-	    h->request_id == REQUEST_ID_DIFFERS)
+	    h->request_id == REQUEST_ID_DIFFERS || AZ_TEST_BREAK_NOTICE)
 		return;
 	if (r->verdict == WORKER_ANSWERED || h->limit_mrps)
 		attempts_note_limit(a, t->pending->service_id, t->worker_id,
--- a/fake/fake.h
+++ b/fake/fake.h
@@ -134,6 +134,7 @@
 				      never served again */
 	bool draining; /**< answers carry Azurehold-Draining, and the health
 			  endpoint answers 503 */
+	bool names_pause; /**< its 503 answers carry Retry-After: `late_ms` */
 	bool hidden_from_health; /**< the health endpoint answers 200 */
 };
 
@@ -145,7 +146,7 @@
 	uint32_t late_every; /**< late, crossed: delays one in this many answers
 			      */
 	uint32_t late_count; /**< late, crossed: answers so far */
-	int64_t late_ms; /**< late, crossed: delay */
+	int64_t late_ms; /**< late, crossed: delay; pause: its length */
 	int64_t period_us; /**< flap: length of a phase with or without fault */
 	int64_t began_us; /**< time of fault_parse() */
 	const struct fault_ops *inner; /**< flap: mode in the faulty phases */
@@ -312,6 +313,11 @@
 	FILE *run_log; /**< gets a line for each run; NULL: none */
 };
 
+/** Ids under which a worker counts requests against what it has said on the
+ * same connection, and so to the same daemon, as if they were runs. */
+#define RUN_AFTER_LEAVING "!leaving"
+#define RUN_IN_PAUSE "!pause"
+
 /** A worker: one duty that serves both ports, `listen` and `control`. */
 struct fake_worker;
 
--- a/fake/faults.c
+++ b/fake/faults.c
@@ -102,6 +102,11 @@
 	  .on_request = shed_request,
 	  .hidden_from_health = true },
 	{ .name = "drain", .draining = true },
+	/* Sheds load and names the time for which it wants no requests. */
+	{ .name = "pause",
+	  .on_request = shed_request,
+	  .names_pause = true,
+	  .hidden_from_health = true },
 	/* crossed does the same as late. Callers use it to test that an answer
 	 * to a request that was given up does not reach the next request. */
 	{ .name = "late", .on_answer = delay_answer },
--- a/fake/worker.c
+++ b/fake/worker.c
@@ -30,6 +30,13 @@
 
 struct job;
 
+/* The users' bounds: a daemon sends nothing this long after it was told that a
+ * worker leaves, and at most PAUSE_REQUESTS_MAX requests in a pause, once the
+ * pause has lasted for PAUSE_BEGINS_US. */
+#define LEAVING_MAX_US (2500 * US_PER_MS)
+#define PAUSE_BEGINS_US (500 * US_PER_MS)
+#define PAUSE_REQUESTS_MAX 2
+
 struct conn {
 	struct poll_handler handler;
 	struct conn *next;
@@ -47,6 +54,11 @@
 	bool complete; /* a complete request was parsed */
 	bool close_after; /* close when `output` is written */
 	bool closing; /* freed at the end of the current event */
+	int64_t said_leaving_us; /* first answer that said so; 0: none */
+	int64_t said_pause_us; /* first answer that asked for the last pause */
+	int64_t pause_until_us;
+	uint32_t late_requests; /* after leaving, or in a pause */
+	uint32_t retry_after_ms; /* for the next answer; 0: none */
 	struct alarm alarm; /* end of `opening` */
 	struct job *job; /* the request that waits for a slot or runs */
 	/* The request that is being parsed: */
@@ -229,12 +241,19 @@
 {
 	bool draining = c->worker->fault.ops->draining && !c->control;
 
+	if (draining && !c->said_leaving_us)
+		c->said_leaving_us = c->worker->duty.now_us;
 	buf_printf(&c->output,
 		   "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
-		   "Content-Length: %zu\r\n%s%s\r\n",
+		   "Content-Length: %zu\r\n%s%s",
 		   status, http_status_str((enum http_status)status),
 		   body_bytes, draining ? "Azurehold-Draining: yes\r\n" : "",
 		   keep_alive ? "" : "Connection: close\r\n");
+	if (c->retry_after_ms)
+		buf_printf(&c->output, "Retry-After: %.3f\r\n",
+			   c->retry_after_ms / 1000.0);
+	c->retry_after_ms = 0;
+	buf_append(&c->output, "\r\n", 2);
 	buf_append(&c->output, body, (uint32_t)body_bytes);
 	if (!keep_alive)
 		c->close_after = true;
@@ -423,9 +442,23 @@
 			      (int)w->load_waiting));
 }
 
+static void ask_for_pause(struct conn *c)
+{
+	const struct fake_worker *w = c->worker;
+
+	c->retry_after_ms = (uint32_t)w->fault.late_ms;
+	if (w->duty.now_us < c->pause_until_us)
+		return;
+	c->said_pause_us = w->duty.now_us;
+	c->pause_until_us = w->duty.now_us + w->fault.late_ms * US_PER_MS;
+	c->late_requests = 0;
+}
+
 static void job_shed(struct conn *c, struct job *j)
 {
 	c->worker->counts.shed++;
+	if (c->worker->fault.ops->names_pause)
+		ask_for_pause(c);
 	answer_json(c, 503, j->keep_alive,
 		    json_pack("{s:s}", "error", "overloaded"));
 	free(j);
@@ -458,6 +491,31 @@
 	return j;
 }
 
+static void count_violation(struct fake_worker *w, const char *id)
+{
+	run_table_add(&w->runs, id);
+	if (w->settings.run_log)
+		fprintf(w->settings.run_log, "%s\n", id);
+}
+
+/* A request that the daemon sent before it read the answer may still arrive
+ * after the bound, if the daemon was stopped for that long. */
+static void check_notices(struct conn *c)
+{
+	struct fake_worker *w = c->worker;
+	int64_t now_us = w->duty.now_us;
+
+	if (c->said_leaving_us &&
+	    now_us > c->said_leaving_us + LEAVING_MAX_US &&
+	    c->late_requests++ >= 1)
+		count_violation(w, RUN_AFTER_LEAVING);
+	else if (c->said_pause_us &&
+		 now_us > c->said_pause_us + PAUSE_BEGINS_US &&
+		 now_us < c->pause_until_us &&
+		 c->late_requests++ >= PAUSE_REQUESTS_MAX)
+		count_violation(w, RUN_IN_PAUSE);
+}
+
 static void serve_request(struct conn *c)
 {
 	struct fake_worker *w = c->worker;
@@ -469,10 +527,12 @@
 		return;
 	}
 	j = job_new(c);
-	if (j->probe)
+	if (j->probe) {
 		w->counts.probes++;
-	else
+	} else {
 		w->counts.requests++;
+		check_notices(c);
+	}
 	if (!j->probe || !is_healthy(w))
 		a = fault_on_request(&w->fault, &j->fault_request,
 				     w->duty.now_us);
--- a/fault/fault.h
+++ b/fault/fault.h
@@ -224,6 +224,7 @@
 	uint32_t ended_count;
 	uint32_t started_count; /**< reads, and payments that have a ticket */
 	uint32_t cut_count; /**< attempts that a planned stop interrupted */
+	uint32_t against_notice; /**< requests against what a worker had said */
 	uint32_t repeat_count; /**< atomic: attempts of all operations that did
 				  not end them */
 	int32_t stop; /**< atomic: callers start no more operations */
--- a/fault/judge.c
+++ b/fault/judge.c
@@ -44,6 +44,14 @@
 	struct load *l = arg;
 	uint32_t id = (uint32_t)strtoul(run_id + 1, NULL, 10);
 
+	if (*run_id == '!') {
+		log_write(
+			LOG_ERROR, "judge",
+			"requests against what their worker said kind=%s n=%u",
+			run_id + 1, runs);
+		l->against_notice += runs;
+		return;
+	}
 	if (*run_id == 'p' && id < l->operation_count)
 		l->operations[id].worker_runs += runs;
 }
@@ -76,7 +84,7 @@
 	r->cut = l->cut_count;
 	for (uint32_t i = 0; i < l->operation_count; i++)
 		check_operation(f, &l->operations[i], r);
-	r->other += f->failures;
+	r->other += f->failures + l->against_notice;
 }
 
 bool result_is_good(const struct result *r)
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -9,6 +9,9 @@
  * at most SERIES_GAP_MS after the one before. */
 #define SERIES_GAP_MS 300
 #define SERIES_MAX 4
+/* Length of a fault in which a worker says something of itself: longer than the
+ * 2.5 s after which nothing may reach a worker that leaves. */
+#define NOTICE_MS 4000
 /* A plan has one series for each such interval of its length. */
 #define SERIES_INTERVAL_MS 600
 
@@ -162,6 +165,25 @@
 	}
 }
 
+/* Adds a worker that says something of itself. Only the first worker says that
+ * it leaves, since it is not used again for a minute. Drawn last, so that the
+ * faults of a seed stay as they were. */
+static void draw_notice(struct plan_builder *b)
+{
+	bool leaves = random_below(b, 2);
+	struct soak_step s = {
+		.kind = SOAK_WORKER_FAULT,
+		.target = leaves ? 0 : random_below(b, b->limits->workers),
+		.begin_ms = random_below(b, b->limits->length_ms / 2),
+		.begin_command =
+			leaves ? "mode=drain" : "mode=pause&percent=60&ms=1500",
+		.end_command = "mode=none",
+	};
+
+	s.end_ms = s.begin_ms + NOTICE_MS;
+	add_step(b, &s);
+}
+
 void soak_plan_draw(struct soak_plan *p, const struct soak_limits *l,
 		    uint64_t seed)
 {
@@ -171,4 +193,5 @@
 	memset(p, 0, sizeof(*p));
 	while (series--)
 		draw_series(&b);
+	draw_notice(&b);
 }
