soak: draw the step of a worker's notice also in full plans

Requests in a pause are counted for all daemons, as connections of the product's own interface end with a refusal.

--- a/fake/fake.h
+++ b/fake/fake.h
@@ -313,8 +313,8 @@
 	FILE *run_log; /**< gets a line for each run; NULL: none */
 };
 
-/** Ids under which a worker counts requests against what it has said on the
- * same connection, and so to the same daemon, as if they were runs. */
+/** Ids under which a worker counts requests against what it has said, as if
+ * they were runs. */
 #define RUN_AFTER_LEAVING "!leaving"
 #define RUN_IN_PAUSE "!pause"
 
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -12,6 +12,8 @@
 /* Length of a fault in which a worker says something of itself: longer than the
  * 2.5 s after which nothing may reach a worker that leaves. */
 #define NOTICE_MS 4000
+/* Times that are tried for it, as other faults may leave no room. */
+#define NOTICE_TRIES 32
 /* A plan has one series for each such interval of its length. */
 #define SERIES_INTERVAL_MS 600
 
@@ -171,17 +173,23 @@
 static void draw_notice(struct plan_builder *b)
 {
 	bool leaves = random_below(b, 2);
-	struct soak_step s = {
-		.kind = SOAK_WORKER_FAULT,
-		.target = leaves ? 0 : random_below(b, b->limits->workers),
-		.begin_ms = random_below(b, b->limits->length_ms / 2),
-		.begin_command =
-			leaves ? "mode=drain" : "mode=pause&percent=60&ms=1500",
-		.end_command = "mode=none",
-	};
-
-	s.end_ms = s.begin_ms + NOTICE_MS;
-	add_step(b, &s);
+	uint32_t before = b->plan->count;
+
+	for (uint32_t i = 0; i < NOTICE_TRIES && b->plan->count == before;
+	     i++) {
+		struct soak_step s = {
+			.kind = SOAK_WORKER_FAULT,
+			.target = leaves ? 0 :
+					   random_below(b, b->limits->workers),
+			.begin_ms = random_below(b, b->limits->length_ms / 2),
+			.begin_command =
+				leaves ? "mode=drain" : "mode=pause&ms=3500",
+			.end_command = "mode=none",
+		};
+
+		s.end_ms = s.begin_ms + NOTICE_MS;
+		add_step(b, &s);
+	}
 }
 
 void soak_plan_draw(struct soak_plan *p, const struct soak_limits *l,
