front, upstream: bodies count until their requests are answered

Cause: the bound on the memory of bodies left out those of submitted requests, and each body was copied into the output of the connection to the worker, so that an order of 6 MB held 12 MB that nothing counted.

A body now counts from its announcement until its request is answered, and one that would exceed 64 MB together with the others is refused before it is read, as not run.

--- a/front/conn.c
+++ b/front/conn.c
@@ -17,8 +17,9 @@
 #define OUTPUT_MAX_BYTES (1U << 20)
 /** Body of one request, which is held in memory. */
 #define BODY_MAX_BYTES (16U << 20)
-/** Above this size of all bodies that are being read, new requests are refused.
- * It is a quarter of the memory of a small VM. */
+/** A request whose body would exceed this size together with those of all
+ * requests without an answer is refused. It is a quarter of the memory of a
+ * small VM. */
 #define BODIES_MAX_BYTES (64U << 20)
 /** Time after the last answer in which further input is read and discarded.
  * Closing a connection with unread input resets it, and the caller could lose
@@ -304,6 +305,13 @@
 	return 0;
 }
 
+/* The body is held until the request is answered. */
+static void hold_body(struct exchange *x, uint32_t bytes)
+{
+	x->front->body_bytes += bytes - x->held_body_bytes;
+	x->held_body_bytes = bytes;
+}
+
 static int on_body(http_parser *p, const char *data, size_t n)
 {
 	struct front_conn *c = p->data;
@@ -315,7 +323,8 @@
 		return 1;
 	}
 	buf_append(&x->body, data, (uint32_t)n);
-	c->front->body_bytes += n;
+	if (x->body.len_bytes > x->held_body_bytes)
+		hold_body(x, x->body.len_bytes);
 	return 0;
 }
 
@@ -379,6 +388,23 @@
 	return (uint32_t)n;
 }
 
+/* A body that is sent in chunks counts as it is read. */
+static bool hold_announced_body(struct exchange *x)
+{
+	uint64_t bytes = x->head.announced_body_bytes;
+	bool chunked = head_value(&x->head, "Transfer-Encoding") != NULL;
+
+	if (bytes == UINT64_MAX)
+		bytes = 0;
+	if (!bytes && !chunked)
+		return true;
+	if (x->front->body_bytes + bytes > BODIES_MAX_BYTES)
+		return false;
+	hold_body(x, (uint32_t)bytes);
+	buf_reserve(&x->body, (uint32_t)bytes);
+	return true;
+}
+
 static enum error_kind check_head(struct front_conn *c, struct exchange *x)
 {
 	enum error_kind k = head_check_fields(&x->head);
@@ -390,9 +416,7 @@
 	    (x->head.announced_body_bytes > l.body_bytes ||
 	     x->head.announced_body_bytes > BODY_MAX_BYTES))
 		return ERR_BODY_TOO_LARGE;
-	if (c->front->body_bytes > BODIES_MAX_BYTES)
-		return ERR_OVERLOADED;
-	return ERR_NONE;
+	return hold_announced_body(x) ? ERR_NONE : ERR_OVERLOADED;
 }
 
 /* Parses the complete head in `head_input`. */
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -16,7 +16,7 @@
 
 void exchange_free(struct exchange *x)
 {
-	x->front->body_bytes -= x->body.len_bytes;
+	x->front->body_bytes -= x->held_body_bytes;
 	answer_free(x->answer);
 	buf_free(&x->body);
 	head_free(&x->head);
@@ -238,7 +238,6 @@
 		if (d->forwards_header(head_name_at(h, i)))
 			buf_printf(&q->headers, "%s: %s\r\n",
 				   head_name_at(h, i), head_value_at(h, i));
-	x->front->body_bytes -= x->body.len_bytes;
 	q->body = x->body;
 	memset(&x->body, 0, sizeof(x->body));
 	return q;
--- a/front/front.h
+++ b/front/front.h
@@ -223,6 +223,7 @@
 	struct exchange *next; /**< the next request on the connection */
 	struct head head;
 	struct buf body;
+	uint32_t held_body_bytes; /**< part of front->body_bytes */
 	struct span span;
 	uint64_t attempt_id; /**< for attempts_cancel(); 0: none */
 	uint64_t organisation;
@@ -250,7 +251,8 @@
 	struct front_listener listeners[2];
 	struct front_conn *conns;
 	struct limiter *limiter;
-	uint64_t body_bytes; /**< of all requests not yet submitted */
+	uint64_t body_bytes; /**< of the bodies of all requests that are not
+				answered yet; announced ones in full */
 	int64_t armed_us; /**< when the timer fires; 0: not armed */
 	uint32_t conn_count; /**< atomic; without health check connections */
 	uint32_t in_flight; /**< atomic; see front_in_flight() */
--- a/front/front_test.c
+++ b/front/front_test.c
@@ -359,6 +359,50 @@
 	close(fd);
 }
 
+/* Guards against the memory of a VM being exhausted by long requests: a body
+ * counts from its announcement until its request is answered (review/3). */
+static void test_bodies_are_bounded_until_answered(void)
+{
+	static const char order[] = "POST /order HTTP/1.1\r\nHost: a\r\n"
+				    "Azurehold-Organisation: open\r\n"
+				    "Content-Length: %u\r\n\r\n";
+	char text[256];
+	char received[2048] = "";
+	char all[4096] = "";
+	int32_t fd[5];
+	int32_t worker_fd;
+
+	front_set_stopping(front);
+	fd[0] = connect_caller();
+	snprintf(text, sizeof(text), order, 5);
+	send_text(fd[0], text);
+	send_text(fd[0], "12345");
+	worker_fd = accept(worker_listener, NULL, NULL);
+	CU_ASSERT(read_until(worker_fd, "12345", received, sizeof(received)));
+	CU_ASSERT_EQUAL(front->body_bytes, 5);
+	/* Three of 16 MB have room beside it, the fourth has not. */
+	snprintf(text, sizeof(text), order, 16U << 20);
+	for (uint32_t i = 1; i < 5; i++) {
+		fd[i] = connect_caller();
+		send_text(fd[i], text);
+		if (i < 4)
+			while (front->body_bytes < 5 + ((uint64_t)i << 24))
+				usleep(1000);
+	}
+	CU_ASSERT(read_until(fd[4], "HTTP/1.1 503", all, sizeof(all)));
+	CU_ASSERT(read_until(fd[4], "Azurehold-Outcome: not-run", all,
+			     sizeof(all)));
+	for (uint32_t i = 1; i < 5; i++)
+		close(fd[i]);
+	while (front->body_bytes > 5)
+		usleep(1000);
+	send_ok_answer(worker_fd, "done");
+	while (front->body_bytes)
+		usleep(1000);
+	close(fd[0]);
+	close(worker_fd);
+}
+
 /* Sends two pipelined requests; the worker answers only the second one. Returns
  * the worker's connection with the first request; `*other` is the second's. */
 static int32_t pipeline_with_hung_first_request(int32_t fd, int32_t *other)
@@ -482,7 +526,8 @@
 		   "[worker orders/w1]\naddress = 127.0.0.1:%u\n"
 		   "data_centre = a1\n"
 		   "[route order]\npath = /order\nmethods = POST\n"
-		   "service = orders\nidempotent = no\n",
+		   "service = orders\nidempotent = no\n"
+		   "[limits]\nbody_bytes = 16777216\n",
 		   worker_port, worker_port);
 	buf_append(&all, "", 1);
 	if (conf_parse("t", (char *)all.data, NULL, NULL, &c, &errors))
@@ -571,6 +616,8 @@
 	CU_add_test(s, "stop with hung request",
 		    test_stop_delivers_answers_behind_a_hung_request);
 	/* The last tests, as the front stays in the state "stopping". */
+	CU_add_test(s, "bodies are bounded",
+		    test_bodies_are_bounded_until_answered);
 	CU_add_test(s, "stop with hung order",
 		    test_stop_answers_an_order_that_waits_at_its_worker);
 	CU_add_test(s, "stop with pipelined request",
--- a/lib/az.h
+++ b/lib/az.h
@@ -149,6 +149,9 @@
 	uint32_t cap_bytes;
 };
 
+/** Makes the capacity at least `bytes`, so that a buffer of known length takes
+ * no more memory than that. */
+void buf_reserve(struct buf *b, uint32_t bytes);
 void buf_append(struct buf *b, const void *data, uint32_t len_bytes);
 /** Appends formatted text, without its terminating zero byte. */
 void buf_printf(struct buf *b, const char *fmt, ...)
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -27,6 +27,9 @@
 /* Most bytes that are read for one request: a worker in trouble may send
  * answers to other requests, or interim ones, without end. */
 #define READ_MAX_BYTES (2 * ANSWER_MAX_BYTES)
+/* A longer body is sent from the request itself, so that it is not held twice
+ * until the answer comes. */
+#define BODY_COPIED_MAX_BYTES READ_BYTES
 /* Most bytes of incomplete answers that are held at a time. Beyond it the
  * answers end that are longer than HELD_SMALL_BYTES: many workers that send
  * answers without end at the same time must not exhaust the memory. */
@@ -67,8 +70,9 @@
 	int64_t connect_us; /* duration; 0 on a reused connection */
 	int64_t timeout_at_us; /* connect time-out, deadline or idle limit */
 	struct upstream_request req;
-	struct buf output;
-	uint32_t output_sent_bytes;
+	struct buf output; /* head of the request, with a short body */
+	const struct buf *body; /* of a long body; else NULL */
+	uint32_t output_sent_bytes; /* of both */
 	http_parser parser;
 	struct answer *answer;
 	struct buf header_name;
@@ -613,12 +617,36 @@
 	conn_open(u, &req);
 }
 
+static uint32_t unsent_bytes(const struct conn *c)
+{
+	return c->output.len_bytes + (c->body ? c->body->len_bytes : 0) -
+	       c->output_sent_bytes;
+}
+
+/* Writes as much of the request as the socket takes. */
+static apr_status_t write_request(struct conn *c)
+{
+	apr_status_t rv = APR_SUCCESS;
+
+	while (rv == APR_SUCCESS && unsent_bytes(c)) {
+		uint32_t head_bytes = c->output.len_bytes;
+		uint32_t sent = c->output_sent_bytes;
+		bool in_head = sent < head_bytes;
+		const uint8_t *data =
+			in_head ? c->output.data + sent :
+				  c->body->data + (sent - head_bytes);
+		apr_size_t n = in_head ? head_bytes - sent : unsent_bytes(c);
+
+		rv = apr_socket_send(c->poll.sock, (const char *)data, &n);
+		if (rv == APR_SUCCESS)
+			c->output_sent_bytes += (uint32_t)n;
+	}
+	return rv;
+}
+
 static void conn_send(struct conn *c)
 {
-	apr_size_t n = c->output.len_bytes - c->output_sent_bytes;
-	apr_status_t rv = apr_socket_send(
-		c->poll.sock, (char *)c->output.data + c->output_sent_bytes,
-		&n);
+	apr_status_t rv = write_request(c);
 
 	if (rv != APR_SUCCESS && !APR_STATUS_IS_EAGAIN(rv)) {
 		if (c->output_sent_bytes)
@@ -629,9 +657,7 @@
 			conn_replace(c);
 		return;
 	}
-	if (rv == APR_SUCCESS)
-		c->output_sent_bytes += (uint32_t)n;
-	if (c->output_sent_bytes == c->output.len_bytes) {
+	if (!unsent_bytes(c)) {
 		c->state = CONN_WAITING;
 		duty_poll(&c->upstream->duty, &c->poll, APR_POLLIN);
 	} else {
@@ -700,6 +726,7 @@
 
 	c->output.len_bytes = 0;
 	c->output_sent_bytes = 0;
+	c->body = NULL;
 	buf_printf(&c->output, "%s %s HTTP/1.1\r\n", r->method, r->path);
 	c->upstream->dialect->write_fleet_headers(
 		&c->req, left_ms > 0 ? left_ms : 0, &c->output);
@@ -708,7 +735,10 @@
 		buf_printf(&c->output, "Content-Length: %u\r\n",
 			   r->body.len_bytes);
 	buf_append(&c->output, "\r\n", 2);
-	buf_append(&c->output, r->body.data, r->body.len_bytes);
+	if (r->body.len_bytes > BODY_COPIED_MAX_BYTES)
+		c->body = &r->body;
+	else
+		buf_append(&c->output, r->body.data, r->body.len_bytes);
 }
 
 static void conn_begin(struct conn *c, const struct upstream_request *r)
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -219,6 +219,71 @@
 	script_stop(&s);
 }
 
+#define LONG_BODY_BYTES (3U << 20)
+
+/** Worker that reads one request slowly and notes its body. */
+struct slow_reader {
+	int32_t listener;
+	uint64_t hash; /* of the body */
+	uint32_t bytes;
+};
+
+static void *read_slowly(void *arg)
+{
+	struct slow_reader *s = arg;
+	int32_t fd = accept(s->listener, NULL, NULL);
+	uint32_t size = LONG_BODY_BYTES + 4096;
+	char *all = malloc(size);
+	uint32_t used = 0;
+	char *body = NULL;
+
+	while (all && (!body || all + used < body + LONG_BODY_BYTES)) {
+		ssize_t n = read(fd, all + used, size - used - 1);
+
+		if (n <= 0)
+			break;
+		used += (uint32_t)n;
+		all[used] = '\0';
+		if (!body && (body = strstr(all, "\r\n\r\n")))
+			body += 4;
+		usleep(100);
+	}
+	if (body) {
+		s->bytes = (uint32_t)(all + used - body);
+		s->hash = hash_bytes(body, s->bytes, 0);
+	}
+	CU_ASSERT(write(fd, OK_ANSWER, strlen(OK_ANSWER)) > 0);
+	free(all);
+	close(fd);
+	return NULL;
+}
+
+/* Guards against a body that is cut, changed or held twice because it is longer
+ * than what a socket takes at once. */
+static void test_long_body_is_sent_whole(void)
+{
+	struct request *q = request_new("POST", "/upload", "ledger");
+	struct scripted_worker s = { 0 };
+	struct slow_reader reader = { 0 };
+	pthread_t thread;
+
+	for (uint32_t i = 0; i < LONG_BODY_BYTES; i++) {
+		char byte = (char)('a' + i * 7 % 23);
+
+		buf_append(&q->body, &byte, 1);
+	}
+	script_listen(&s);
+	reader.listener = s.listener;
+	pthread_create(&thread, NULL, read_slowly, &reader);
+	CU_ASSERT_EQUAL(send_and_wait(&s, q), UPSTREAM_OK);
+	pthread_join(thread, NULL);
+	CU_ASSERT_EQUAL(reader.bytes, LONG_BODY_BYTES);
+	CU_ASSERT_EQUAL(reader.hash,
+			hash_bytes(q->body.data, LONG_BODY_BYTES, 0));
+	close(s.listener);
+	request_free(q);
+}
+
 /* Guards against reporting part of an answer as a complete answer. */
 static void test_truncated_answers_are_faults(void)
 {
@@ -691,6 +756,7 @@
 	s = CU_add_suite("upstream", NULL, NULL);
 	CU_add_test(s, "closed reused connection is not retried",
 		    test_closed_reused_connection_is_not_retried);
+	CU_add_test(s, "long body is sent whole", test_long_body_is_sent_whole);
 	CU_add_test(s, "truncated answers are faults",
 		    test_truncated_answers_are_faults);
 	CU_add_test(s, "surplus bytes close the connection",
