feed: revisions of the source may exceed 32 bits

Positions hold the last 32 bits of two revisions. Revisions are now compared by the sign of their difference, so that the messages between daemons stay as they are; a daemon of an older version still stops there.

The new test fails with the former comparison.

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -259,7 +259,8 @@
 
 	if (!import_configuration(f, fm))
 		position = (uint32_t)position;
-	if ((uint32_t)position < (uint32_t)f->position || !import_workers(f, s))
+	if (feed_revision_is_ahead((uint32_t)position, (uint32_t)f->position) ||
+	    !import_workers(f, s))
 		position = position >> 32 << 32;
 	f->position = feed_position_max(f->position, position);
 	if (l && f->position != before)
--- a/feed/feed.h
+++ b/feed/feed.h
@@ -101,11 +101,15 @@
 /* ---- positions (position.c) ---- */
 
 /*
- * A position tells how far the source has been read: its revision of the
- * configuration in the upper 32 bits, of the workers in the lower 32 bits. The
- * halves are compared separately.
+ * A position tells how far the source has been read: the last 32 bits of its
+ * revision of the configuration in the upper half, of the workers in the lower
+ * half. The halves are compared separately.
  */
 
+/** True if `theirs` is a later revision than `ours`, of which the last 32 bits
+ * are given; 0: none. */
+bool feed_revision_is_ahead(uint32_t ours, uint32_t theirs);
+
 /** True if `theirs` is ahead of `ours` in at least one half. */
 bool feed_position_is_ahead(uint64_t ours, uint64_t theirs);
 /** Returns the higher value of each half. */
--- a/feed/relay_test.c
+++ b/feed/relay_test.c
@@ -216,6 +216,22 @@
 			0x500000006);
 }
 
+/* Guards against daemons that take no change any more once the source's counter
+ * exceeds 32 bits (review/stand "revision"), and against a known revision that
+ * is replaced by none. */
+static void test_revisions_may_exceed_32_bits(void)
+{
+	CU_ASSERT(feed_revision_is_ahead(0xfffffffe, 3));
+	CU_ASSERT(!feed_revision_is_ahead(3, 0xfffffffe));
+	CU_ASSERT(feed_position_is_ahead(0xfffffffe00000007, 0x300000007));
+	CU_ASSERT_EQUAL(feed_position_max(0xfffffffe00000007, 0x300000006),
+			0x300000007);
+	CU_ASSERT(feed_revision_is_ahead(0, 0xfffffffe));
+	CU_ASSERT(feed_revision_is_ahead(0, 3));
+	CU_ASSERT(!feed_revision_is_ahead(0xfffffffe, 0));
+	CU_ASSERT(!feed_revision_is_ahead(0, 0));
+}
+
 /* Guards against a daemon that gives up fetching from members that are ahead
  * once it has watched the source for RELAY_CATCH_UP_US without success, and
  * against all daemons of a data centre that fetch across its border at once. */
@@ -559,6 +575,7 @@
 		    test_change_after_catch_up_time_is_awaited_again);
 	CU_add_test(s, "halves",
 		    test_halves_of_position_are_compared_separately);
+	CU_add_test(s, "over 32 bits", test_revisions_may_exceed_32_bits);
 	CU_add_test(s, "state", test_state_is_transferred_unchanged);
 	CU_add_test(s, "differences",
 		    test_state_has_only_what_the_receiver_lacks);
--- a/feed/state.c
+++ b/feed/state.c
@@ -115,8 +115,9 @@
 {
 	const struct feed_worker *w = &e->worker;
 
-	if (!e->expires_us && w->revision &&
-	    w->revision <= (uint32_t)known->position)
+	if (!e->expires_us && w->revision && (uint32_t)known->position &&
+	    !feed_revision_is_ahead((uint32_t)known->position,
+				    (uint32_t)w->revision))
 		buf_printf(out, "%c%s\n", UNCHANGED_MARK, w->name);
 	else
 		buf_printf(out, "%s %s %s %u %u %u %d %llu %u %llu %u\n",
