feed: an older state does not replace a newer list

A daemon that has just listed the workers has the position of the newest object that is left. A daemon that had missed a removal could be at a higher position; its state was imported with the removed worker, and the watch, which begins after the list, never corrected that.

States up to the revision of the list are now compared with it instead. If the sender has a worker more, the position rises to that of the list, so that the sender and others fetch; not before FEED_MISSING_GRACE_US, as the entries of live workers may have lapsed at the source and come back.

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -35,6 +35,10 @@
 	/** A state named a worker as unchanged that the table lacks, so that
 	 * the next one must have all workers. */
 	bool workers_incomplete;
+	uint64_t listed_revision; /**< of the last list of the source: nothing
+				     made until then is missing from the workers
+				     or too much; 0: none */
+	int64_t listed_us; /**< when it was applied */
 	struct feed_known known; /**< atomic fields, for other threads */
 	bool build_pending; /**< a snapshot must be built when the timer expires
 			     */
@@ -232,11 +236,44 @@
 	return true;
 }
 
-/* Returns false if the state leaves out a worker that this daemon lacks. */
+/* True if the state has a worker that this daemon lacks. */
+static bool has_unknown_worker(const struct feed *f, const struct feed_state *s)
+{
+	for (uint32_t i = 0; i < s->count; i++)
+		if (!feed_table_find(f->workers, s->workers[i].name))
+			return true;
+	for (uint32_t i = 0; i < s->unchanged_count; i++)
+		if (!feed_table_find(f->workers, s->unchanged[i]))
+			return true;
+	return false;
+}
+
+/* The position of a daemon that has just listed is that of the newest object,
+ * which may be lower than the sender's although the list is newer. Workers that
+ * only the sender has were removed in between, and the sender does not know; or
+ * their entries have lapsed at the source, which is known only after
+ * FEED_MISSING_GRACE_US. Until then returns false: the state is not imported.
+ */
+static bool import_older_workers(struct feed *f, const struct feed_state *s)
+{
+	if (!has_unknown_worker(f, s))
+		return true;
+	if (f->duty.now_us - f->listed_us < FEED_MISSING_GRACE_US)
+		return false;
+	f->workers->missing_revision = f->listed_revision;
+	return true;
+}
+
+/* Returns false if the state leaves out a worker that this daemon lacks, or is
+ * not imported. */
 static bool import_workers(struct feed *f, struct feed_state *s)
 {
 	bool changed = false;
 
+	if (f->listed_revision &&
+	    !feed_revision_is_ahead((uint32_t)f->listed_revision,
+				    (uint32_t)s->position))
+		return import_older_workers(f, s);
 	f->workers_incomplete = !feed_state_complete_workers(s, f->workers);
 	if (!f->workers_incomplete)
 		changed = feed_table_replace(f->workers, s->workers, s->count,
@@ -263,6 +300,8 @@
 	    !import_workers(f, s))
 		position = position >> 32 << 32;
 	f->position = feed_position_max(f->position, position);
+	f->position = feed_position_max(f->position,
+					(uint32_t)f->workers->missing_revision);
 	if (l && f->position != before)
 		l->ops->on_position_raised(l, f->position);
 }
@@ -275,6 +314,8 @@
 	uint64_t before = f->position;
 
 	f->workers_incomplete = false;
+	f->listed_revision = fm->version;
+	f->listed_us = f->duty.now_us;
 	if (feed_table_replace(f->workers, fm->workers, fm->count, fm->version,
 			       f->duty.now_us))
 		schedule_build(f);
--- a/feed/feed_test.c
+++ b/feed/feed_test.c
@@ -282,6 +282,43 @@
 			0x150000003e);
 }
 
+/* Guards against a daemon that has just listed, takes the older state of one
+ * that has not heard of a removal, and uses the removed worker again; its own
+ * position is lower, as the list shows only the revisions of what is left. */
+static void test_older_state_does_not_replace_a_list(void)
+{
+	static const char one_more[] = "85 20 0 2 0 0 0 0 0\n=w1\n"
+				       "w2 stock a1 2130706433 2 6 0 1 0 60\n";
+	struct feed_worker w = worker("w1", 1, 70);
+
+	feed_replace_workers(feed, &w, 1, 90);
+	feed_set_position(feed, 0x1500000046);
+	CU_ASSERT(wait_for_position(0x1500000046));
+	/* The same workers at position 80. */
+	CU_ASSERT_EQUAL(import("80 20 0 1 0 0 0 0 0\n=w1\n"), AZ_OK);
+	CU_ASSERT(wait_for_position(0x1500000050));
+	/* One worker more at position 85: it was removed until 90, unless the
+	 * entry has lapsed. */
+	CU_ASSERT_EQUAL(import(one_more), AZ_OK);
+	CU_ASSERT_EQUAL(feed_get_known(feed).position, 0x1500000050);
+	for (uint32_t i = 0;
+	     i < 1000 && feed_get_known(feed).position == 0x1500000050; i++) {
+		struct timespec ts = { 0, 10000000 };
+
+		nanosleep(&ts, NULL);
+		import(one_more);
+	}
+	CU_ASSERT(wait_for_position(0x150000005a));
+	CU_ASSERT(wait_for_workers("stock", 1));
+	CU_ASSERT_EQUAL(__atomic_load_n(&raised_position, __ATOMIC_ACQUIRE),
+			0x150000005a);
+	/* A newer state counts. */
+	CU_ASSERT_EQUAL(import("95 20 0 2 0 0 0 0 0\n=w1\n"
+			       "w3 stock a1 2130706433 3 6 0 1 0 94\n"),
+			AZ_OK);
+	CU_ASSERT(wait_for_workers("stock", 2));
+}
+
 /* Guards against a worker whose entry has lapsed at the source and that other
  * daemons keep for good, because they were not told that it is to be dropped:
  * the drop itself does not raise the position. */
@@ -352,6 +389,7 @@
 	CU_add_test(s, "halves", test_position_is_raised_by_halves);
 	CU_add_test(s, "removal",
 		    test_removal_found_in_a_list_raises_the_position);
+	CU_add_test(s, "older state", test_older_state_does_not_replace_a_list);
 	CU_add_test(s, "expiry", test_expiry_is_part_of_the_state);
 	CU_basic_run_tests();
 	feed_stop(feed);
