home: estimate the wait behind a pause with the paused workers' slots

The log shows refusals with a pause of 0.9 s, a deadline of 2 s and one or two requests in the queue.

Cause: while all workers of a cell are in a pause the estimate of the time between dispatches left their slots out and fell back to one request per latency, so that the few requests that wait for the end of the pause seemed to miss their deadline. The estimate is now made for the time at which the first pause ends.

The pause that the soak drew also outlasted its fault by up to 3.5 s, in which the check of the recovery already counts; it is 1.5 s now.

--- a/home/home.c
+++ b/home/home.c
@@ -264,10 +264,14 @@
 
 	for (uint32_t i = 0; i < n; i++)
 		any_available |= !list[i].unavailable;
-	c->queue.dispatch_interval_us =
-		choose_dispatch_interval_us(list, n, &base, h->duty.now_us);
 	c->queue.blocked_until_us =
 		all_paused_until_us(list, n, h->duty.now_us);
+	/* Dispatches begin when the first pause ends, and so does the estimate
+	 * of their rate. */
+	c->queue.dispatch_interval_us = choose_dispatch_interval_us(
+		list, n, &base,
+		c->queue.blocked_until_us ? c->queue.blocked_until_us :
+					    h->duty.now_us);
 	return any_available;
 }
 
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -183,7 +183,7 @@
 					   random_below(b, b->limits->workers),
 			.begin_ms = random_below(b, b->limits->length_ms / 2),
 			.begin_command =
-				leaves ? "mode=drain" : "mode=pause&ms=3500",
+				leaves ? "mode=drain" : "mode=pause&ms=1500",
 			.end_command = "mode=none",
 		};
 
