--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -620,8 +620,8 @@
 	return got;
 }
 
-/* Sends `count` requests one after the other on one connection, and prints a
- * line for each. */
+/* Sends `count` requests one after the other on one connection, `gap` ms apart,
+ * and prints a line for each. Those after the first have the target `then`. */
 static int fetch_main(char **argv)
 {
 	struct sockaddr_in a = address(argv[0]);
@@ -653,7 +653,9 @@
 				 "%s %s HTTP/1.1\r\nHost: %s\r\n"
 				 "X-Request-Id: %s-%ld\r\n"
 				 "X-Deadline-Ms: %ld\r\n",
-				 argv[3], argv[4], argv[2], argv[1], i, budget);
+				 argv[3],
+				 i ? option(argv + 5, "then", argv[4]) : argv[4],
+				 argv[2], argv[1], i, budget);
 
 		if (body_bytes || strcmp(argv[3], "GET"))
 			n += snprintf(head + n, HEAD_MAX - (size_t)n,
@@ -687,6 +689,8 @@
 		fflush(stdout);
 		if (strcmp(end, "whole") != 0)
 			break;
+		if (i + 1 < count)
+			sleep_ms(number(argv + 5, "gap", 0));
 	}
 	close(s->fd);
 	return 0;
