--- a/review/stand-2/fleet.sh
+++ b/review/stand-2/fleet.sh
@@ -47,9 +47,11 @@
 	pids="$pids $!"
 }
 
-# start_worker NUMBER ID: listens at $net.NUMBER:8080.
+# start_worker NUMBER ID [N]: listens at $net.NUMBER:8080; garbles each Nth
+# answer.
 start_worker () {
-	"$stand" worker "$net.$1:8080" "$2" "$tmp/runs" 2>>"$tmp/stand.log" &
+	"$stand" worker "$net.$1:8080" "$2" "$tmp/runs" "${3:-0}" \
+		2>>"$tmp/stand.log" &
 	worker_pid=$!
 	pids="$pids $!"
 }
--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -5,7 +5,8 @@
  *
  *	stand store IP:PORT FILE        FILE: lines "KIND NAME SPEC"
  *	stand put IP:PORT KIND NAME FILE    replaces a spec in the store
- *	stand worker IP:PORT ID [RUNS]  appends a line for each run to RUNS
+ *	stand worker IP:PORT ID RUNS [N]    appends a line for each run to RUNS;
+ *	                                garbles the head of each Nth answer
  *	stand fetch IP:PORT ID HOST METHOD PATH KEY=VALUE...
  *	stand raw IP:PORT C:FILE...     sends FILE on connection C (0 to 9), and
  *	                                prints the answer, before the next one
@@ -458,6 +459,8 @@
 static const char *worker_id;
 static FILE *runs;
 static int running;
+static int garble_each; /* 0: never */
+static int answers;
 #define SLOTS 6
 
 static void record_run(const char *id, const char *what)
@@ -471,6 +474,22 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Garbles the head of an answer: a blank within the name of a header, which no
+ * HTTP message may have, and chunks in its place. */
+static void garble(char *line, size_t cap, long *size, char **body)
+{
+	char *at = strstr(line, "Content-Length:");
+	char *chunked = malloc((size_t)*size + 64);
+	int n = sprintf(chunked, "%lx\r\n", *size);
+
+	snprintf(at, cap - (size_t)(at - line),
+		 "Transfer-Encoding : chunked\r\n\r\n");
+	memcpy(chunked + n, *body, (size_t)*size);
+	*size = n + *size + sprintf(chunked + n + *size, "\r\n0\r\n\r\n");
+	free(*body);
+	*body = chunked;
+}
+
 static void *worker_serve(void *arg)
 {
 	struct stream *s = arg;
@@ -517,6 +536,13 @@
 			 id, worker_id, size,
 			 __atomic_sub_fetch(&running, 1, __ATOMIC_RELAXED),
 			 SLOTS, size);
+		if (garble_each &&
+		    __atomic_add_fetch(&answers, 1, __ATOMIC_RELAXED) %
+				    garble_each ==
+			    0) {
+			garble(line, sizeof(line), &size, &body);
+			record_run(id, "answer garbled");
+		}
 		if (write_all(s->fd, line, strlen(line)) ||
 		    write_all(s->fd, body, (size_t)size)) {
 			free(body);
@@ -536,6 +562,7 @@
 {
 	worker_id = argv[1];
 	runs = argv[2] ? fopen(argv[2], "a") : NULL;
+	garble_each = argv[2] && argv[3] ? atoi(argv[3]) : 0;
 	serve(listen_at(argv[0]), worker_serve);
 	return 0;
 }
@@ -559,6 +586,26 @@
 	return v ? atol(v) : otherwise;
 }
 
+/* False if a header's name is not a token (RFC 9110, 5.6.2): the bytes are no
+ * HTTP answer. */
+static int is_http_head(const char *head)
+{
+	const char *p = head;
+
+	while ((p = strstr(p, "\r\n")) && p[2] != '\r') {
+		size_t n = strcspn(p += 2, ":\r");
+
+		if (!n || p[n] != ':')
+			return 0;
+		for (size_t i = 0; i < n; i++)
+			if (!strchr("!#$%&'*+-.^_`|~", p[i]) &&
+			    !((p[i] | 32) >= 'a' && (p[i] | 32) <= 'z') &&
+			    !(p[i] >= '0' && p[i] <= '9'))
+				return 0;
+	}
+	return 1;
+}
+
 /* Reads the body at no more than `rate` bytes a second (0: at once); pauses for
  * `pause` ms after the first bytes. Returns the bytes read. */
 static long read_slowly(struct stream *s, long length, long rate, long pause,
@@ -668,7 +715,9 @@
 			sscanf(head, "HTTP/1.1 %d", &status);
 			length = atol(header(head, "Content-Length", value,
 					     sizeof(value)));
-			if (status == 200)
+			if (!is_http_head(head))
+				end = "no-http-head";
+			else if (status == 200)
 				got = read_slowly(
 					s, length, number(argv + 5, "rate", 0),
 					number(argv + 5, "pause", 0),
