--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -667,14 +667,36 @@
 	return got;
 }
 
+static void send_request(int fd, char **argv, long i, long budget)
+{
+	long body_bytes = number(argv + 5, "body", 0);
+	char *text = malloc(HEAD_MAX);
+	int n = snprintf(text, HEAD_MAX,
+			 "%s %s HTTP/1.1\r\nHost: %s\r\n"
+			 "X-Request-Id: %s-%ld\r\nX-Deadline-Ms: %ld\r\n",
+			 argv[3], i ? option(argv + 5, "then", argv[4]) : argv[4],
+			 argv[2], argv[1], i, budget);
+
+	if (body_bytes || strcmp(argv[3], "GET"))
+		n += snprintf(text + n, HEAD_MAX - (size_t)n,
+			      "Content-Length: %ld\r\n", body_bytes);
+	n += snprintf(text + n, HEAD_MAX - (size_t)n, "\r\n");
+	write_all(fd, text, (size_t)n);
+	for (long b = 0; b < body_bytes; b++)
+		write_all(fd, "b", 1);
+	free(text);
+}
+
 /* Sends `count` requests one after the other on one connection, `gap` ms apart,
- * and prints a line for each. Those after the first have the target `then`. */
+ * and prints a line for each. Those after the first have the target `then`. With
+ * `pipeline` all are sent before the first answer is read. */
 static int fetch_main(char **argv)
 {
 	struct sockaddr_in a = address(argv[0]);
 	long budget = number(argv + 5, "budget", 15000);
 	long count = number(argv + 5, "count", 1);
-	long body_bytes = number(argv + 5, "body", 0);
+	long pipeline = number(argv + 5, "pipeline", 0);
+	struct timeval wait = { (budget + 2000) / 1000, 0 };
 	int mss = (int)number(argv + 5, "mss", 0);
 	int window = (int)number(argv + 5, "window", 0);
 	struct stream *s = calloc(1, sizeof(*s));
@@ -688,6 +710,9 @@
 			   sizeof(window));
 	if (connect(s->fd, (struct sockaddr *)&a, sizeof(a)))
 		die("connect");
+	setsockopt(s->fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	for (long i = 0; pipeline && i < count; i++)
+		send_request(s->fd, argv, i, budget);
 	for (long i = 0; i < count; i++) {
 		int64_t began = now_ms();
 		const char *end = "no-answer";
@@ -696,21 +721,9 @@
 		long length = -1;
 		long got = 0;
 		int status = 0;
-		int n = snprintf(head, HEAD_MAX,
-				 "%s %s HTTP/1.1\r\nHost: %s\r\n"
-				 "X-Request-Id: %s-%ld\r\n"
-				 "X-Deadline-Ms: %ld\r\n",
-				 argv[3],
-				 i ? option(argv + 5, "then", argv[4]) : argv[4],
-				 argv[2], argv[1], i, budget);
-
-		if (body_bytes || strcmp(argv[3], "GET"))
-			n += snprintf(head + n, HEAD_MAX - (size_t)n,
-				      "Content-Length: %ld\r\n", body_bytes);
-		n += snprintf(head + n, HEAD_MAX - (size_t)n, "\r\n");
-		write_all(s->fd, head, (size_t)n);
-		for (long b = 0; b < body_bytes; b++)
-			write_all(s->fd, "b", 1);
+
+		if (!pipeline)
+			send_request(s->fd, argv, i, budget);
 		if (read_head(s, head, HEAD_MAX)) {
 			sscanf(head, "HTTP/1.1 %d", &status);
 			length = atol(header(head, "Content-Length", value,
