--- a/review/stand-2/fleet.sh
+++ b/review/stand-2/fleet.sh
@@ -16,8 +16,9 @@
 end_all () {
 	for p in $pids
 	do
-		kill -CONT "$p" 2>/dev/null
-		kill -KILL "$p" 2>/dev/null
+		# Only children of this shell: others may have the id by now.
+		grep -q "^PPid:[^0-9]*$$\$" "/proc/$p/status" 2>/dev/null &&
+			kill -KILL "$p" 2>/dev/null
 	done
 	wait 2>/dev/null
 	test -n "$tmp" && rm -rf "$tmp"
@@ -25,8 +26,7 @@
 
 # Writes a line with the steady clock in milliseconds, as the stand-ins do.
 note () {
-	awk -v what="$*" '{ printf "%d %s\n", $1 * 1000, what }' /proc/uptime \
-		>>"$record"
+	echo "$("$stand" now) $*" >>"$record"
 }
 
 test -x "$azhd" || { echo "$azhd is missing" >&2; exit 2; }
--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -5,6 +5,10 @@
  *
  *	stand store IP:PORT FILE        FILE: lines "KIND NAME SPEC"
  *	stand put IP:PORT KIND NAME FILE    replaces a spec in the store
+ *	stand delete IP:PORT KIND NAME      removes an object from the store
+ *	stand now                       prints the time that all lines begin with
+ *	stand stop PID MS               SIGTERM, and SIGKILL after MS, as the
+ *	                                platform does
  *	stand worker IP:PORT ID RUNS [N]    appends a line for each run to RUNS;
  *	                                garbles the head of each Nth answer
  *	stand fetch IP:PORT ID HOST METHOD PATH KEY=VALUE...
@@ -667,9 +671,33 @@
 	return got;
 }
 
+/* Sends a body of `bytes` in chunks, at `rate` bytes a second. */
+static void send_chunks(int fd, long bytes, long rate)
+{
+	char data[65536];
+	int64_t began = now_ms();
+	char line[32];
+
+	memset(data, 'c', sizeof(data));
+	for (long sent = 0; sent < bytes;) {
+		long n = bytes - sent < (long)sizeof(data) ? bytes - sent :
+							     (long)sizeof(data);
+
+		snprintf(line, sizeof(line), "%lx\r\n", n);
+		if (write_all(fd, line, strlen(line)) ||
+		    write_all(fd, data, (size_t)n) || write_all(fd, "\r\n", 2))
+			return;
+		sent += n;
+		if (rate)
+			sleep_ms(began + sent * 1000 / rate - now_ms());
+	}
+	write_all(fd, "0\r\n\r\n", 5);
+}
+
 static void send_request(int fd, char **argv, long i, long budget)
 {
 	long body_bytes = number(argv + 5, "body", 0);
+	long chunk_bytes = number(argv + 5, "chunks", 0);
 	char *text = malloc(HEAD_MAX);
 	int n = snprintf(text, HEAD_MAX,
 			 "%s %s HTTP/1.1\r\nHost: %s\r\n"
@@ -677,11 +705,16 @@
 			 argv[3], i ? option(argv + 5, "then", argv[4]) : argv[4],
 			 argv[2], argv[1], i, budget);
 
-	if (body_bytes || strcmp(argv[3], "GET"))
+	if (chunk_bytes)
+		n += snprintf(text + n, HEAD_MAX - (size_t)n,
+			      "Transfer-Encoding: chunked\r\n");
+	else if (body_bytes || strcmp(argv[3], "GET"))
 		n += snprintf(text + n, HEAD_MAX - (size_t)n,
 			      "Content-Length: %ld\r\n", body_bytes);
 	n += snprintf(text + n, HEAD_MAX - (size_t)n, "\r\n");
 	write_all(fd, text, (size_t)n);
+	if (chunk_bytes)
+		send_chunks(fd, chunk_bytes, number(argv + 5, "up", 0));
 	for (long b = 0; b < body_bytes; b++)
 		write_all(fd, "b", 1);
 	free(text);
@@ -874,9 +907,48 @@
 	return 0;
 }
 
+static int delete_main(char **argv)
+{
+	struct sockaddr_in a = address(argv[0]);
+	struct stream *s = calloc(1, sizeof(*s));
+	char *head = malloc(HEAD_MAX);
+
+	s->fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (connect(s->fd, (struct sockaddr *)&a, sizeof(a)))
+		die("connect");
+	snprintf(head, HEAD_MAX,
+		 "DELETE /-/objects/%s/%s HTTP/1.1\r\nHost: store\r\n\r\n",
+		 argv[1], argv[2]);
+	write_all(s->fd, head, strlen(head));
+	if (!read_head(s, head, HEAD_MAX) || strncmp(head, "HTTP/1.1 200", 12))
+		die("the store did not remove the object");
+	return 0;
+}
+
+static int stop_main(char **argv)
+{
+	pid_t pid = (pid_t)atol(argv[0]);
+	int64_t until = now_ms() + atol(argv[1]);
+
+	kill(pid, SIGTERM);
+	while (now_ms() < until) {
+		sleep_ms(20);
+		if (kill(pid, 0))
+			return 0;
+	}
+	kill(pid, SIGKILL);
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN);
+	if (argc == 2 && !strcmp(argv[1], "now")) {
+		printf("%lld\n", (long long)now_ms());
+		return 0;
+	}
+	if (argc == 4 && !strcmp(argv[1], "stop"))
+		return stop_main(argv + 2);
 	if (argc >= 4 && !strcmp(argv[1], "store"))
 		return store_main(argv + 2);
 	if (argc >= 4 && !strcmp(argv[1], "worker"))
@@ -885,6 +957,8 @@
 		return fetch_main(argv + 2);
 	if (argc >= 4 && !strcmp(argv[1], "raw"))
 		return raw_main(argv + 2);
+	if (argc >= 5 && !strcmp(argv[1], "delete"))
+		return delete_main(argv + 2);
 	if (argc >= 6 && !strcmp(argv[1], "put"))
 		return put_main(argv + 2);
 	fprintf(stderr, "usage: see the head of review/stand-2/stand.c\n");
