--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -88,10 +88,10 @@
 	done
 	note "killed:$watchers"
 fi
-sleep 0.2
+sleep 0.05
 "$stand" delete "$store" servers $worker || cannot_run "store"
 note "store: the removal of $worker is acknowledged"
-sleep 0.2
+sleep 0.05
 if test "${TROUBLE:-1}" != 0
 then
 	for d in $watchers
