azhd: settings for the memory and the descriptors of the VM

The bounds on what callers may hold were constants, chosen for a VM of 260 MB. The platform states the memory and the descriptors of each VM in the settings that it passes; the template drops them.

--- a/cmd/azhd/azhd.h
+++ b/cmd/azhd/azhd.h
@@ -74,6 +74,8 @@
 				   */
 	uint32_t stop_timeout_ms; /**< longest planned stop, drain_ms included
 				   */
+	uint32_t memory_mb; /**< that this process may use, in MiB */
+	uint32_t max_descriptors; /**< file descriptors that it may have */
 };
 
 /** Reads the daemon's settings file; `errors` gets every error in it. */
--- a/cmd/azhd/settings.c
+++ b/cmd/azhd/settings.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "cmd/azhd/azhd.h"
 
@@ -13,6 +14,11 @@
 #define VMS_INTERVAL_MS_DEFAULT 2000
 #define DRAIN_MS_DEFAULT 2000
 #define STOP_TIMEOUT_MS_DEFAULT 30000
+#define MEMORY_MB_DEFAULT 256
+#define MEMORY_MB_MIN 32
+#define MEMORY_MB_MAX (1 << 20)
+#define DESCRIPTORS_MIN 128
+#define DESCRIPTORS_MAX (1 << 20)
 /* Retries: 0.1 % of the requests of a cell that serves 10000 in a minute. */
 #define RETRY_SLACK_DEFAULT 10
 
@@ -180,9 +186,26 @@
 		return parse_number(v, 0, 600000, &o->drain_ms);
 	if (!strcmp(key, "stop_timeout_ms"))
 		return parse_number(v, 0, 600000, &o->stop_timeout_ms);
+	if (!strcmp(key, "memory_mb"))
+		return parse_number(v, MEMORY_MB_MIN, MEMORY_MB_MAX,
+				    &o->memory_mb);
+	if (!strcmp(key, "max_descriptors"))
+		return parse_number(v, DESCRIPTORS_MIN, DESCRIPTORS_MAX,
+				    &o->max_descriptors);
 	return az_fail(AZ_NOT_FOUND, "unknown key '%s'", key);
 }
 
+/* The limit of the process, within the range of the setting. */
+static uint32_t process_max_descriptors(void)
+{
+	struct rlimit l;
+
+	if (getrlimit(RLIMIT_NOFILE, &l) || l.rlim_cur > DESCRIPTORS_MAX)
+		return DESCRIPTORS_MAX;
+	return l.rlim_cur < DESCRIPTORS_MIN ? DESCRIPTORS_MIN :
+					      (uint32_t)l.rlim_cur;
+}
+
 static enum az_status set_value(struct azhd_settings *o, const char *section,
 				const char *key, const char *v)
 {
@@ -272,6 +295,8 @@
 	out->vms_interval_ms = VMS_INTERVAL_MS_DEFAULT;
 	out->drain_ms = DRAIN_MS_DEFAULT;
 	out->stop_timeout_ms = STOP_TIMEOUT_MS_DEFAULT;
+	out->memory_mb = MEMORY_MB_DEFAULT;
+	out->max_descriptors = process_max_descriptors();
 	if (!p.file) {
 		add_error(&p, 0, strerror(errno));
 		return az_fail(AZ_INVALID, "cannot read %s", path);
@@ -290,6 +315,8 @@
 		out->stop_timeout_ms = out->bounds.stop_grace_ms;
 	if (!out->peer_bind.port)
 		out->peer_bind = out->peer;
+	if (out->max_descriptors > process_max_descriptors())
+		out->max_descriptors = process_max_descriptors();
 	if (errors->count)
 		return az_fail(AZ_INVALID, "%u errors in %s", errors->count,
 			       path);
