fault: crowds of clients that misbehave

No test shows it, and the bounds in the code count what passes one stage, not what the process holds.

make crowds runs 15 cases, one at a time. Each starts a daemon and six workers on loopback, lets a crowd of 4 to 1000 clients misbehave, and checks that the daemon lives, that its memory (resident, and received but not read) and its descriptors stay under the limits of the case's own settings, and that an ordinary request is answered beside the crowd and after it. largest-body is the opposite: one body at the operator's limit of 64 MiB must be served on a VM of 160 MB. Bounds: the memory of the smallest VM of the users' sites, 160 MB, or a lower memory_mb of the case.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	@echo "make check     run every test program"
 	@echo "make check-memory  run them with the address and UB sanitizers"
 	@echo "make faults    run the process-level failure tests"
+	@echo "make crowds    run crowds of clients that misbehave, one case at a time"
 	@echo "make soak      inject random faults into real processes: SEEDS=50 FIRST=1"
 	@echo "make soak-regression  run the seeds in soak/seeds.txt, which failed once"
 	@echo "make conf-check  test azhctl with the simulated store and three daemons"
@@ -63,7 +64,8 @@
 $(BUILD)/home/home_test $(BUILD)/home/home_measure: $(BUILD)/home/replay.o
 
 FAULT_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard fault/*.c)))
-$(BUILD)/fault/faults_main: $(BUILD)/fault/faults_main.o $(FAULT_OBJ) $(BUILD)/libaz.a
+$(BUILD)/fault/faults_main $(BUILD)/fault/crowds_main: $(BUILD)/fault/%: \
+		$(BUILD)/fault/%.o $(FAULT_OBJ) $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
 
 SOAK_OBJ = $(BUILD)/soak/plan.o $(BUILD)/soak/run.o
@@ -99,6 +101,9 @@
 faults: all
 	sh fault/run.sh
 
+crowds: all
+	sh fault/crowds.sh
+
 # Number of seeds, and the first seed; FIRST=0 chooses it at random.
 SEEDS ?= 1
 FIRST ?= 1
@@ -138,6 +143,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help setup check check-memory demo faults soak soak-regression conf-check models measure \
+.PHONY: all help setup check check-memory demo faults crowds soak soak-regression conf-check models measure \
 	slopes bench format reformat lint clean
 .SECONDARY:
--- a/fault/fault.h
+++ b/fault/fault.h
@@ -100,6 +100,12 @@
 	uint32_t service_ms; /**< mean service time of a worker */
 	uint32_t drain_ms; /**< setting of the daemons */
 	bool tcp_relays; /**< a TCP relay in front of each peer port */
+	const char *daemon_lines; /**< further settings in [daemon]; or NULL */
+	const char *conf_text; /**< further sections of the configuration; or
+				  NULL */
+	uint32_t answer_bytes; /**< padding in each answer of a worker */
+	uint32_t descriptors_max; /**< RLIMIT_NOFILE of the daemons; 0: that of
+				     this process */
 };
 
 struct fleet {
--- a/fault/fleet.c
+++ b/fault/fleet.c
@@ -8,6 +8,7 @@
 #include <time.h>
 #include <unistd.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <jansson.h>
@@ -95,8 +96,10 @@
 
 /* Only for the main thread: PR_SET_PDEATHSIG kills the child when the thread
  * that started it ends. */
-static void spawn(struct process *p, const char *log, char *const *argv)
+static void spawn(struct process *p, const char *log, char *const *argv,
+		  uint32_t descriptors_max)
 {
+	const struct rlimit descriptors = { descriptors_max, descriptors_max };
 	pid_t parent = getpid();
 	int fd;
 
@@ -108,7 +111,8 @@
 	if (p->pid)
 		return;
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	if (getppid() != parent)
+	if (getppid() != parent ||
+	    (descriptors_max && setrlimit(RLIMIT_NOFILE, &descriptors)))
 		_exit(1);
 	fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 	dup2(fd, 1);
@@ -172,8 +176,9 @@
 			f->first_port + PORT_MEMBER + i);
 	fprintf(out,
 		"\nmember_period_ms = 100\ndrain_ms = %u\n"
-		"stop_timeout_ms = 25000\n[fleet]\nkeys = %s\n",
-		f->options.drain_ms, KEY);
+		"stop_timeout_ms = 25000\n%s[fleet]\nkeys = %s\n",
+		f->options.drain_ms,
+		f->options.daemon_lines ? f->options.daemon_lines : "", KEY);
 	fclose(out);
 }
 
@@ -215,6 +220,8 @@
 							 "stockroom",
 			i, f->first_port + PORT_WORKER + i,
 			f->workers[i].dc == 'e' ? "east" : "west");
+	if (f->options.conf_text)
+		fputs(f->options.conf_text, out);
 	if (f->conf_version)
 		fprintf(out,
 			"[route change]\npath = /change%u\nmethods = GET\n"
@@ -243,7 +250,7 @@
 
 	snprintf(log, sizeof(log), "%s/d%u.log", f->dir, n);
 	__atomic_store_n(&d->started_us, clock_now_us(), __ATOMIC_RELEASE);
-	spawn(&d->process, log, argv);
+	spawn(&d->process, log, argv, f->options.descriptors_max);
 	__atomic_store_n(&d->stopping, 0, __ATOMIC_RELEASE);
 }
 
@@ -424,9 +431,14 @@
 	char listen[32];
 	char control[32];
 	char service[16];
-	char *argv[] = { program, "--name",    name,	"--listen",
-			 listen,  "--control", control, "--service-ms",
-			 service, "--run-log", runs,	NULL };
+	char answer[16];
+	char *argv[] = { program, "--name",
+			 name,	  "--listen",
+			 listen,  "--control",
+			 control, "--service-ms",
+			 service, "--answer-bytes",
+			 answer,  "--run-log",
+			 runs,	  NULL };
 
 	snprintf(program, sizeof(program), "%s/fake/worker_main", f->bin);
 	snprintf(log, sizeof(log), "%s/w%u.log", f->dir, n);
@@ -437,8 +449,9 @@
 	snprintf(control, sizeof(control), "127.0.0.1:%u",
 		 worker_control_port(f, n));
 	snprintf(service, sizeof(service), "%u", f->options.service_ms);
+	snprintf(answer, sizeof(answer), "%u", f->options.answer_bytes);
 	w->starts++;
-	spawn(&w->process, log, argv);
+	spawn(&w->process, log, argv, 0);
 }
 
 void worker_kill(struct fleet *f, uint32_t n)
@@ -502,7 +515,7 @@
 		 f->first_port + PORT_PEER_BIND + n);
 	snprintf(control_address, sizeof(control_address), "127.0.0.1:%u",
 		 f->first_port + PORT_TCP_RELAY_CONTROL + n);
-	spawn(&f->daemons[n].tcp_relay, log, argv);
+	spawn(&f->daemons[n].tcp_relay, log, argv, 0);
 }
 
 void fleet_start(struct fleet *f, const struct fleet_options *o)
