front: an answer is sent from its buffer, and the buffer is freed

Cause: an answer was copied into the output of its connection, whose capacity, up to twice the length, stayed until the connection closed.

Change: a body longer than 16 KiB is sent from the answer itself, and no further answer is written to a connection that has 64 KiB unsent. Output and head buffers above 16 KiB are freed once they are empty. While an answer is being sent, the idle time-out counts from the last byte that the caller took; before, it cut an answer that was read slowly, and an answer on a connection that closes after it had no time-out at all.

--- a/front/conn.c
+++ b/front/conn.c
@@ -13,8 +13,10 @@
 /** Requests of one connection in flight at once (HTTP pipelining). */
 #define PIPELINE_MAX 32
 /** While a connection has more bytes of unsent answers than this, no more of
- * its requests are read. */
-#define OUTPUT_MAX_BYTES (1U << 20)
+ * its answers are written and no more of its requests are read. */
+#define OUTPUT_MAX_BYTES (64U << 10)
+/** An empty buffer with a larger capacity is freed. */
+#define KEPT_BUFFER_BYTES 16384
 /** Body of one request, which is held in memory. */
 #define BODY_MAX_BYTES (16U << 20)
 /** A request whose body would exceed this size together with those of all
@@ -52,6 +54,10 @@
 	uint32_t exchange_count;
 	struct buf output;
 	uint32_t output_sent_bytes;
+	struct exchange *sending; /**< the long body of its answer follows
+				     `output`; or NULL */
+	uint32_t body_sent_bytes; /**< of that body */
+	int64_t sent_us; /**< when bytes of an answer were last sent */
 	int64_t timeout_at_us; /**< see conn_expire(); 0: none */
 };
 
@@ -76,6 +82,8 @@
 			exchange_free(x);
 		}
 	}
+	if (c->sending)
+		exchange_free(c->sending);
 	if (c->prev)
 		c->prev->next = c->next;
 	else
@@ -109,30 +117,65 @@
 
 /* ---- writing answers ---- */
 
-/* Returns false if it has closed and freed the connection. */
-static bool flush(struct front_conn *c)
+static uint32_t unsent_bytes(const struct front_conn *c)
 {
-	while (c->output_sent_bytes < c->output.len_bytes) {
-		apr_size_t n = c->output.len_bytes - c->output_sent_bytes;
-		apr_status_t rv = apr_socket_send(
-			c->poll.sock,
-			(char *)c->output.data + c->output_sent_bytes, &n);
+	uint32_t n = c->output.len_bytes - c->output_sent_bytes;
 
-		if (APR_STATUS_IS_EAGAIN(rv))
-			return true;
-		if (rv != APR_SUCCESS) {
-			conn_close(c);
-			return false;
+	if (c->sending)
+		n += c->sending->answer->body.len_bytes - c->body_sent_bytes;
+	return n;
+}
+
+static bool has_unsent(const struct front_conn *c)
+{
+	return unsent_bytes(c) > 0;
+}
+
+/* Sends a part of `b`; *rv is APR_SUCCESS if all of it is sent. */
+static void send_buf(struct front_conn *c, const struct buf *b,
+		     uint32_t *sent_bytes, apr_status_t *rv)
+{
+	while (*rv == APR_SUCCESS && *sent_bytes < b->len_bytes) {
+		apr_size_t n = b->len_bytes - *sent_bytes;
+
+		*rv = apr_socket_send(c->poll.sock,
+				      (char *)b->data + *sent_bytes, &n);
+		if (*rv == APR_SUCCESS) {
+			*sent_bytes += (uint32_t)n;
+			c->sent_us = c->front->duty.now_us;
 		}
-		c->output_sent_bytes += (uint32_t)n;
 	}
+}
+
+static void free_sent(struct front_conn *c)
+{
 	c->output.len_bytes = c->output_sent_bytes = 0;
-	return true;
+	if (c->output.cap_bytes > KEPT_BUFFER_BYTES)
+		buf_free(&c->output);
+	if (c->sending)
+		exchange_free(c->sending);
+	c->sending = NULL;
+	c->body_sent_bytes = 0;
 }
 
-static bool has_unsent(const struct front_conn *c)
+/* Returns false if it has closed and freed the connection. */
+static bool flush(struct front_conn *c)
 {
-	return c->output_sent_bytes < c->output.len_bytes;
+	apr_status_t rv = APR_SUCCESS;
+
+	if (!has_unsent(c))
+		return true;
+	send_buf(c, &c->output, &c->output_sent_bytes, &rv);
+	if (c->sending)
+		send_buf(c, &c->sending->answer->body, &c->body_sent_bytes,
+			 &rv);
+	if (rv == APR_SUCCESS) {
+		free_sent(c);
+	} else if (!APR_STATUS_IS_EAGAIN(rv)) {
+		conn_close(c);
+		return false;
+	}
+	return true;
 }
 
 static void start_linger(struct front_conn *c)
@@ -147,7 +190,7 @@
 	int16_t events = APR_POLLIN;
 
 	if (c->exchange_count >= PIPELINE_MAX ||
-	    c->output.len_bytes > OUTPUT_MAX_BYTES)
+	    unsent_bytes(c) > OUTPUT_MAX_BYTES)
 		events = 0;
 	if (has_unsent(c))
 		events |= APR_POLLOUT;
@@ -163,13 +206,15 @@
 	set_timeout(c, c->front->duty.now_us + l.idle_timeout_ms * US_PER_MS);
 }
 
-/* Sends the answers that are next in the order of the requests. Returns false
- * if it has closed and freed the connection. */
-static bool send_answers(struct front_conn *c)
+/* Writes the answers that are next in the order of the requests to the output,
+ * until one with a long body follows or the output is long. True if it has
+ * written any. */
+static bool write_answers(struct front_conn *c)
 {
-	bool sent = false;
+	bool any = false;
 
-	while (c->first && c->first->answer && c->first->request_complete) {
+	while (c->first && c->first->answer && c->first->request_complete &&
+	       !c->sending && unsent_bytes(c) <= OUTPUT_MAX_BYTES) {
 		struct exchange *x = c->first;
 
 		/* An answer closes the connection only if no request follows
@@ -179,22 +224,40 @@
 		else if (c->phase == PHASE_NO_MORE_REQUESTS ||
 			 !x->head.keep_alive || front_is_stopping(c->front))
 			x->close_after = true;
-		exchange_write_answer(x, &c->output);
+		if (!exchange_write_answer(x, &c->output))
+			c->sending = x;
 		c->first = x->next;
 		if (!c->first)
 			c->last = NULL;
 		c->exchange_count--;
 		if (x->close_after)
 			c->phase = PHASE_NO_MORE_REQUESTS;
-		exchange_free(x);
-		sent = true;
+		if (!c->sending)
+			exchange_free(x);
+		any = true;
 	}
-	if (!flush(c))
+	return any;
+}
+
+/* Writes and sends answers. Returns false if it has closed and freed the
+ * connection. */
+static bool send_answers(struct front_conn *c)
+{
+	int64_t sent_us = c->sent_us;
+	bool any = false;
+
+	while (write_answers(c)) {
+		any = true;
+		if (!flush(c))
+			return false;
+	}
+	if (!any && !flush(c))
 		return false;
 	if (c->phase == PHASE_NO_MORE_REQUESTS && !c->first && !has_unsent(c))
 		start_linger(c);
-	else if (sent && !c->first && c->phase == PHASE_HEAD &&
-		 !c->head_input.len_bytes)
+	else if (has_unsent(c) ? any || c->sent_us != sent_us :
+				 any && !c->first && c->phase == PHASE_HEAD &&
+					 !c->head_input.len_bytes)
 		set_idle_timeout(c);
 	update_poll_events(c);
 	return true;
@@ -444,6 +507,8 @@
 				   c->parser.upgrade || c->phase != PHASE_BODY))
 		k = ERR_BAD_REQUEST;
 	c->head_input.len_bytes = c->head_input_seen_bytes = 0;
+	if (c->head_input.cap_bytes > KEPT_BUFFER_BYTES)
+		buf_free(&c->head_input);
 	if (k == ERR_NONE)
 		k = check_head(c, x);
 	if (k != ERR_NONE) {
@@ -607,21 +672,27 @@
 }
 
 /* Handles a connection whose time-out has passed. A request that is partly read
- * is refused with ERR_REQUEST_TIMEOUT. A connection that lingers or has no
- * request is closed. */
+ * is refused with ERR_REQUEST_TIMEOUT. A connection is closed if it lingers,
+ * has no request, or its caller does not read the answers. */
 static void conn_expire(struct front_conn *c)
 {
-	if (c->phase == PHASE_HEAD && c->head_input.len_bytes) {
+	int64_t idle_us = current_limits(c->front).idle_timeout_ms * US_PER_MS;
+
+	if (has_unsent(c) && c->front->duty.now_us - c->sent_us >= idle_us) {
+		conn_close(c);
+	} else if (c->phase == PHASE_HEAD && c->head_input.len_bytes) {
 		refuse_and_stop_reading(c, exchange_new(c),
 					ERR_REQUEST_TIMEOUT);
 		send_answers(c);
 	} else if (c->phase == PHASE_BODY && c->receiving) {
 		refuse_and_stop_reading(c, c->receiving, ERR_REQUEST_TIMEOUT);
 		send_answers(c);
-	} else if (c->phase == PHASE_LINGER || !c->first) {
+	} else if (c->phase == PHASE_LINGER || (!c->first && !has_unsent(c))) {
 		conn_close(c);
 	} else {
 		c->timeout_at_us = 0;
+		if (has_unsent(c))
+			set_timeout(c, c->sent_us + idle_us);
 	}
 }
 
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -94,8 +94,9 @@
 	       !strcmp(x->head.method, "HEAD");
 }
 
-void exchange_write_answer(struct exchange *x, struct buf *out)
+bool exchange_write_answer(struct exchange *x, struct buf *out)
 {
+	bool copied = true;
 	const struct caller_dialect_ops *d = x->front->dialect;
 	struct answer *a = x->answer;
 	uint16_t status = d->status(a);
@@ -126,9 +127,13 @@
 	if (status / 100 != 1 && status != 204)
 		buf_printf(out, "Content-Length: %u\r\n", a->body.len_bytes);
 	buf_append(out, "\r\n", 2);
-	if (!has_no_body(x, status))
-		buf_append(out, a->body.data, a->body.len_bytes);
+	if (!has_no_body(x, status)) {
+		copied = a->body.len_bytes <= ANSWER_COPIED_MAX_BYTES;
+		if (copied)
+			buf_append(out, a->body.data, a->body.len_bytes);
+	}
 	span_end(&x->span, "entry", error_info(a->kind)->name);
+	return copied;
 }
 
 void exchange_refuse(struct exchange *x, enum error_kind k)
--- a/front/front.h
+++ b/front/front.h
@@ -215,6 +215,9 @@
 
 struct front_conn;
 
+/** A longer body of an answer is not copied. */
+#define ANSWER_COPIED_MAX_BYTES 16384
+
 /** One request and its answer on a connection. */
 struct exchange {
 	struct reply_to reply;
@@ -276,8 +279,10 @@
 /** Sets an answer made by this daemon: an error, or ERR_NONE for a passed
  * health check. */
 void exchange_refuse(struct exchange *x, enum error_kind k);
-/** Appends the answer to `out`, as it is sent to the caller. */
-void exchange_write_answer(struct exchange *x, struct buf *out);
+/** Appends the answer to `out`, as it is sent to the caller, but not a body
+ * longer than ANSWER_COPIED_MAX_BYTES. Returns false if the body was left out
+ * and is to be sent from the answer itself. */
+bool exchange_write_answer(struct exchange *x, struct buf *out);
 void exchange_free(struct exchange *x);
 /** To be called when an exchange has got its answer: sends the answers that are
  * next in order, or frees the exchange if its connection is closed. */
