front: one account of the memory that is held for callers

What callers saw: a crowd of bodies in chunks, or of answers that nobody reads, ended a daemon by its memory and cut the requests of all its callers. Bodies that were announced and never sent took the room of others until the idle time-out. A single body of more than 16 MiB was refused with 413 though the operator's limit is 64 MiB.

Cause: each bound counted what passes one stage. Bodies counted in full when they were announced and were compared with the bound at the head only, when a body in chunks has announced nothing. The lengths counted, not the capacities, which doubled. Answers and heads counted nowhere. 16 MiB a body and 64 MiB in all were constants, whatever the VM has.

Change: front/memory.c counts what connections hold, by capacity: heads, bodies until the answer, answers until they are sent. Each connection draws its first 64 KiB from a share of 15 % of memory_mb and the rest from one of 45 %, so that long bodies and answers never take the room of ordinary requests; on 160 MB one body of 64 MiB has room. An announced body holds what has arrived of it. Beyond a share, connections give way: the slowest transfer first, then the largest holder; an incomplete request is refused as not run, a caller that does not read is closed. An idle connection, and one whose requests are at workers, never gives way; new requests are refused then. A body grows in steps of at most 1 MiB, and may not take longer than the longest deadline, 300 s. Buffers of 32 KiB or more go back to the system when they are freed.

The test of bounded bodies counted announced bodies in full, which is the fault of announced-only. It now checks that an announced body holds nothing, that two bodies of 6 MiB fit into a VM of 32 MiB and a third has the slowest refused as not run, and that bodies count until the answer, as before.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,6 +14,7 @@
  * assigns a range of ports to each daemon; its last port is for membership. */
 #define RELAY_PORT_OFFSET 1
 #define READY_CHECK_INTERVAL_NS 50000000
+#define LONG_BUFFER_BYTES (32 << 10)
 /* Gossip periods after the start in which this daemon may not yet know of all
  * members that left, and of their successors. In this time membership has
  * compared its list of departed members with those of eight members of the data
@@ -216,6 +218,7 @@
 		.health_ip = s->ready.ip,
 		.health_port = s->ready.port,
 		.in_flight_max = s->max_in_flight,
+		.memory_bytes = (uint64_t)s->memory_mb << 20,
 		.dialect = s->platform_address[0] ? &platform_caller_dialect :
 						    NULL,
 		.conf = d->conf,
@@ -627,6 +630,9 @@
 		print_errors(&errors);
 		return 2;
 	}
+	/* A fixed threshold, which glibc raises otherwise: long buffers then go
+	 * back to the system when they are freed. */
+	mallopt(M_MMAP_THRESHOLD, LONG_BUFFER_BYTES);
 	apr_initialize();
 	apr_pool_create(&daemon.pool, NULL);
 	log_set_level(daemon.settings.log_level);
--- a/front/conn.c
+++ b/front/conn.c
@@ -17,12 +17,8 @@
 #define OUTPUT_MAX_BYTES (64U << 10)
 /** An empty buffer with a larger capacity is freed. */
 #define KEPT_BUFFER_BYTES 16384
-/** Body of one request, which is held in memory. */
-#define BODY_MAX_BYTES (16U << 20)
-/** A request whose body would exceed this size together with those of all
- * requests without an answer is refused. It is a quarter of the memory of a
- * small VM. */
-#define BODIES_MAX_BYTES (64U << 20)
+/** Step in which a body grows while it is short, see grow_body(). */
+#define BODY_GROWTH_MIN_BYTES READ_BYTES
 /** Time after the last answer in which further input is read and discarded.
  * Closing a connection with unread input resets it, and the caller could lose
  * the answer. */
@@ -49,6 +45,7 @@
 	bool in_header_value;
 	bool too_large;
 	struct exchange *receiving; /**< its request is being read; or NULL */
+	uint64_t body_max_bytes; /**< of that request */
 	struct exchange *first; /**< in the order of the requests */
 	struct exchange *last;
 	uint32_t exchange_count;
@@ -57,7 +54,9 @@
 	struct exchange *sending; /**< the long body of its answer follows
 				     `output`; or NULL */
 	uint32_t body_sent_bytes; /**< of that body */
-	int64_t sent_us; /**< when bytes of an answer were last sent */
+	struct transfer receive; /**< of the request that is being read */
+	struct transfer send; /**< since nothing was unsent */
+	uint64_t held_bytes; /**< counted in front->memory */
 	int64_t timeout_at_us; /**< see conn_expire(); 0: none */
 };
 
@@ -74,6 +73,8 @@
 		x->conn = NULL;
 		/* A submitted exchange is freed when its answer arrives. */
 		if (x->submitted && !x->answer) {
+			x->held_bytes = exchange_held_bytes(x);
+			memory_budget_change(&f->memory, 0, x->held_bytes);
 			counter_add(f->callers_left, 1);
 			if (x->attempt_id)
 				attempts_cancel(f->settings.attempts,
@@ -84,6 +85,7 @@
 	}
 	if (c->sending)
 		exchange_free(c->sending);
+	memory_budget_change(&f->memory, c->held_bytes, 0);
 	if (c->prev)
 		c->prev->next = c->next;
 	else
@@ -115,6 +117,66 @@
 	return l;
 }
 
+static void set_idle_timeout(struct front_conn *c)
+{
+	struct conf_limits l = current_limits(c->front);
+
+	/* Not shortened while the daemon stops: front_quiesce() closes idle
+	 * connections. */
+	set_timeout(c, c->front->duty.now_us + l.idle_timeout_ms * US_PER_MS);
+}
+
+/* A body may pause for the idle time-out, but not take longer than any deadline
+ * that a caller may set. */
+static void set_body_timeout(struct front_conn *c)
+{
+	int64_t last_us =
+		c->receiving->started_us + DEADLINE_MAX_MS * US_PER_MS;
+
+	set_idle_timeout(c);
+	if (c->timeout_at_us > last_us)
+		set_timeout(c, last_us);
+}
+
+/* ---- memory ---- */
+
+/* Counts what the connection holds now, capacities rather than lengths. */
+static void update_held(struct front_conn *c)
+{
+	struct front *f = c->front;
+	uint64_t held = c->head_input.cap_bytes + c->output.cap_bytes;
+
+	for (const struct exchange *x = c->first; x; x = x->next)
+		held += exchange_held_bytes(x);
+	if (c->sending)
+		held += exchange_held_bytes(c->sending);
+	memory_budget_change(&f->memory, c->held_bytes, held);
+	c->held_bytes = held;
+	counter_set(f->memory_held,
+		    (int64_t)(f->memory.held_bytes[MEMORY_SHORT] +
+			      f->memory.held_bytes[MEMORY_LONG]));
+}
+
+static void transfer_add(struct transfer *t, uint64_t bytes, int64_t now_us)
+{
+	if (!t->active)
+		*t = (struct transfer){ .active = true, .began_us = now_us };
+	t->bytes += bytes;
+	t->moved_us = now_us;
+}
+
+static struct memory_holder holder_of(const struct front_conn *c)
+{
+	struct memory_holder h = { .held_bytes = c->held_bytes,
+				   .receiving = c->receive,
+				   .sending = c->send };
+
+	for (const struct exchange *x = c->first; x && !h.has_answers;
+	     x = x->next)
+		h.has_answers = x->answer != NULL;
+	return h;
+}
+
 /* ---- writing answers ---- */
 
 static uint32_t unsent_bytes(const struct front_conn *c)
@@ -142,13 +204,14 @@
 				      (char *)b->data + *sent_bytes, &n);
 		if (*rv == APR_SUCCESS) {
 			*sent_bytes += (uint32_t)n;
-			c->sent_us = c->front->duty.now_us;
+			transfer_add(&c->send, n, c->front->duty.now_us);
 		}
 	}
 }
 
 static void free_sent(struct front_conn *c)
 {
+	c->send.active = false;
 	c->output.len_bytes = c->output_sent_bytes = 0;
 	if (c->output.cap_bytes > KEPT_BUFFER_BYTES)
 		buf_free(&c->output);
@@ -165,6 +228,9 @@
 
 	if (!has_unsent(c))
 		return true;
+	/* Begins the transfer even if the socket takes nothing. */
+	transfer_add(&c->send, 0,
+		     c->send.active ? c->send.moved_us : c->front->duty.now_us);
 	send_buf(c, &c->output, &c->output_sent_bytes, &rv);
 	if (c->sending)
 		send_buf(c, &c->sending->answer->body, &c->body_sent_bytes,
@@ -195,15 +261,7 @@
 	if (has_unsent(c))
 		events |= APR_POLLOUT;
 	duty_poll(&c->front->duty, &c->poll, events);
-}
-
-static void set_idle_timeout(struct front_conn *c)
-{
-	struct conf_limits l = current_limits(c->front);
-
-	/* Not shortened while the daemon stops: front_quiesce() closes idle
-	 * connections. */
-	set_timeout(c, c->front->duty.now_us + l.idle_timeout_ms * US_PER_MS);
+	update_held(c);
 }
 
 /* Writes the answers that are next in the order of the requests to the output,
@@ -243,7 +301,7 @@
  * connection. */
 static bool send_answers(struct front_conn *c)
 {
-	int64_t sent_us = c->sent_us;
+	int64_t moved_us = c->send.moved_us;
 	bool any = false;
 
 	while (write_answers(c)) {
@@ -255,22 +313,14 @@
 		return false;
 	if (c->phase == PHASE_NO_MORE_REQUESTS && !c->first && !has_unsent(c))
 		start_linger(c);
-	else if (has_unsent(c) ? any || c->sent_us != sent_us :
-				 any && !c->first && c->phase == PHASE_HEAD &&
-					 !c->head_input.len_bytes)
+	else if (!c->receive.active &&
+		 (has_unsent(c) ? any || c->send.moved_us != moved_us :
+				  any && !c->first && c->phase == PHASE_HEAD))
 		set_idle_timeout(c);
 	update_poll_events(c);
 	return true;
 }
 
-void front_conn_answered(struct exchange *x)
-{
-	if (x->conn)
-		send_answers(x->conn);
-	else
-		exchange_free(x);
-}
-
 /* ---- reading requests ---- */
 
 static struct exchange *exchange_new(struct front_conn *c)
@@ -297,8 +347,10 @@
 	x->request_complete = true;
 	x->close_after = true;
 	c->receiving = NULL;
+	c->receive.active = false;
 	c->phase = PHASE_NO_MORE_REQUESTS;
-	c->head_input.len_bytes = 0;
+	buf_free(&c->head_input);
+	buf_free(&x->body);
 	set_timeout(c, c->front->duty.now_us + DEADLINE_MAX_MS * US_PER_MS);
 	exchange_refuse(x, k);
 }
@@ -368,11 +420,32 @@
 	return 0;
 }
 
-/* The body is held until the request is answered. */
-static void hold_body(struct exchange *x, uint32_t bytes)
+static uint64_t body_max_bytes(struct front *f)
 {
-	x->front->body_bytes += bytes - x->held_body_bytes;
-	x->held_body_bytes = bytes;
+	uint64_t configured = current_limits(f).body_bytes;
+	uint64_t held = memory_body_max_bytes(&f->memory);
+
+	return configured < held ? configured : held;
+}
+
+/* Makes room for `n` more bytes. An announced length is not reserved, as the
+ * caller may never send it; doubling would hold up to twice the length. */
+static void grow_body(struct exchange *x, size_t n)
+{
+	uint64_t need = x->body.len_bytes + n;
+	uint64_t step = x->body.cap_bytes / 4;
+
+	if (need <= x->body.cap_bytes)
+		return;
+	if (step < BODY_GROWTH_MIN_BYTES)
+		step = BODY_GROWTH_MIN_BYTES;
+	if (step > MEMORY_GROWTH_MAX_BYTES)
+		step = MEMORY_GROWTH_MAX_BYTES;
+	if (need < x->body.cap_bytes + step)
+		need = x->body.cap_bytes + step;
+	if (need > x->head.announced_body_bytes)
+		need = x->head.announced_body_bytes;
+	buf_reserve(&x->body, (uint32_t)need);
 }
 
 static int on_body(http_parser *p, const char *data, size_t n)
@@ -380,14 +453,12 @@
 	struct front_conn *c = p->data;
 	struct exchange *x = c->receiving;
 
-	if (x->body.len_bytes + n > current_limits(c->front).body_bytes ||
-	    x->body.len_bytes + n > BODY_MAX_BYTES) {
+	if (x->body.len_bytes + n > c->body_max_bytes) {
 		c->too_large = true;
 		return 1;
 	}
+	grow_body(x, n);
 	buf_append(&x->body, data, (uint32_t)n);
-	if (x->body.len_bytes > x->held_body_bytes)
-		hold_body(x, x->body.len_bytes);
 	return 0;
 }
 
@@ -447,39 +518,31 @@
 		refuse_and_stop_reading(c, x, ERR_BAD_REQUEST);
 		return len_bytes;
 	}
-	set_idle_timeout(c);
+	set_body_timeout(c);
 	return (uint32_t)n;
 }
 
-/* A body that is sent in chunks counts as it is read. */
-static bool hold_announced_body(struct exchange *x)
+/* True if the memory of requests that are at workers leaves no room for the
+ * announced body. */
+static bool body_has_no_room(const struct exchange *x, uint64_t bytes)
 {
-	uint64_t bytes = x->head.announced_body_bytes;
-	bool chunked = head_value(&x->head, "Transfer-Encoding") != NULL;
+	const struct front *f = x->front;
 
-	if (bytes == UINT64_MAX)
-		bytes = 0;
-	if (!bytes && !chunked)
-		return true;
-	if (x->front->body_bytes + bytes > BODIES_MAX_BYTES)
-		return false;
-	hold_body(x, (uint32_t)bytes);
-	buf_reserve(&x->body, (uint32_t)bytes);
-	return true;
+	return bytes > MEMORY_SHORT_BYTES &&
+	       f->submitted_bytes + bytes > f->memory.max_bytes[MEMORY_LONG];
 }
 
 static enum error_kind check_head(struct front_conn *c, struct exchange *x)
 {
 	enum error_kind k = head_check_fields(&x->head);
-	struct conf_limits l = current_limits(c->front);
+	uint64_t bytes = x->head.announced_body_bytes;
 
-	if (k != ERR_NONE)
+	c->body_max_bytes = body_max_bytes(c->front);
+	if (k != ERR_NONE || bytes == UINT64_MAX)
 		return k;
-	if (x->head.announced_body_bytes != UINT64_MAX &&
-	    (x->head.announced_body_bytes > l.body_bytes ||
-	     x->head.announced_body_bytes > BODY_MAX_BYTES))
+	if (bytes > c->body_max_bytes)
 		return ERR_BODY_TOO_LARGE;
-	return hold_announced_body(x) ? ERR_NONE : ERR_OVERLOADED;
+	return body_has_no_room(x, bytes) ? ERR_OVERLOADED : ERR_NONE;
 }
 
 /* Parses the complete head in `head_input`. */
@@ -524,7 +587,7 @@
 
 		buf_append(&c->output, proceed, sizeof(proceed) - 1);
 	}
-	set_idle_timeout(c);
+	set_body_timeout(c);
 }
 
 /* Reads bytes of a head; returns how many were consumed. */
@@ -574,6 +637,20 @@
 	       front_is_stopping(c->front);
 }
 
+static bool is_receiving(const struct front_conn *c)
+{
+	return (c->phase == PHASE_HEAD && c->head_input.len_bytes) ||
+	       (c->phase == PHASE_BODY && c->receiving);
+}
+
+static void note_received(struct front_conn *c, uint32_t bytes)
+{
+	if (is_receiving(c))
+		transfer_add(&c->receive, bytes, c->front->duty.now_us);
+	else
+		c->receive.active = false;
+}
+
 static void process_input(struct front_conn *c, const uint8_t *data,
 			  uint32_t len_bytes)
 {
@@ -581,17 +658,125 @@
 		if (must_leave_unread(c)) {
 			c->phase = PHASE_NO_MORE_REQUESTS;
 			c->head_input.len_bytes = 0;
+			c->receive.active = false;
 			return;
 		}
 		uint32_t n = c->phase == PHASE_HEAD ?
 				     read_head_bytes(c, data, len_bytes) :
 				     read_body_bytes(c, data, len_bytes);
 
+		note_received(c, n);
 		data += n;
 		len_bytes -= n;
 	}
 }
 
+/* ---- connections that give way ---- */
+
+/* What a connection must hold to give way for the share. For the short one it
+ * is the average, so that a crowd of larger requests does not drive out
+ * ordinary ones that are just being read. */
+static uint64_t least_held_bytes(struct front *f, enum memory_share s)
+{
+	uint64_t sum = 0;
+	uint32_t n = 0;
+
+	if (s == MEMORY_LONG)
+		return MEMORY_SHORT_BYTES + 1;
+	for (struct front_conn *c = f->conns; c; c = c->next) {
+		struct memory_holder h = holder_of(c);
+
+		if (memory_yield(&h, f->duty.now_us) == MEMORY_YIELD_NEVER)
+			continue;
+		sum += h.held_bytes;
+		n++;
+	}
+	return n ? sum / n : 0;
+}
+
+/* Returns the connection that gives way for the share, or NULL. */
+static struct front_conn *find_yielding(struct front *f, enum memory_share s)
+{
+	uint64_t least = least_held_bytes(f, s);
+	struct front_conn *found = NULL;
+	struct memory_holder of_found;
+
+	for (struct front_conn *c = f->conns; c; c = c->next) {
+		struct memory_holder h = holder_of(c);
+
+		if (h.held_bytes < least ||
+		    memory_yield(&h, f->duty.now_us) == MEMORY_YIELD_NEVER)
+			continue;
+		if (found &&
+		    !memory_yields_before(&h, &of_found, f->duty.now_us))
+			continue;
+		found = c;
+		of_found = h;
+	}
+	return found;
+}
+
+/* Refuses the request that is being read, or closes the connection if its
+ * caller does not read answers. */
+static void conn_yield(struct front_conn *c)
+{
+	struct front *f = c->front;
+	struct memory_holder h = holder_of(c);
+	bool refuse =
+		c->receive.active && !memory_is_slow_reader(&h, f->duty.now_us);
+
+	log_write(
+		LOG_WARN, "front",
+		"%s to free memory held_bytes=%llu received_bytes=%llu "
+		"receiving_ms=%lld unsent_bytes=%u sending_ms=%lld",
+		refuse ? "request refused" : "connection closed",
+		(unsigned long long)c->held_bytes,
+		(unsigned long long)(c->receive.active ? c->receive.bytes : 0),
+		(long long)(c->receive.active ?
+				    (f->duty.now_us - c->receive.began_us) /
+					    US_PER_MS :
+				    0),
+		unsent_bytes(c),
+		(long long)(c->send.active ?
+				    (f->duty.now_us - c->send.began_us) /
+					    US_PER_MS :
+				    0));
+	counter_add(refuse ? f->memory_refused : f->memory_closed, 1);
+	if (!refuse) {
+		conn_close(c);
+		return;
+	}
+	refuse_and_stop_reading(c,
+				c->receiving ? c->receiving : exchange_new(c),
+				ERR_OVERLOADED);
+	send_answers(c);
+}
+
+/* Has connections give way until the memory is within its budget. To be called
+ * at the end of an event, as it may close any connection. */
+static void relieve_memory(struct front *f)
+{
+	for (uint32_t s = 0; s < MEMORY_SHARE_COUNT; s++)
+		while (memory_budget_exceeded(&f->memory, s)) {
+			struct front_conn *c = find_yielding(f, s);
+
+			if (!c)
+				break;
+			conn_yield(c);
+		}
+}
+
+void front_conn_answered(struct exchange *x)
+{
+	struct front *f = x->front;
+
+	if (x->conn)
+		send_answers(x->conn);
+	else
+		exchange_free(x);
+	relieve_memory(f);
+}
+
 static void conn_readable(struct front_conn *c)
 {
 	uint8_t data[READ_BYTES];
@@ -612,10 +797,13 @@
 {
 	struct front_conn *c = az_container_of(h, struct front_conn, poll);
 
+	struct front *f = c->front;
+
 	if ((events & APR_POLLOUT) && !send_answers(c))
 		return;
 	if (events & ~APR_POLLOUT)
 		conn_readable(c);
+	relieve_memory(f);
 }
 
 static const struct poll_ops conn_poll_ops = { conn_ready };
@@ -678,7 +866,8 @@
 {
 	int64_t idle_us = current_limits(c->front).idle_timeout_ms * US_PER_MS;
 
-	if (has_unsent(c) && c->front->duty.now_us - c->sent_us >= idle_us) {
+	if (has_unsent(c) &&
+	    c->front->duty.now_us - c->send.moved_us >= idle_us) {
 		conn_close(c);
 	} else if (c->phase == PHASE_HEAD && c->head_input.len_bytes) {
 		refuse_and_stop_reading(c, exchange_new(c),
@@ -692,7 +881,7 @@
 	} else {
 		c->timeout_at_us = 0;
 		if (has_unsent(c))
-			set_timeout(c, c->sent_us + idle_us);
+			set_timeout(c, c->send.moved_us + idle_us);
 	}
 }
 
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -16,13 +16,23 @@
 
 void exchange_free(struct exchange *x)
 {
-	x->front->body_bytes -= x->held_body_bytes;
+	x->front->submitted_bytes -= x->submitted_bytes;
+	memory_budget_change(&x->front->memory, x->held_bytes, 0);
 	answer_free(x->answer);
 	buf_free(&x->body);
 	head_free(&x->head);
 	free(x);
 }
 
+uint64_t exchange_held_bytes(const struct exchange *x)
+{
+	const struct answer *a = x->answer;
+
+	return sizeof(*x) + x->head.text.cap_bytes + x->body.cap_bytes +
+	       x->submitted_bytes +
+	       (a ? sizeof(*a) + a->headers.cap_bytes + a->body.cap_bytes : 0);
+}
+
 /* ---- writing answers ---- */
 
 /* The head is empty if the request was refused before it was parsed. */
@@ -245,6 +255,8 @@
 				   head_name_at(h, i), head_value_at(h, i));
 	q->body = x->body;
 	memset(&x->body, 0, sizeof(x->body));
+	x->submitted_bytes = q->headers.cap_bytes + q->body.cap_bytes;
+	x->front->submitted_bytes += x->submitted_bytes;
 	return q;
 }
 
@@ -276,7 +288,8 @@
 		return cl->kind;
 	if (!within_limit(f, cl, now_us))
 		return ERR_OVER_LIMIT;
-	if (front_in_flight(f) >= f->settings.in_flight_max)
+	if (front_in_flight(f) >= f->settings.in_flight_max ||
+	    memory_budget_exceeded(&f->memory, MEMORY_SHORT))
 		return ERR_OVERLOADED;
 	return ERR_NONE;
 }
--- a/front/front.c
+++ b/front/front.c
@@ -9,6 +9,7 @@
 #define RING_SLOTS 32768
 #define LIMITER_BUCKETS 16384
 #define LISTEN_BACKLOG 1024
+#define MEMORY_BYTES_DEFAULT (256ULL << 20)
 /* Connections accepted in a row before the open ones are served again, so that
  * many new connections at once do not delay the requests on open ones. */
 #define ACCEPTS_PER_EVENT 32
@@ -173,11 +174,17 @@
 		return NULL;
 	f->settings = *s;
 	f->dialect = s->dialect ? s->dialect->ops : front_own_dialect.ops;
+	if (!f->settings.memory_bytes)
+		f->settings.memory_bytes = MEMORY_BYTES_DEFAULT;
+	memory_budget_init(&f->memory, f->settings.memory_bytes);
 	f->limiter = limiter_create(LIMITER_BUCKETS);
 	f->requests = counter_get("front_requests");
 	f->refused = counter_get("front_refused");
 	f->answered = counter_get("front_answered");
 	f->callers_left = counter_get("front_callers_left");
+	f->memory_refused = counter_get("front_memory_refused");
+	f->memory_closed = counter_get("front_memory_closed");
+	f->memory_held = counter_get("front_memory_held_bytes");
 	f->latency = histogram_get("front_latency");
 	return f;
 }
--- a/front/front.h
+++ b/front/front.h
@@ -72,6 +72,71 @@
  * Content-Length, and none together with a chunked body. */
 enum error_kind head_check_fields(const struct head *h);
 
+/* ---- memory that callers' connections hold, without I/O (memory.c) ---- */
+
+/** What a connection holds beyond this counts in the long share. */
+#define MEMORY_SHORT_BYTES (64U << 10)
+/** Longest step in which the buffer of a body grows. */
+#define MEMORY_GROWTH_MAX_BYTES (1U << 20)
+
+/** Each connection draws its first MEMORY_SHORT_BYTES from the short share and
+ * the rest from the long one, so that long bodies and answers never take the
+ * room of ordinary requests. */
+enum memory_share {
+	MEMORY_SHORT,
+	MEMORY_LONG,
+	MEMORY_SHARE_COUNT,
+};
+
+/** Memory held for callers; each entry is for one share. */
+struct memory_budget {
+	uint64_t max_bytes[MEMORY_SHARE_COUNT];
+	uint64_t held_bytes[MEMORY_SHARE_COUNT];
+};
+
+/** `memory_bytes` is what the process may use in all. */
+void memory_budget_init(struct memory_budget *b, uint64_t memory_bytes);
+/** Records that a holder of `from_bytes` now holds `to_bytes`. */
+void memory_budget_change(struct memory_budget *b, uint64_t from_bytes,
+			  uint64_t to_bytes);
+bool memory_budget_exceeded(const struct memory_budget *b, enum memory_share s);
+/** Longest body that fits into the long share. */
+uint64_t memory_body_max_bytes(const struct memory_budget *b);
+
+/** A request that is being received, or answers that are being sent. */
+struct transfer {
+	bool active;
+	int64_t began_us;
+	int64_t moved_us; /**< when the last byte was received or sent */
+	uint64_t bytes; /**< since it began */
+};
+
+/** A connection as memory_yields_before() sees it. */
+struct memory_holder {
+	uint64_t held_bytes;
+	struct transfer receiving;
+	struct transfer sending;
+	bool has_answers; /**< holds answers that wait for an earlier one */
+};
+
+/** When a connection has to give its memory back. A later value yields before
+ * an earlier one. */
+enum memory_yield {
+	MEMORY_YIELD_NEVER, /**< its requests are at workers, or it is idle */
+	MEMORY_YIELD_LAST, /**< has answers, and does not read slowly: to close
+			      it loses answers to requests that have run */
+	MEMORY_YIELD_FIRST, /**< its request is incomplete, so that it can be
+			       refused as not run; or it reads slowly */
+};
+
+/** True if the caller has read nothing for a while, or slowly on average. */
+bool memory_is_slow_reader(const struct memory_holder *h, int64_t now_us);
+enum memory_yield memory_yield(const struct memory_holder *h, int64_t now_us);
+/** True if `a` yields before `b`: the slowest transfer first, so that a crowd
+ * that stops short cannot hold the memory, then the largest holder. */
+bool memory_yields_before(const struct memory_holder *a,
+			  const struct memory_holder *b, int64_t now_us);
+
 /* ---- classification (classify.c) ---- */
 
 /** The parts of a request that classification needs; NULL if absent. */
@@ -184,6 +249,7 @@
 	uint32_t health_ip; /**< separate address for the health check */
 	uint16_t health_port; /**< 0: no separate address */
 	uint32_t in_flight_max; /**< most requests; see front_in_flight() */
+	uint64_t memory_bytes; /**< that the process may use; 0: 256 MiB */
 	const struct caller_dialect *dialect; /**< NULL: front_own_dialect */
 	struct conf_current *conf;
 	struct membership *membership;
@@ -226,7 +292,9 @@
 	struct exchange *next; /**< the next request on the connection */
 	struct head head;
 	struct buf body;
-	uint32_t held_body_bytes; /**< part of front->body_bytes */
+	uint32_t submitted_bytes; /**< held by the request that was made of it
+				   */
+	uint64_t held_bytes; /**< in front->memory once `conn` is NULL */
 	struct span span;
 	uint64_t attempt_id; /**< for attempts_cancel(); 0: none */
 	uint64_t organisation;
@@ -254,8 +322,8 @@
 	struct front_listener listeners[2];
 	struct front_conn *conns;
 	struct limiter *limiter;
-	uint64_t body_bytes; /**< of the bodies of all requests that are not
-				answered yet; announced ones in full */
+	struct memory_budget memory;
+	uint64_t submitted_bytes; /**< sum over all exchanges */
 	int64_t armed_us; /**< when the timer fires; 0: not armed */
 	uint32_t conn_count; /**< atomic; without health check connections */
 	uint32_t in_flight; /**< atomic; see front_in_flight() */
@@ -267,6 +335,11 @@
 	struct counter *answered; /**< answers with ERR_NONE */
 	struct counter *callers_left; /**< requests in flight whose caller
 					 closed the connection */
+	struct counter *memory_refused; /**< incomplete requests that gave way
+					   to others' memory */
+	struct counter *memory_closed; /**< connections closed for the memory
+					  of answers that were not read */
+	struct counter *memory_held; /**< bytes held for callers now */
 	struct histogram *latency; /**< from the request's head to its answer */
 };
 
@@ -283,6 +356,8 @@
  * longer than ANSWER_COPIED_MAX_BYTES. Returns false if the body was left out
  * and is to be sent from the answer itself. */
 bool exchange_write_answer(struct exchange *x, struct buf *out);
+/** Memory that the exchange holds, with its request and its answer. */
+uint64_t exchange_held_bytes(const struct exchange *x);
 void exchange_free(struct exchange *x);
 /** To be called when an exchange has got its answer: sends the answers that are
  * next in order, or frees the exchange if its connection is closed. */
--- a/front/front_test.c
+++ b/front/front_test.c
@@ -359,47 +359,166 @@
 	close(fd);
 }
 
+/* ---- memory ---- */
+
+static struct memory_holder receiving(uint64_t held, uint64_t bytes,
+				      int64_t began_us)
+{
+	return (struct memory_holder){ .held_bytes = held,
+				       .receiving = { .active = true,
+						      .began_us = began_us,
+						      .moved_us = began_us,
+						      .bytes = bytes } };
+}
+
+static struct memory_holder sending(uint64_t held, uint64_t bytes,
+				    int64_t began_us, int64_t moved_us)
+{
+	return (struct memory_holder){ .held_bytes = held,
+				       .sending = { .active = true,
+						    .began_us = began_us,
+						    .moved_us = moved_us,
+						    .bytes = bytes } };
+}
+
+/* Guards against long bodies and answers that take the memory of ordinary
+ * requests, and against a count that drifts. */
+static void test_long_holders_leave_the_short_share(void)
+{
+	struct memory_budget b;
+
+	memory_budget_init(&b, 160U << 20);
+	/* The smallest VM has room for one body of 64 MiB, and no two. */
+	CU_ASSERT(memory_body_max_bytes(&b) >= 64U << 20);
+	memory_budget_change(&b, 0, 65U << 20);
+	CU_ASSERT(!memory_budget_exceeded(&b, MEMORY_LONG));
+	memory_budget_change(&b, 0, 65U << 20);
+	CU_ASSERT(memory_budget_exceeded(&b, MEMORY_LONG));
+	CU_ASSERT(!memory_budget_exceeded(&b, MEMORY_SHORT));
+	CU_ASSERT_EQUAL(b.held_bytes[MEMORY_SHORT], 2 * MEMORY_SHORT_BYTES);
+	memory_budget_change(&b, 65U << 20, 1000);
+	CU_ASSERT_EQUAL(b.held_bytes[MEMORY_SHORT], MEMORY_SHORT_BYTES + 1000);
+	memory_budget_change(&b, 1000, 0);
+	memory_budget_change(&b, 65U << 20, 0);
+	CU_ASSERT_EQUAL(b.held_bytes[MEMORY_SHORT], 0);
+	CU_ASSERT_EQUAL(b.held_bytes[MEMORY_LONG], 0);
+}
+
+/* Guards against a crowd of bodies that stop short of their end and hold the
+ * memory, while bodies that still grow are refused. */
+static void test_slowest_body_yields_first(void)
+{
+	int64_t now_us = 100 * US_PER_S;
+	struct memory_holder stopped =
+		receiving(16U << 20, 16U << 20, now_us - 20 * US_PER_S);
+	struct memory_holder slow =
+		receiving(1U << 20, 1U << 20, now_us - US_PER_S);
+	struct memory_holder fast =
+		receiving(8U << 20, 8U << 20, now_us - US_PER_S);
+
+	CU_ASSERT(memory_yields_before(&stopped, &slow, now_us));
+	CU_ASSERT(memory_yields_before(&slow, &fast, now_us));
+	CU_ASSERT(!memory_yields_before(&fast, &stopped, now_us));
+}
+
+/* Guards against closing the connection of a caller that reads its answer, or
+ * whose request is at a worker, while a request can still be refused as not
+ * run; and against a caller that holds answers and reads nothing, or little. */
+static void test_slow_reader_yields_before_a_reader(void)
+{
+	int64_t now_us = 100 * US_PER_S;
+	struct memory_holder idle = { .held_bytes = 1U << 20 };
+	struct memory_holder reader =
+		sending(4U << 20, 8U << 20, now_us - 2 * US_PER_S, now_us);
+	struct memory_holder stalled = sending(
+		4U << 20, 8U << 20, now_us - 2 * US_PER_S, now_us - US_PER_S);
+	struct memory_holder trickle =
+		sending(4U << 20, 1000, now_us - 2 * US_PER_S, now_us);
+	struct memory_holder body =
+		receiving(1U << 20, 1U << 20, now_us - US_PER_S);
+	struct memory_holder waiting = { .held_bytes = 4U << 20,
+					 .has_answers = true };
+
+	CU_ASSERT_EQUAL(memory_yield(&idle, now_us), MEMORY_YIELD_NEVER);
+	CU_ASSERT_EQUAL(memory_yield(&reader, now_us), MEMORY_YIELD_LAST);
+	CU_ASSERT_EQUAL(memory_yield(&waiting, now_us), MEMORY_YIELD_LAST);
+	CU_ASSERT_EQUAL(memory_yield(&stalled, now_us), MEMORY_YIELD_FIRST);
+	CU_ASSERT_EQUAL(memory_yield(&trickle, now_us), MEMORY_YIELD_FIRST);
+	CU_ASSERT(memory_yields_before(&body, &reader, now_us));
+	CU_ASSERT(memory_yields_before(&trickle, &body, now_us));
+	CU_ASSERT(memory_yields_before(&stalled, &waiting, now_us));
+}
+
+static uint64_t held_bytes(void)
+{
+	return front->memory.held_bytes[MEMORY_SHORT] +
+	       front->memory.held_bytes[MEMORY_LONG];
+}
+
+/* Connects and sends the head of an order and `sent_bytes` of its body. */
+static int32_t begin_order(uint32_t body_bytes, uint32_t sent_bytes)
+{
+	char *body = az_alloc(sent_bytes + 1);
+	int32_t fd = connect_caller();
+	char head[256];
+
+	snprintf(head, sizeof(head),
+		 "POST /order HTTP/1.1\r\nHost: a\r\n"
+		 "Azurehold-Organisation: open\r\n"
+		 "Azurehold-Deadline-Ms: 20000\r\n"
+		 "Content-Length: %u\r\n\r\n",
+		 body_bytes);
+	send_text(fd, head);
+	memset(body, 'x', sent_bytes);
+	send_text(fd, body);
+	free(body);
+	return fd;
+}
+
 /* Guards against the memory of a VM being exhausted by long requests: a body
- * counts from its announcement until its request is answered (review/3). */
+ * counts as it arrives until its request is answered (review/3), one that is
+ * only announced does not, and the slowest is refused as not run. */
 static void test_bodies_are_bounded_until_answered(void)
 {
-	static const char order[] = "POST /order HTTP/1.1\r\nHost: a\r\n"
-				    "Azurehold-Organisation: open\r\n"
-				    "Content-Length: %u\r\n\r\n";
-	char text[256];
-	char received[2048] = "";
+	uint32_t bytes = 6U << 20;
+	static char received[(6U << 20) + 4096];
 	char all[4096] = "";
-	int32_t fd[5];
+	int32_t announced;
+	int32_t fd[4];
 	int32_t worker_fd;
 
 	front_set_stopping(front);
-	fd[0] = connect_caller();
-	snprintf(text, sizeof(text), order, 5);
-	send_text(fd[0], text);
-	send_text(fd[0], "12345");
+	fd[0] = begin_order(5, 5);
 	worker_fd = accept(worker_listener, NULL, NULL);
-	CU_ASSERT(read_until(worker_fd, "12345", received, sizeof(received)));
-	CU_ASSERT_EQUAL(front->body_bytes, 5);
-	/* Three of 16 MB have room beside it, the fourth has not. */
-	snprintf(text, sizeof(text), order, 16U << 20);
-	for (uint32_t i = 1; i < 5; i++) {
-		fd[i] = connect_caller();
-		send_text(fd[i], text);
-		if (i < 4)
-			while (front->body_bytes < 5 + ((uint64_t)i << 24))
-				usleep(1000);
+	CU_ASSERT(read_until(worker_fd, "xxxxx", received, sizeof(received)));
+	CU_ASSERT(front->submitted_bytes >= 5);
+	announced = begin_order(13U << 20, 0);
+	/* Two have room beside it, a third has not. */
+	for (uint32_t i = 1; i < 4; i++) {
+		uint64_t before = held_bytes();
+
+		fd[i] = begin_order(bytes, bytes - 1);
+		while (i < 3 && held_bytes() < before + bytes - 1)
+			usleep(1000);
 	}
-	CU_ASSERT(read_until(fd[4], "HTTP/1.1 503", all, sizeof(all)));
-	CU_ASSERT(read_until(fd[4], "Azurehold-Outcome: not-run", all,
+	CU_ASSERT(read_until(fd[1], "HTTP/1.1 503", all, sizeof(all)));
+	CU_ASSERT(read_until(fd[1], "Azurehold-Outcome: not-run", all,
 			     sizeof(all)));
-	for (uint32_t i = 1; i < 5; i++)
-		close(fd[i]);
-	while (front->body_bytes > 5)
+	CU_ASSERT(!memory_budget_exceeded(&front->memory, MEMORY_LONG));
+	close(announced);
+	close(fd[1]);
+	close(fd[2]);
+	close(fd[3]);
+	while (held_bytes() > MEMORY_SHORT_BYTES)
 		usleep(1000);
+	CU_ASSERT(held_bytes() > 5);
 	send_ok_answer(worker_fd, "done");
-	while (front->body_bytes)
-		usleep(1000);
+	*all = '\0';
+	CU_ASSERT(read_until(fd[0], "done", all, sizeof(all)));
 	close(fd[0]);
+	while (held_bytes())
+		usleep(1000);
+	CU_ASSERT_EQUAL(front->submitted_bytes, 0);
 	close(worker_fd);
 }
 
@@ -511,7 +630,8 @@
 				       .dc = conf_place_id("a1"),
 				       .region = conf_place_id("a") };
 	struct front_settings fs = { .ip = INADDR_LOOPBACK,
-				     .in_flight_max = 100 };
+				     .in_flight_max = 100,
+				     .memory_bytes = 32U << 20 };
 	struct conf_errors errors = { 0 };
 	struct buf all = { 0 };
 	struct conf *c;
@@ -615,6 +735,12 @@
 		    test_without_configuration_answers_503);
 	CU_add_test(s, "stop with hung request",
 		    test_stop_delivers_answers_behind_a_hung_request);
+	CU_add_test(s, "long holders leave the short share",
+		    test_long_holders_leave_the_short_share);
+	CU_add_test(s, "slowest body yields first",
+		    test_slowest_body_yields_first);
+	CU_add_test(s, "slow reader yields before a reader",
+		    test_slow_reader_yields_before_a_reader);
 	/* The last tests, as the front stays in the state "stopping". */
 	CU_add_test(s, "bodies are bounded",
 		    test_bodies_are_bounded_until_answered);
