front: connections are bounded by the descriptors and the memory of the VM

What callers saw: 300 connections without a request at a process with 256 descriptors, at its address for callers or at that of the health check, kept every other caller out until the idle time-out.

Cause: at most 3000 connections of callers were accepted whatever the process may have, and any number at the address of the health check. Without a free descriptor accept() failed again and again, as the socket stayed readable, so that the thread used a whole core; connections to workers failed too. At the bound, new connections were closed and idle ones kept.

Change: the bound is the least of 3000, 75 % of max_descriptors, and a sixteenth of memory_mb at 10 KiB a connection: 3000 connections on the VMs of the users' sites with 512 MB, 1664 with 260 MB, 1024 with 160 MB. 8 connections at the address of the health check. A new connection at the bound takes the place of the least recently used one without a complete request; bytes of an incomplete request are no use.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -219,6 +219,7 @@
 		.health_port = s->ready.port,
 		.in_flight_max = s->max_in_flight,
 		.memory_bytes = (uint64_t)s->memory_mb << 20,
+		.descriptors_max = s->max_descriptors,
 		.dialect = s->platform_address[0] ? &platform_caller_dialect :
 						    NULL,
 		.conf = d->conf,
--- a/front/conn.c
+++ b/front/conn.c
@@ -9,7 +9,6 @@
 #include "attempt/attempt.h"
 
 #define READ_BYTES 16384
-#define CONNECTIONS_MAX 3000
 /** Requests of one connection in flight at once (HTTP pipelining). */
 #define PIPELINE_MAX 32
 /** While a connection has more bytes of unsent answers than this, no more of
@@ -58,6 +57,7 @@
 	struct transfer send; /**< since nothing was unsent */
 	uint64_t held_bytes; /**< counted in front->memory */
 	int64_t timeout_at_us; /**< see conn_expire(); 0: none */
+	int64_t used_us; /**< when it was opened or last got an answer */
 };
 
 /* ---- closing, time-outs and limits ---- */
@@ -92,7 +92,9 @@
 		f->conns = c->next;
 	if (c->next)
 		c->next->prev = c->prev;
-	if (!c->health_only)
+	if (c->health_only)
+		f->health_conn_count--;
+	else
 		__atomic_sub_fetch(&f->conn_count, 1, __ATOMIC_RELAXED);
 	duty_poll(&f->duty, &c->poll, 0);
 	apr_socket_close(c->poll.sock);
@@ -306,6 +308,7 @@
 
 	while (write_answers(c)) {
 		any = true;
+		c->used_us = c->front->duty.now_us;
 		if (!flush(c))
 			return false;
 	}
@@ -845,27 +848,75 @@
 	if (c->next)
 		c->next->prev = c;
 	f->conns = c;
-	if (!c->health_only)
+	c->used_us = f->duty.now_us;
+	if (c->health_only)
+		f->health_conn_count++;
+	else
 		__atomic_add_fetch(&f->conn_count, 1, __ATOMIC_RELAXED);
 	set_idle_timeout(c);
 	update_poll_events(c);
 }
 
+/* True if no request of the connection is complete and no answer unsent. */
+static bool has_no_request(const struct front_conn *c)
+{
+	return !has_unsent(c) &&
+	       (!c->first || (c->first == c->receiving && !c->first->next));
+}
+
+/* Closes the connection without a complete request that was used least
+ * recently, so that a crowd that connects cannot keep others out. Bytes of an
+ * incomplete request do not count as use. False if there is none. */
+static bool close_least_recently_used(struct front *f, bool health_only)
+{
+	struct front_conn *found = NULL;
+
+	for (struct front_conn *c = f->conns; c; c = c->next)
+		if (c->health_only == health_only && has_no_request(c) &&
+		    (!found || c->used_us <= found->used_us))
+			found = c;
+	if (!found)
+		return false;
+	log_write(LOG_WARN, "front",
+		  "connection closed to make room for a new one idle_ms=%lld "
+		  "open=%u max=%u health=%s",
+		  (long long)((f->duty.now_us - found->used_us) / US_PER_MS),
+		  front_connections(f), f->connections_max,
+		  health_only ? "yes" : "no");
+	counter_add(f->connections_closed, 1);
+	conn_close(found);
+	return true;
+}
+
+static bool is_full(struct front *f, bool health_only)
+{
+	return health_only ? f->health_conn_count >= HEALTH_CONNECTIONS_MAX :
+			     front_connections(f) >= f->connections_max;
+}
+
 bool front_conn_accept(struct front *f, struct front_listener *l)
 {
 	apr_socket_t *sock;
 	apr_pool_t *pool;
+	apr_status_t rv;
 
 	if (apr_pool_create_unmanaged_ex(&pool, NULL, NULL) != APR_SUCCESS)
 		return false;
-	if (apr_socket_accept(&sock, l->poll.sock, pool) != APR_SUCCESS) {
+	rv = apr_socket_accept(&sock, l->poll.sock, pool);
+	if (rv != APR_SUCCESS) {
 		apr_pool_destroy(pool);
+		if ((rv == EMFILE || rv == ENFILE) &&
+		    !close_least_recently_used(f, l->health_only))
+			front_pause_accepting(f);
 		return false;
 	}
-	if (front_connections(f) >= CONNECTIONS_MAX) {
+	if (is_full(f, l->health_only) &&
+	    !close_least_recently_used(f, l->health_only)) {
 		log_write(LOG_WARN, "front",
-			  "too many connections, closed a new one open=%u",
-			  front_connections(f));
+			  "too many connections, closed a new one open=%u "
+			  "max=%u",
+			  front_connections(f), f->connections_max);
+		counter_add(f->connections_closed, 1);
 		apr_socket_close(sock);
 		apr_pool_destroy(pool);
 		return true;
--- a/front/front.c
+++ b/front/front.c
@@ -10,6 +10,15 @@
 #define LIMITER_BUCKETS 16384
 #define LISTEN_BACKLOG 1024
 #define MEMORY_BYTES_DEFAULT (256ULL << 20)
+#define DESCRIPTORS_DEFAULT 4096
+/* Connections of callers: so many of the descriptors, as the rest is for
+ * workers, peers and the store; and so much of the memory, at the memory that
+ * an idle connection takes. */
+#define CONNECTIONS_MAX 3000
+#define DESCRIPTORS_SHARE_PERCENT 75
+#define MEMORY_SHARE_DIVISOR 16
+#define CONNECTION_BYTES 10240
+#define ACCEPT_PAUSE_US (100 * US_PER_MS)
 /* Connections accepted in a row before the open ones are served again, so that
  * many new connections at once do not delay the requests on open ones. */
 #define ACCEPTS_PER_EVENT 32
@@ -61,13 +70,36 @@
 	duty_arm(&f->duty, at_us);
 }
 
+static void poll_listeners(struct front *f, int16_t events)
+{
+	for (uint32_t i = 0; i < 2; i++)
+		if (f->listeners[i].poll.sock)
+			duty_poll(&f->duty, &f->listeners[i].poll, events);
+}
+
+void front_pause_accepting(struct front *f)
+{
+	log_write(LOG_WARN, "front",
+		  "no descriptor is free, accepting no connections for %lld ms",
+		  (long long)(ACCEPT_PAUSE_US / US_PER_MS));
+	poll_listeners(f, 0);
+	f->accept_again_us = f->duty.now_us + ACCEPT_PAUSE_US;
+	front_arm(f, f->accept_again_us);
+}
+
 static void on_timer(struct duty *d, int64_t now_us)
 {
 	struct front *f = az_container_of(d, struct front, duty);
 	int64_t next_us;
 
 	f->armed_us = 0;
+	if (f->accept_again_us && f->accept_again_us <= now_us) {
+		f->accept_again_us = 0;
+		poll_listeners(f, APR_POLLIN);
+	}
 	next_us = front_conns_expire(f, now_us);
+	if (f->accept_again_us && f->accept_again_us < next_us)
+		next_us = f->accept_again_us;
 	if (next_us != INT64_MAX)
 		front_arm(f, next_us);
 }
@@ -165,6 +197,15 @@
 	return duty_poll(&f->duty, &l->poll, APR_POLLIN);
 }
 
+static uint32_t connections_max(uint64_t memory_bytes, uint32_t descriptors)
+{
+	uint64_t max = memory_bytes / MEMORY_SHARE_DIVISOR / CONNECTION_BYTES;
+
+	if (max > (uint64_t)descriptors * DESCRIPTORS_SHARE_PERCENT / 100)
+		max = (uint64_t)descriptors * DESCRIPTORS_SHARE_PERCENT / 100;
+	return max > CONNECTIONS_MAX ? CONNECTIONS_MAX : (uint32_t)max;
+}
+
 struct front *front_create(const struct front_settings *s,
 			   struct timer_service *timers, apr_pool_t *pool)
 {
@@ -176,12 +217,17 @@
 	f->dialect = s->dialect ? s->dialect->ops : front_own_dialect.ops;
 	if (!f->settings.memory_bytes)
 		f->settings.memory_bytes = MEMORY_BYTES_DEFAULT;
+	if (!f->settings.descriptors_max)
+		f->settings.descriptors_max = DESCRIPTORS_DEFAULT;
 	memory_budget_init(&f->memory, f->settings.memory_bytes);
+	f->connections_max = connections_max(f->settings.memory_bytes,
+					     f->settings.descriptors_max);
 	f->limiter = limiter_create(LIMITER_BUCKETS);
 	f->requests = counter_get("front_requests");
 	f->refused = counter_get("front_refused");
 	f->answered = counter_get("front_answered");
 	f->callers_left = counter_get("front_callers_left");
+	f->connections_closed = counter_get("front_connections_closed");
 	f->memory_refused = counter_get("front_memory_refused");
 	f->memory_closed = counter_get("front_memory_closed");
 	f->memory_held = counter_get("front_memory_held_bytes");
--- a/front/front.h
+++ b/front/front.h
@@ -250,6 +250,7 @@
 	uint16_t health_port; /**< 0: no separate address */
 	uint32_t in_flight_max; /**< most requests; see front_in_flight() */
 	uint64_t memory_bytes; /**< that the process may use; 0: 256 MiB */
+	uint32_t descriptors_max; /**< that the process may have; 0: 4096 */
 	const struct caller_dialect *dialect; /**< NULL: front_own_dialect */
 	struct conf_current *conf;
 	struct membership *membership;
@@ -325,7 +326,10 @@
 	struct memory_budget memory;
 	uint64_t submitted_bytes; /**< sum over all exchanges */
 	int64_t armed_us; /**< when the timer fires; 0: not armed */
+	uint32_t connections_max; /**< of callers */
 	uint32_t conn_count; /**< atomic; without health check connections */
+	uint32_t health_conn_count; /**< at the separate address */
+	int64_t accept_again_us; /**< see front_pause_accepting(); 0: accepts */
 	uint32_t in_flight; /**< atomic; see front_in_flight() */
 	int32_t ready; /**< atomic */
 	int32_t stopping; /**< atomic */
@@ -335,6 +339,8 @@
 	struct counter *answered; /**< answers with ERR_NONE */
 	struct counter *callers_left; /**< requests in flight whose caller
 					 closed the connection */
+	struct counter *connections_closed; /**< to make room, or for want of
+					       it */
 	struct counter *memory_refused; /**< incomplete requests that gave way
 					   to others' memory */
 	struct counter *memory_closed; /**< connections closed for the memory
@@ -362,6 +368,12 @@
 /** To be called when an exchange has got its answer: sends the answers that are
  * next in order, or frees the exchange if its connection is closed. */
 void front_conn_answered(struct exchange *x);
+/** Stops accepting for a moment: no descriptor is free, and the listening
+ * sockets would stay readable. */
+void front_pause_accepting(struct front *f);
+/** Connections at the separate address of the health check. The load balancer
+ * needs one at a time. */
+#define HEALTH_CONNECTIONS_MAX 8
 /** Accepts one connection; false if none waits. */
 bool front_conn_accept(struct front *f, struct front_listener *l);
 /** Handles the connections whose time-out has passed, and closes idle ones once
