front: bound what the kernel receives for a connection

The users' platform counts these bytes as memory of the process.

Cause: no receive buffer was set. The kernel may keep megabytes for each connection while the front thread is busy.

Change: 16 KiB for each connection of a caller, and 256 KiB while it sends a body of more than 64 KiB, which count in the account of held memory.

--- a/fault/crowds_main.c
+++ b/fault/crowds_main.c
@@ -20,7 +20,8 @@
 
 #include "fault/fault.h"
 
-#define CLIENTS_MAX 1024
+#define CLIENTS_MAX 1024 /**< of a crowd */
+#define CROWDS_MAX 4
 /** Bytes that a client sends before the next one's turn. */
 #define TURN_BYTES (64U << 10)
 /** Receive buffer of a client that does not read. */
@@ -89,7 +90,8 @@
 /** A case and its state. */
 struct run {
 	struct fleet *fleet;
-	struct crowd crowd;
+	struct crowd crowds[CROWDS_MAX];
+	uint32_t crowd_count;
 	struct peaks peaks;
 	bool good; /**< each check of the case itself has held */
 };
@@ -168,7 +170,7 @@
 static void take_peaks(struct run *r)
 {
 	pid_t pid = r->fleet->daemons[0].process.pid;
-	uint64_t unread = unread_bytes(r->crowd.plan.port);
+	uint64_t unread = unread_bytes(daemon_port(r->fleet, 0));
 	uint64_t now_bytes = (status_kb(pid, "VmRSS") << 10) + unread;
 	uint64_t high_bytes = status_kb(pid, "VmHWM") << 10;
 	uint32_t n = count_descriptors(pid);
@@ -258,23 +260,30 @@
 	return true;
 }
 
+/* Has each client of the crowd send and read once; true if any has. */
+static bool crowd_turn(struct crowd *c)
+{
+	bool any = false;
+
+	for (uint32_t i = 0; i < c->plan.clients; i++) {
+		any = client_send(&c->plan, &c->clients[i]) || any;
+		any = (c->plan.reads && client_read(&c->clients[i])) || any;
+	}
+	return any;
+}
+
 /* Lets the clients send in turns, so that all grow together, until none has
  * sent or read for REST_MS. */
-static void crowd_send(struct run *r)
+static void crowds_send(struct run *r)
 {
-	const struct crowd_plan *p = &r->crowd.plan;
 	int64_t until_us = clock_now_us() + REST_MS * US_PER_MS;
 	uint32_t turns = 0;
 
 	while (clock_now_us() < until_us) {
 		bool any = false;
 
-		for (uint32_t i = 0; i < p->clients; i++) {
-			struct client *k = &r->crowd.clients[i];
-
-			any = client_send(p, k) || any;
-			any = (p->reads && client_read(k)) || any;
-		}
+		for (uint32_t i = 0; i < r->crowd_count; i++)
+			any = crowd_turn(&r->crowds[i]) || any;
 		if (any)
 			until_us = clock_now_us() + REST_MS * US_PER_MS;
 		else
@@ -304,13 +313,23 @@
 	}
 }
 
-static void crowd_run(struct run *r)
+static void crowds_run(struct run *r)
 {
-	crowd_connect(&r->crowd);
-	crowd_send(r);
+	for (uint32_t i = 0; i < r->crowd_count; i++)
+		crowd_connect(&r->crowds[i]);
+	crowds_send(r);
 	wait_memory_at_rest(r);
 }
 
+/* A crowd at the daemon's port for callers. */
+static struct crowd_plan *add_crowd(struct run *r)
+{
+	struct crowd_plan *p = &r->crowds[r->crowd_count++].plan;
+
+	p->port = daemon_port(r->fleet, 0);
+	return p;
+}
+
 /* ---- ordinary requests ---- */
 
 static bool lives(struct run *r)
@@ -388,10 +407,10 @@
 
 /* Bodies in chunks that all begin before any grows, and stop short of their
  * end. */
-static void run_chunked(struct run *r, uint32_t clients, uint32_t chunk_bytes,
+static void add_chunked(struct run *r, uint32_t clients, uint32_t chunk_bytes,
 			uint64_t body_bytes)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 	uint32_t chunks = 0;
 
 	p->clients = clients;
@@ -403,29 +422,31 @@
 	p->stream_bytes = body_bytes / ((uint64_t)chunk_bytes * chunks) *
 			  p->unit.len_bytes;
 	p->reads = true;
-	crowd_run(r);
 }
 
 static void large_chunks(struct run *r)
 {
-	run_chunked(r, 24, 65536, SHORT_OF_16_MIB);
+	add_chunked(r, 24, 65536, SHORT_OF_16_MIB);
+	crowds_run(r);
 }
 
 static void small_chunks(struct run *r)
 {
-	run_chunked(r, 24, 16, 13000000);
+	add_chunked(r, 24, 16, 13000000);
+	crowds_run(r);
 }
 
 /* Far over the operator's limit, not announced. */
 static void bodies_without_end(struct run *r)
 {
-	run_chunked(r, 12, 65536, 4ULL * BODY_LIMIT_BYTES);
+	add_chunked(r, 12, 65536, 4ULL * BODY_LIMIT_BYTES);
+	crowds_run(r);
 }
 
 /* One chunk of 4 GB is announced; the clients then send of it what they can. */
 static void huge_chunk(struct run *r)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 	static char head[512] = POST_CHUNKED "ffffffff\r\n";
 
 	p->clients = 24;
@@ -433,20 +454,20 @@
 	p->stream_bytes = SHORT_OF_16_MIB;
 	put_filling(&p->unit, 65536);
 	p->reads = true;
-	crowd_run(r);
+	crowds_run(r);
 }
 
 /* Bodies that are announced and never sent must not take the room of others. */
 static void announced_only(struct run *r)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 	struct buf q = { 0 };
 
 	p->clients = 24;
 	p->head = "POST /upload HTTP/1.1\r\nHost: x\r\n" ORGANISATION
 		  "Content-Length: 16777216\r\n\r\n";
 	p->reads = true;
-	crowd_run(r);
+	crowds_run(r);
 	buf_printf(&q, "POST /upload HTTP/1.1\r\nHost: x\r\n" ORGANISATION
 		       "Content-Length: 100000\r\n\r\n");
 	put_filling(&q, 100000);
@@ -456,94 +477,113 @@
 }
 
 /* Heads that stay incomplete. */
-static void endless_heads(struct run *r)
+static void add_endless_heads(struct run *r, uint32_t clients)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 
-	p->clients = 1000;
+	p->clients = clients;
 	p->head = "GET /stock/x HTTP/1.1\r\nHost: x\r\nName: ";
 	put_filling(&p->unit, 4096);
 	p->stream_bytes = HEADER_LIMIT_BYTES - 100;
 	p->reads = true;
-	crowd_run(r);
+}
+
+static void endless_heads(struct run *r)
+{
+	add_endless_heads(r, 1000);
+	crowds_run(r);
 }
 
 /* Answers that the clients ask for and do not read. */
-static void unread_answers(struct run *r)
+static void add_unread_answers(struct run *r, uint32_t clients)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 
-	p->clients = 64;
+	p->clients = clients;
 	p->head = POST_EMPTY;
-	crowd_run(r);
+}
+
+static void unread_answers(struct run *r)
+{
+	add_unread_answers(r, 64);
+	crowds_run(r);
 }
 
 /* Long answers that are read, on connections that are kept. */
 static void kept_connections(struct run *r)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 
 	p->clients = 64;
 	p->head = POST_EMPTY;
 	p->reads = true;
-	crowd_run(r);
+	crowds_run(r);
 }
 
 /* As many pipelined requests as a connection may have, answers not read. */
-static void pipelined_answers(struct run *r)
+static void add_pipelined_answers(struct run *r)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 
 	p->clients = 4;
 	p->head = POST_EMPTY;
 	buf_append(&p->unit, POST_EMPTY, sizeof(POST_EMPTY) - 1);
 	p->stream_bytes = 31ULL * p->unit.len_bytes;
-	crowd_run(r);
+}
+
+static void pipelined_answers(struct run *r)
+{
+	add_pipelined_answers(r);
+	crowds_run(r);
 }
 
 /* Requests that the daemon refuses itself, pipelined without end; the answers
  * are not read. */
 static void pipelined_refusals(struct run *r)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 
 	p->clients = 64;
 	p->head = "GET /none HTTP/1.1\r\nHost: x\r\n" ORGANISATION "\r\n";
 	while (p->unit.len_bytes < UNIT_BYTES)
 		buf_append(&p->unit, p->head, (uint32_t)strlen(p->head));
 	p->stream_bytes = 8ULL << 20;
-	crowd_run(r);
+	crowds_run(r);
 }
 
 /* More connections than the process has descriptors; none sends a request. */
-static void idle_connections(struct run *r)
+static void connect_only(struct run *r, uint16_t port)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 
 	p->clients = 300;
+	p->port = port;
 	p->head = "";
 	p->reads = true;
-	crowd_run(r);
+	crowds_run(r);
+}
+
+static void idle_connections(struct run *r)
+{
+	connect_only(r, daemon_port(r->fleet, 0));
 }
 
 /* The same at the address of the load balancer's health check. */
 static void health_connections(struct run *r)
 {
-	r->crowd.plan.port = (uint16_t)(r->fleet->first_port + PORT_READY);
-	idle_connections(r);
+	connect_only(r, (uint16_t)(r->fleet->first_port + PORT_READY));
 }
 
 /* The same at the port for other daemons. */
 static void peer_connections(struct run *r)
 {
-	r->crowd.plan.port = peer_port(r->fleet, 0);
-	idle_connections(r);
+	connect_only(r, peer_port(r->fleet, 0));
 }
 
 /* Long records at the port for other daemons, by clients without its key. */
 static void peer_records(struct run *r)
 {
-	struct crowd_plan *p = &r->crowd.plan;
+	struct crowd_plan *p = add_crowd(r);
 
 	p->clients = 48;
 	p->port = peer_port(r->fleet, 0);
@@ -551,7 +591,17 @@
 	put_filling(&p->unit, 65536);
 	p->stream_bytes = 8300000;
 	p->reads = true;
-	crowd_run(r);
+	crowds_run(r);
+}
+
+/* Several of the above at once. */
+static void mixed(struct run *r)
+{
+	add_chunked(r, 24, 65536, SHORT_OF_16_MIB);
+	add_endless_heads(r, 500);
+	add_unread_answers(r, 32);
+	add_pipelined_answers(r);
+	crowds_run(r);
 }
 
 /* A single body at the operator's limit is served in calm. */
@@ -611,6 +661,7 @@
 	{ "pipelined-answers", SMALLEST_VM_MB, 0, LONG_ANSWER_BYTES, CONF(""),
 	  pipelined_answers },
 	{ "pipelined-refusals", 64, 0, 0, CONF(""), pipelined_refusals },
+	{ "mixed", SMALLEST_VM_MB, 0, LONG_ANSWER_BYTES, CONF(""), mixed },
 	{ "idle-connections", SMALLEST_VM_MB, 256, 0, CONF(""),
 	  idle_connections },
 	{ "health-connections", SMALLEST_VM_MB, 256, 0, CONF(""),
@@ -707,11 +758,11 @@
 		 "memory_mb = %u\nready = 127.0.0.1:%u\n", c->memory_mb,
 		 (unsigned int)port + PORT_READY);
 	fleet_start(&fleet, &fo);
-	r.crowd.plan.port = daemon_port(&fleet, 0);
 	c->run(&r);
 	expect_ordinary(&r, "beside the crowd");
 	take_peaks(&r);
-	crowd_close(&r.crowd);
+	for (uint32_t i = 0; i < r.crowd_count; i++)
+		crowd_close(&r.crowds[i]);
 	expect_ordinary(&r, "after the crowd");
 	take_peaks(&r);
 	expect(&r, lives(&r), "the daemon has ended");
@@ -720,7 +771,8 @@
 	expect(&r, r.peaks.descriptors < descriptors_bound,
 	       "the descriptors exceed their bound");
 	fleet_abort(&fleet);
-	buf_free(&r.crowd.plan.unit);
+	for (uint32_t i = 0; i < r.crowd_count; i++)
+		buf_free(&r.crowds[i].plan.unit);
 	printf("%-20s memory_mb=%llu bound_mb=%u descriptors=%u bound=%u %s\n",
 	       c->name, (unsigned long long)(r.peaks.memory_bytes >> 20),
 	       c->memory_mb, r.peaks.descriptors, descriptors_bound,
--- a/front/conn.c
+++ b/front/conn.c
@@ -44,6 +44,7 @@
 	bool in_header_value;
 	bool too_large;
 	struct exchange *receiving; /**< its request is being read; or NULL */
+	bool receives_long_body; /**< has the long receive buffer */
 	uint64_t body_max_bytes; /**< of that request */
 	struct exchange *first; /**< in the order of the requests */
 	struct exchange *last;
@@ -148,6 +149,9 @@
 	struct front *f = c->front;
 	uint64_t held = c->head_input.cap_bytes + c->output.cap_bytes;
 
+	if (c->receives_long_body)
+		held += LONG_RECEIVE_BUFFER_BYTES;
+
 	for (const struct exchange *x = c->first; x; x = x->next)
 		held += exchange_held_bytes(x);
 	if (c->sending)
@@ -342,6 +346,18 @@
 	return x;
 }
 
+static void set_receive_buffer(struct front_conn *c, bool long_body)
+{
+	apr_os_sock_t fd;
+
+	if (c->receives_long_body == long_body)
+		return;
+	c->receives_long_body = long_body;
+	apr_os_sock_get(&fd, c->poll.sock);
+	net_set_receive_buffer(fd, long_body ? LONG_RECEIVE_BUFFER_BYTES :
+					       RECEIVE_BUFFER_BYTES);
+}
+
 /* Refuses a request that was not read to its end, or not understood, and reads
  * no more from the connection: the start of the next request is not known. */
 static void refuse_and_stop_reading(struct front_conn *c, struct exchange *x,
@@ -351,6 +367,7 @@
 	x->close_after = true;
 	c->receiving = NULL;
 	c->receive.active = false;
+	set_receive_buffer(c, false);
 	c->phase = PHASE_NO_MORE_REQUESTS;
 	buf_free(&c->head_input);
 	buf_free(&x->body);
@@ -460,6 +477,8 @@
 		c->too_large = true;
 		return 1;
 	}
+	if (x->body.len_bytes > MEMORY_SHORT_BYTES)
+		set_receive_buffer(c, true);
 	grow_body(x, n);
 	buf_append(&x->body, data, (uint32_t)n);
 	return 0;
@@ -504,6 +523,7 @@
 	struct exchange *x = c->receiving;
 
 	c->receiving = NULL;
+	set_receive_buffer(c, false);
 	c->phase = x->head.keep_alive ? PHASE_HEAD : PHASE_NO_MORE_REQUESTS;
 	c->timeout_at_us = 0;
 	if (c->health_only) {
--- a/front/front.c
+++ b/front/front.c
@@ -178,6 +178,7 @@
 	apr_pool_t *pool = f->duty.pool;
 	apr_sockaddr_t *sa = net_address(ip, port, pool);
 	apr_socket_t *sock;
+	apr_os_sock_t fd;
 
 	l->front = f;
 	l->poll.ops = &listener_ops;
@@ -185,6 +186,9 @@
 				     APR_PROTO_TCP, pool))
 		return az_fail(AZ_IO, "cannot create a socket for port %u",
 			       port);
+	apr_os_sock_get(&fd, sock);
+	/* Accepted sockets inherit it. */
+	net_set_receive_buffer(fd, RECEIVE_BUFFER_BYTES);
 	apr_socket_opt_set(sock, APR_SO_REUSEADDR, 1);
 	apr_socket_opt_set(sock, APR_SO_NONBLOCK, 1);
 	apr_socket_timeout_set(sock, 0);
--- a/front/front.h
+++ b/front/front.h
@@ -282,6 +282,11 @@
 
 struct front_conn;
 
+/** Receive buffers in the kernel, of connections and of those that receive a
+ * long body. What the kernel has received counts as memory of the process on
+ * the users' platform; with the default, it may be megabytes a connection. */
+#define RECEIVE_BUFFER_BYTES 16384
+#define LONG_RECEIVE_BUFFER_BYTES (256U << 10)
 /** A longer body of an answer is not copied. */
 #define ANSWER_COPIED_MAX_BYTES 16384
 
--- a/lib/az.h
+++ b/lib/az.h
@@ -447,6 +447,10 @@
  * longer answers its packets. */
 void net_keep_alive(int32_t fd);
 
+/** Bounds the bytes that the kernel receives for a socket before they are read.
+ * It keeps up to about twice as many. */
+void net_set_receive_buffer(int32_t fd, uint32_t bytes);
+
 /* ---- rates (rate.c) ---- */
 
 /** Parses a decimal number of requests per second, such as "2.5", to
--- a/lib/net.c
+++ b/lib/net.c
@@ -102,6 +102,15 @@
 				  options[i].name);
 }
 
+void net_set_receive_buffer(int32_t fd, uint32_t bytes)
+{
+	int value = (int)bytes;
+
+	if (setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value)))
+		log_write(LOG_DEBUG, "net", "receive buffer not set bytes=%u",
+			  bytes);
+}
+
 enum az_status net_udp(uint32_t ip, uint16_t port, apr_pool_t *pool,
 		       apr_socket_t **out)
 {
