peer: bound the connections that have not sent a HELLO

What callers saw: 300 connections at the port for other daemons took all of a process's 256 descriptors for half a second at a time, and again for as long as the crowd came back.

Cause: any number of inbound connections was kept until the time-out of their HELLO, 500 ms.

Change: a sixteenth of max_descriptors, 256 on the users' VMs. Beyond it the oldest one is closed: a peer sends its HELLO at once.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -14,6 +14,8 @@
  * assigns a range of ports to each daemon; its last port is for membership. */
 #define RELAY_PORT_OFFSET 1
 #define READY_CHECK_INTERVAL_NS 50000000
+/* Share of the descriptors for connections that have not proved to be peers. */
+#define PEER_SETUPS_DIVISOR 16
 #define LONG_BUFFER_BYTES (32 << 10)
 /* Gossip periods after the start in which this daemon may not yet know of all
  * members that left, and of their successors. In this time membership has
@@ -183,6 +185,7 @@
 		.member_id = self.id,
 		.incarnation = d->incarnation,
 		.in_flight_max = s->max_in_flight,
+		.setups_max = s->max_descriptors / PEER_SETUPS_DIVISOR,
 		.keys = s->keys,
 		.handler = &d->peer_handler,
 	};
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -308,6 +308,30 @@
 	return c;
 }
 
+/* Closes the oldest inbound connection before its HELLO if there are more than
+ * `setups_max`: peers send their HELLO at once, a crowd of others never does.
+ */
+static void bound_setups(struct peer *p)
+{
+	struct peer_conn *oldest = NULL;
+	uint32_t n = 0;
+
+	/* The newest connection is first in the list. */
+	for (struct peer_conn *c = p->conns; c; c = c->next)
+		if (!c->outbound && c->state == PEER_CONN_HELLO) {
+			oldest = c;
+			n++;
+		}
+	if (n <= p->settings.setups_max)
+		return;
+	log_write(LOG_WARN, "peer",
+		  "connection without a HELLO closed to make room count=%u "
+		  "max=%u",
+		  n, p->settings.setups_max);
+	counter_add(p->setups_closed, 1);
+	peer_conn_close(oldest);
+}
+
 static void accept_ready(struct poll_handler *h, int16_t events)
 {
 	struct peer_listener *l =
@@ -329,6 +353,7 @@
 	peer_arm_timer(l->peer, c->setup_deadline_us);
 	c->poll.ops = &conn_poll_ops;
 	duty_poll(&l->peer->duty, &c->poll, APR_POLLIN);
+	bound_setups(l->peer);
 }
 
 const struct poll_ops peer_accept_ops = { accept_ready };
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -16,6 +16,7 @@
  * after twice this time. */
 #define IDLE_TIMEOUT_US (60 * US_PER_S)
 #define LISTEN_BACKLOG 511
+#define SETUPS_MAX_DEFAULT 64
 
 static void send_goaway(struct peer_conn *c)
 {
@@ -206,6 +207,8 @@
 	if (duty_init(&p->duty, &duty_ops, RING_SLOTS, timers) != AZ_OK)
 		return NULL;
 	p->settings = *s;
+	if (!p->settings.setups_max)
+		p->settings.setups_max = SETUPS_MAX_DEFAULT;
 	p->by_target = apr_hash_make(p->duty.pool);
 	p->by_id = apr_hash_make(p->duty.pool);
 	p->by_xid = apr_hash_make(p->duty.pool);
@@ -213,6 +216,7 @@
 	p->lost_calls = counter_get("peer_calls_lost");
 	p->served = counter_get("peer_served");
 	p->denied = counter_get("peer_denied");
+	p->setups_closed = counter_get("peer_setups_closed");
 	p->bytes_out = counter_get("peer_bytes_out");
 	return open_listener(p) == AZ_OK ? p : NULL;
 }
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -196,6 +196,8 @@
 	uint64_t incarnation;
 	uint32_t in_flight_max; /**< calls from other daemons handled at once;
 				   further ones are answered with an error */
+	uint32_t setups_max; /**< inbound connections before their HELLO; 0: 64
+			      */
 	struct fleet_keys keys;
 	struct peer_handler *handler;
 };
@@ -326,6 +328,7 @@
 	struct counter *lost_calls;
 	struct counter *served; /**< calls from other daemons */
 	struct counter *denied; /**< connections closed because of AZ_DENIED */
+	struct counter *setups_closed; /**< inbound, before their HELLO */
 	struct counter *bytes_out;
 };
 
