peer: a record before the HELLO is short

What callers saw: 48 clients without the fleet's key that began records of 8 MB at the port for other daemons made a process hold 392 MB of 160.

Cause: the bound of a record, 8 MB, held for every connection, also before the other end has shown by its HELLO that it has the key.

Change: a connection with more than 1 KiB before a HELLO is closed and counts as denied.

--- a/peer/conn.c
+++ b/peer/conn.c
@@ -243,6 +243,10 @@
 	}
 	buf_append(&c->receive_buf, data, (uint32_t)n);
 	st = handle_records(c);
+	if (st == AZ_OK && c->state == PEER_CONN_HELLO &&
+	    c->receive_buf.len_bytes > PEER_HELLO_MAX_BYTES)
+		st = az_fail(AZ_DENIED, "%u bytes before a HELLO",
+			     c->receive_buf.len_bytes);
 	if (st == AZ_OK)
 		return;
 	if (st == AZ_DENIED) {
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -246,6 +246,9 @@
 
 /* ---- private to this folder ---- */
 
+/** A record before the HELLO is no longer than this. Until then the other end
+ * may be anyone who reaches the port. */
+#define PEER_HELLO_MAX_BYTES 1024
 /** A connection with more unsent bytes than that is closed. */
 #define PEER_SEND_QUEUE_MAX_BYTES (32U << 20)
 
