upstream: the share of incomplete answers follows the memory of the VM

What callers saw: nothing yet; found by asking of workers' answers what was asked of bodies. 32 MB of incomplete answers were allowed on every VM, also on one of 160 MB beside all else, by length, where the buffers may have twice as much; each answer up to 256 KiB came on top. The name and the value of a header that is being read did not count, and the buffers of an idle connection kept the size of its longest request or header.

Change: an eighth of memory_mb, 32.5 MB on 260 MB and 20 MB on 160 MB, by capacity, headers included; answers up to 64 KiB come on top. Buffers above 4 KiB are freed when a connection becomes idle.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -438,6 +438,7 @@
 	d->upstream = upstream_create(d->timers, d->pool);
 	if (!d->upstream)
 		return AZ_IO;
+	upstream_set_memory(d->upstream, (uint64_t)d->settings.memory_mb << 20);
 	st = load_conf(d);
 	if (st == AZ_OK)
 		st = create_membership(d);
--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -30,11 +30,14 @@
 /* A longer body is sent from the request itself, so that it is not held twice
  * until the answer comes. */
 #define BODY_COPIED_MAX_BYTES READ_BYTES
-/* Most bytes of incomplete answers that are held at a time. Beyond it the
- * answers end that are longer than HELD_SMALL_BYTES: many workers that send
- * answers without end at the same time must not exhaust the memory. */
-#define HELD_MAX_BYTES (32U << 20)
-#define HELD_SMALL_BYTES (256U << 10)
+/* Most bytes of incomplete answers that are held at a time, as a part of the
+ * memory. Beyond it the answers end that are longer than HELD_SMALL_BYTES: many
+ * workers that send answers without end at the same time must not exhaust the
+ * memory. */
+#define MEMORY_SHARE_DIVISOR 8
+#define MEMORY_BYTES_DEFAULT (256ULL << 20)
+#define HELD_SMALL_BYTES (64U << 10)
+#define KEPT_BUFFER_BYTES 4096
 #define IDLE_MAX_US (60 * US_PER_S)
 #define IDLE_SCAN_PERIOD_US (5 * US_PER_S)
 /* Share of the worker's announced keep-alive time for which an idle connection
@@ -97,6 +100,7 @@
 	apr_hash_t *endpoints;
 	struct conn *active;
 	uint64_t held_bytes; /* sum over the connections */
+	uint64_t held_max_bytes;
 	int64_t armed_us; /* when the timer fires; 0: not armed */
 	struct counter *connects;
 	struct counter *reused;
@@ -248,11 +252,22 @@
 	c->req.sink->ops->done(c->req.sink, r);
 }
 
+/* Frees the buffer of an idle connection if it has grown. */
+static void trim(struct buf *b)
+{
+	if (b->cap_bytes > KEPT_BUFFER_BYTES)
+		buf_free(b);
+}
+
 static void conn_keep_idle(struct conn *c)
 {
 	struct endpoint *e = c->endpoint;
 	int64_t idle_us = IDLE_MAX_US;
 
+	trim(&c->output);
+	trim(&c->header_name);
+	trim(&c->header_value);
+
 	if (c->header_info.keep_alive_s)
 		idle_us = c->header_info.keep_alive_s * US_PER_S *
 			  IDLE_KEEP_ALIVE_PERCENT / 100;
@@ -561,11 +576,14 @@
 static bool exceeds_bounds(struct conn *c, size_t more)
 {
 	const struct answer *a = c->answer;
+	uint32_t held = c->header_name.cap_bytes + c->header_value.cap_bytes;
 
 	c->read_bytes += (uint32_t)more;
-	set_held_bytes(c, a ? a->headers.len_bytes + a->body.len_bytes : 0);
+	if (a)
+		held += a->headers.cap_bytes + a->body.cap_bytes;
+	set_held_bytes(c, held);
 	return c->read_bytes > READ_MAX_BYTES ||
-	       (c->upstream->held_bytes > HELD_MAX_BYTES &&
+	       (c->upstream->held_bytes > c->upstream->held_max_bytes &&
 		c->held_bytes > HELD_SMALL_BYTES);
 }
 
@@ -987,9 +1005,15 @@
 	u->faults = counter_get("upstream_faults");
 	u->answers_skipped = counter_get("upstream_answers_skipped");
 	u->dialect = upstream_own_dialect.ops;
+	upstream_set_memory(u, MEMORY_BYTES_DEFAULT);
 	return u;
 }
 
+void upstream_set_memory(struct upstream *u, uint64_t memory_bytes)
+{
+	u->held_max_bytes = memory_bytes / MEMORY_SHARE_DIVISOR;
+}
+
 void upstream_set_dialect(struct upstream *u, const struct worker_dialect *d)
 {
 	u->dialect = d->ops;
--- a/upstream/upstream.h
+++ b/upstream/upstream.h
@@ -151,6 +151,9 @@
 /** To be called before upstream_start(). The default is upstream_own_dialect.
  */
 void upstream_set_dialect(struct upstream *u, const struct worker_dialect *d);
+/** To be called before upstream_start(). `memory_bytes` is what the process may
+ * use in all; the default is 256 MiB. */
+void upstream_set_memory(struct upstream *u, uint64_t memory_bytes);
 enum az_status upstream_start(struct upstream *u);
 void upstream_stop(struct upstream *u);
 /** To be called after upstream_stop(), when no thread can send any more. */
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -686,6 +686,7 @@
 }
 
 #define ENDLESS_WORKERS 24
+#define SMALL_MEMORY_BYTES (64ULL << 20)
 
 static uint32_t ended; /* atomic */
 
@@ -707,6 +708,7 @@
 	double before_bytes = slope_allocated_bytes();
 	double most_bytes = 0;
 
+	upstream_set_memory(up, SMALL_MEMORY_BYTES);
 	for (uint32_t i = 0; i < ENDLESS_WORKERS; i++) {
 		struct upstream_request r;
 
@@ -727,9 +729,10 @@
 			most_bytes = bytes;
 		usleep(1000);
 	}
-	/* A buffer has up to twice the bytes that it holds; the limit is 32 MB
-	 * for all, and without it they would hold 96 MB. */
-	CU_ASSERT(most_bytes < 80 << 20);
+	/* The limit is an eighth of the memory; without it they would hold 96
+	 * MB. The answer that exceeds it may have doubled its buffer. */
+	CU_ASSERT(most_bytes < (SMALL_MEMORY_BYTES >> 3) + ANSWER_MAX_BYTES);
+	upstream_set_memory(up, 256ULL << 20);
 	for (uint32_t i = 0; i < ENDLESS_WORKERS; i++)
 		script_stop(&s[i]);
 }
