upstream: an answer with an impossible status is not an answer

What callers saw: with the project's own interface, an answer of a worker in trouble with the status 000 came to the caller as an answer, 'HTTP/1.1 0'. On the users' platform 000 was already refused, as every status below 200, but 600 to 999 were passed on, and a refusal with status 000 that says it did not run was believed.

Cause: the HTTP parser accepts any status up to 999.

Change: a status below 100 or above 599 makes the answer malformed: the outcome is unknown, an idempotent request may be repeated.

upstream_test (impossible status is a fault: 000, 099, 20, 600, 999) fails in all five before and passes now.

--- a/upstream/upstream.c
+++ b/upstream/upstream.c
@@ -38,6 +38,9 @@
 #define MEMORY_BYTES_DEFAULT (256ULL << 20)
 #define HELD_SMALL_BYTES (64U << 10)
 #define KEPT_BUFFER_BYTES 4096
+/* Other statuses are no HTTP, though the parser accepts up to 999. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 #define IDLE_MAX_US (60 * US_PER_S)
 #define IDLE_SCAN_PERIOD_US (5 * US_PER_S)
 /* Share of the worker's announced keep-alive time for which an idle connection
@@ -470,7 +473,8 @@
 	struct conn *c = p->data;
 	bool head = !strcmp(c->req.request->method, "HEAD");
 
-	if (!header_complete(c))
+	if (!header_complete(c) || p->status_code < STATUS_MIN ||
+	    p->status_code > STATUS_MAX)
 		return -1;
 	c->answer->http_status = p->status_code;
 	/* Returning 1 tells the parser that the answer has no body. */
--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -306,6 +306,26 @@
 	script_stop(&s);
 }
 
+/* Guards against passing on an answer whose status is none: 000 came as an
+ * answer to the caller (issue 35). */
+static void test_impossible_status_is_a_fault(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nhalf",
+		"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nhalf",
+		"HTTP/1.1 20 OK\r\nContent-Length: 4\r\n\r\nhalf",
+		"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nhalf",
+		"HTTP/1.1 999 OK\r\nContent-Length: 4\r\n\r\nhalf",
+	};
+	struct scripted_worker s;
+
+	script_start(&s, answers, 5);
+	for (uint32_t i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(send_and_wait(&s, get), UPSTREAM_TRUNCATED);
+	CU_ASSERT_EQUAL(s.connections, 5);
+	script_stop(&s);
+}
+
 /* Guards against taking surplus bytes after an answer for the answer to the
  * next request. */
 static void test_surplus_bytes_close_the_connection(void)
@@ -762,6 +782,8 @@
 	CU_add_test(s, "long body is sent whole", test_long_body_is_sent_whole);
 	CU_add_test(s, "truncated answers are faults",
 		    test_truncated_answers_are_faults);
+	CU_add_test(s, "impossible status is a fault",
+		    test_impossible_status_is_a_fault);
 	CU_add_test(s, "surplus bytes close the connection",
 		    test_surplus_bytes_close_the_connection);
 	CU_add_test(s, "silent worker times out", test_silent_worker_times_out);
