front: an idle connection holds at most 4 KiB of buffers

What callers would have seen: refusals of ordinary requests for as long as many idle connections stay. Found by reading: buffers of up to 16 KiB stayed for the head and for the answer, 1024 connections on a VM of 160 MB could so hold 32 MB, more than the short share of 24 MB, and an idle connection never gives way.

Change: buffers above 2 KiB are freed once they are empty: 4 MB there.

front_test (idle connection holds little) does not end before the change, and passes now.

--- a/front/conn.c
+++ b/front/conn.c
@@ -14,8 +14,9 @@
 /** While a connection has more bytes of unsent answers than this, no more of
  * its answers are written and no more of its requests are read. */
 #define OUTPUT_MAX_BYTES (64U << 10)
-/** An empty buffer with a larger capacity is freed. */
-#define KEPT_BUFFER_BYTES 16384
+/** An empty buffer with a larger capacity is freed. An idle connection never
+ * gives way, so that it must hold little. */
+#define KEPT_BUFFER_BYTES 2048
 /** Step in which a body grows while it is short, see grow_body(). */
 #define BODY_GROWTH_MIN_BYTES READ_BYTES
 /** Time after the last answer in which further input is read and discarded.
--- a/front/front_test.c
+++ b/front/front_test.c
@@ -523,6 +523,40 @@
 	close(worker_fd);
 }
 
+/* Guards against idle connections that hold the memory of ordinary requests for
+ * good: nothing makes an idle connection give way. */
+static void test_idle_connection_holds_little(void)
+{
+	char *filling = az_alloc(12001);
+	static char received[32768];
+	static char all[32768];
+	int32_t fd = connect_caller();
+	uint64_t before = held_bytes();
+	int32_t worker_fd;
+	char head[256];
+
+	memset(filling, 'x', 12000);
+	send_text(fd, "GET /read/long HTTP/1.1\r\nHost: a\r\nName: ");
+	send_text(fd, filling);
+	send_text(fd, "\r\nAzurehold-Organisation: open\r\n\r\n");
+	worker_fd = accept(worker_listener, NULL, NULL);
+	CU_ASSERT(
+		read_until(worker_fd, "\r\n\r\n", received, sizeof(received)));
+	CU_ASSERT(held_bytes() > before + 12000);
+	snprintf(head, sizeof(head),
+		 "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 12003);
+	send_text(worker_fd, head);
+	send_text(worker_fd, filling);
+	send_text(worker_fd, "end");
+	CU_ASSERT(read_until(fd, "end", all, sizeof(all)));
+	/* Of the head and of the answer each 2 KiB may stay. */
+	while (held_bytes() > before + 4096)
+		usleep(1000);
+	close(fd);
+	close(worker_fd);
+	free(filling);
+}
+
 /* Guards against reading a chunk that is announced beyond the limit: up to the
  * limit it would hold memory, and the caller learns of the refusal late. */
 static void test_long_chunk_is_refused_at_its_announcement(void)
@@ -759,6 +793,8 @@
 		    test_slowest_body_yields_first);
 	CU_add_test(s, "slow reader yields before a reader",
 		    test_slow_reader_yields_before_a_reader);
+	CU_add_test(s, "idle connection holds little",
+		    test_idle_connection_holds_little);
 	CU_add_test(s, "long chunk is refused at its announcement",
 		    test_long_chunk_is_refused_at_its_announcement);
 	/* The last tests, as the front stays in the state "stopping". */
