ticket: bound the answers that the ledgers store

Cause: the ledger keeps the whole answer of each ticket for 600 s, for repeats. It bounds the number of entries, 65536, and not their answers.

Change: the answers of all ledgers of a daemon hold at most a sixteenth of memory_mb. The first presentation always gets its answer. The counter tickets_stored_bytes shows what is held.

--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -214,6 +214,7 @@
 		.membership = d->membership,
 		.membership_settle_us = s->member_period_ms *
 					MEMBERSHIP_SETTLE_PERIODS * US_PER_MS,
+		.memory_bytes = (uint64_t)s->memory_mb << 20,
 	};
 	struct front_settings fs = {
 		.ip = s->front.ip,
--- a/fault/crowds_main.c
+++ b/fault/crowds_main.c
@@ -520,6 +520,46 @@
 	crowds_run(r);
 }
 
+/* Long answers of workers that fail, to requests that are tried again. */
+static void failed_answers(struct run *r)
+{
+	for (uint32_t i = 0; i < r->fleet->worker_count; i++)
+		worker_set_fault(r->fleet, i, "mode=errors&percent=100");
+	add_unread_answers(r, 64);
+	r->crowds[0].plan.reads = true;
+	crowds_run(r);
+	for (uint32_t i = 0; i < r->fleet->worker_count; i++)
+		worker_set_fault(r->fleet, i, "mode=none");
+}
+
+#define POST_PAYMENT                                          \
+	"POST /payments HTTP/1.1\r\nHost: x\r\n" ORGANISATION \
+	"Content-Length: 0\r\n"
+
+/* Long answers to payments, which are stored for repeats of their tickets. */
+static void stored_answers(struct run *r)
+{
+	struct http_conn c = { .fd = -1 };
+	char ticket[TICKET_TEXT_MAX_BYTES] = "";
+
+	for (uint32_t i = 0; i < 2 * 64; i++) {
+		struct buf q = { 0 };
+		struct http_answer a;
+
+		buf_printf(&q, POST_PAYMENT);
+		if (*ticket)
+			buf_printf(&q, "Azurehold-Ticket: %s\r\n", ticket);
+		buf_printf(&q, "\r\n");
+		http_exchange(&c, daemon_port(r->fleet, 0), (char *)q.data,
+			      q.len_bytes, HANG_TIMEOUT_MS, &a);
+		memcpy(ticket, a.ticket, sizeof(ticket));
+		http_answer_free(&a);
+		buf_free(&q);
+		take_peaks(r);
+	}
+	http_close(&c);
+}
+
 /* As many pipelined requests as a connection may have, answers not read. */
 static void add_pipelined_answers(struct run *r)
 {
@@ -658,6 +698,10 @@
 	  unread_answers },
 	{ "kept-connections", SMALLEST_VM_MB, 0, LONG_ANSWER_BYTES, CONF(""),
 	  kept_connections },
+	{ "failed-answers", SMALLEST_VM_MB, 0, LONG_ANSWER_BYTES, CONF(""),
+	  failed_answers },
+	{ "stored-answers", SMALLEST_VM_MB, 0, LONG_ANSWER_BYTES, CONF(""),
+	  stored_answers },
 	{ "pipelined-answers", SMALLEST_VM_MB, 0, LONG_ANSWER_BYTES, CONF(""),
 	  pipelined_answers },
 	{ "pipelined-refusals", 64, 0, 0, CONF(""), pipelined_refusals },
--- a/ticket/handover.c
+++ b/ticket/handover.c
@@ -165,6 +165,7 @@
 	if (!part->part_index && !d->incoming_ledger) {
 		d->incoming_ledger =
 			ledger_create(part->incarnation, part->key);
+		ledger_set_store(d->incoming_ledger, &d->store);
 		d->next_part_index = 0;
 		ledger_set_clock_offset(d->incoming_ledger,
 					part->issuer_now_us - d->duty.now_us);
--- a/ticket/ledger.c
+++ b/ticket/ledger.c
@@ -19,6 +19,7 @@
 	uint64_t incarnation;
 	uint8_t key[TICKET_KEY_BYTES];
 	int64_t clock_offset_us;
+	struct answer_store *store; /* NULL: not bounded */
 	bool frozen;
 };
 
@@ -35,9 +36,42 @@
 	return l;
 }
 
-static void entry_free(struct ledger_entry *e)
+void ledger_set_store(struct ledger *l, struct answer_store *s)
 {
+	l->store = s;
+}
+
+static uint64_t stored_bytes(const struct answer *a)
+{
+	return a ? sizeof(*a) + a->headers.cap_bytes + a->body.cap_bytes : 0;
+}
+
+/* Replaces the answer of an entry. */
+static void set_answer(struct ledger *l, struct ledger_entry *e,
+		       struct answer *a)
+{
+	if (l->store)
+		l->store->held_bytes +=
+			stored_bytes(a) - stored_bytes(e->answer);
 	answer_free(e->answer);
+	e->answer = a;
+}
+
+void ledger_bound_answer(struct ledger *l, struct ledger_entry *e)
+{
+	struct answer *a;
+
+	if (!l->store || l->store->held_bytes <= l->store->max_bytes ||
+	    e->state != ENTRY_ANSWERED)
+		return;
+	a = answer_new(ERR_ANSWER_TOO_LARGE);
+	a->outcome = OUTCOME_RAN;
+	set_answer(l, e, a);
+}
+
+static void entry_free(struct ledger *l, struct ledger_entry *e)
+{
+	set_answer(l, e, NULL);
 	free(e);
 }
 
@@ -46,7 +80,7 @@
 	apr_hash_index_t *i;
 
 	for (i = apr_hash_first(NULL, l->entries); i; i = apr_hash_next(i))
-		entry_free(apr_hash_this_val(i));
+		entry_free(l, apr_hash_this_val(i));
 	OPENSSL_cleanse(l->key, sizeof(l->key));
 	apr_pool_destroy(l->pool);
 	free(l);
@@ -220,7 +254,7 @@
 
 	running_remove(l, e);
 	e->state = states[a->outcome];
-	e->answer = a;
+	set_answer(l, e, a);
 	e->waiters = NULL;
 	return w;
 }
@@ -262,7 +296,7 @@
 			continue;
 		apr_hash_set(l->entries, &e->sequence, sizeof(e->sequence),
 			     NULL);
-		entry_free(e);
+		entry_free(l, e);
 	}
 }
 
@@ -291,6 +325,7 @@
 	}
 	e = add_entry(l, sequence, request_hash, expiry_us);
 	e->state = state;
-	e->answer = a;
+	set_answer(l, e, a);
+	ledger_bound_answer(l, e);
 	return AZ_OK;
 }
--- a/ticket/present.c
+++ b/ticket/present.c
@@ -54,6 +54,8 @@
 		w = next;
 	}
 	r->answer = NULL;
+	ledger_bound_answer(l, e);
+	counter_set(d->stored_bytes, (int64_t)d->store.held_bytes);
 	run_result_free(r);
 }
 
--- a/ticket/ticket.c
+++ b/ticket/ticket.c
@@ -6,6 +6,9 @@
 #define RING_SLOTS 32768
 /* Period in which expired entries and empty adopted ledgers are removed. */
 #define EXPIRY_SWEEP_PERIOD_US (10 * US_PER_S)
+/* Share of the memory for stored answers. */
+#define MEMORY_SHARE_DIVISOR 16
+#define MEMORY_BYTES_DEFAULT (256ULL << 20)
 
 void ticket_arm(struct ticket_duty *d, int64_t at_us)
 {
@@ -127,10 +130,15 @@
 	if (RAND_bytes(d->key, sizeof(d->key)) != 1)
 		return NULL;
 	d->ledgers[0] = ledger_create(s->incarnation, d->key);
+	d->store.max_bytes =
+		(s->memory_bytes ? s->memory_bytes : MEMORY_BYTES_DEFAULT) /
+		MEMORY_SHARE_DIVISOR;
+	ledger_set_store(d->ledgers[0], &d->store);
 	d->ledger_count = 1;
 	d->issued = counter_get("tickets_issued");
 	d->presented = counter_get("tickets_presented");
 	d->joined = counter_get("tickets_joined");
+	d->stored_bytes = counter_get("tickets_stored_bytes");
 	d->unknown_outcomes = counter_get("tickets_unknown");
 	return d;
 }
--- a/ticket/ticket.h
+++ b/ticket/ticket.h
@@ -71,6 +71,12 @@
 	struct ledger_entry *prev;
 };
 
+/** Memory of the answers that the ledgers of a daemon store. */
+struct answer_store {
+	uint64_t max_bytes;
+	uint64_t held_bytes;
+};
+
 /** Entries of the tickets of one incarnation. */
 struct ledger;
 
@@ -88,11 +94,18 @@
 	struct ledger_entry *entry; /**< NULL with LEDGER_REFUSE */
 };
 
+/** The ledger has no bound of its answers until ledger_set_store(). */
 struct ledger *ledger_create(uint64_t incarnation,
 			     const uint8_t key[TICKET_KEY_BYTES]);
 void ledger_destroy(struct ledger *l);
 /** For an adopted ledger: sets the difference between the issuer's clock and
  * the clock of this process, issuer minus own. */
+/** Bounds the stored answers together with those of other ledgers. To be called
+ * before the first entry; `s` must outlive the ledger. */
+void ledger_set_store(struct ledger *l, struct answer_store *s);
+/** To be called once the waiters of an entry have their answers: if the store
+ * is full, replaces the answer by an error that states only that it ran. */
+void ledger_bound_answer(struct ledger *l, struct ledger_entry *e);
 void ledger_set_clock_offset(struct ledger *l, int64_t offset_us);
 int64_t ledger_clock_offset(const struct ledger *l);
 uint64_t ledger_incarnation(const struct ledger *l);
@@ -154,6 +167,7 @@
 	/** Time after the start in which this daemon may not yet have learnt by
 	 * gossip of an issuer that left and of its successor. */
 	int64_t membership_settle_us;
+	uint64_t memory_bytes; /**< that the process may use; 0: 256 MiB */
 };
 
 /** Most adopted ledgers that one daemon serves. */
@@ -187,6 +201,7 @@
 	/** Time when each of `ledgers` was adopted. */
 	int64_t adopted_us[1 + ADOPTED_LEDGERS_MAX];
 	uint32_t ledger_count;
+	struct answer_store store; /**< of all ledgers */
 	struct ledger *incoming_ledger; /**< not all parts have arrived */
 	uint32_t next_part_index; /**< expected part of incoming_ledger */
 	struct submission *submissions;
@@ -198,6 +213,7 @@
 	struct counter *presented;
 	struct counter *joined; /**< presentations of running entries */
 	struct counter *unknown_outcomes; /**< entries that ended so */
+	struct counter *stored_bytes; /**< of answers, now */
 };
 
 struct ticket_duty *ticket_create(const struct ticket_settings *s,
--- a/ticket/ticket_test.c
+++ b/ticket/ticket_test.c
@@ -100,6 +100,40 @@
 	ledger_destroy(l);
 }
 
+/* Guards against stored answers that exhaust the memory, and against losing the
+ * outcome of a request with its answer. */
+static void test_stored_answers_are_bounded(void)
+{
+	struct ledger *l = ledger_create(INCARNATION, key);
+	struct answer_store store = { .max_bytes = 100000 };
+	struct ledger_entry *e[4];
+
+	ledger_set_store(l, &store);
+	for (uint32_t i = 0; i < 4; i++) {
+		struct ticket t = new_ticket(i + 1);
+		struct answer *a = answer_new(ERR_NONE);
+
+		a->outcome = OUTCOME_RAN;
+		buf_reserve(&a->body, 40000);
+		e[i] = ledger_present(l, &t, 11, 0).entry;
+		ledger_complete(l, e[i], a);
+		ledger_bound_answer(l, e[i]);
+		CU_ASSERT(store.held_bytes <= store.max_bytes);
+	}
+	CU_ASSERT_EQUAL(e[1]->answer->kind, ERR_NONE);
+	for (uint32_t i = 2; i < 4; i++) {
+		struct ticket t = new_ticket(i + 1);
+
+		CU_ASSERT_EQUAL(e[i]->answer->kind, ERR_ANSWER_TOO_LARGE);
+		CU_ASSERT_EQUAL(e[i]->answer->outcome, OUTCOME_RAN);
+		CU_ASSERT_EQUAL(ledger_present(l, &t, 11, 0).action,
+				LEDGER_REPLY);
+	}
+	ledger_expire(l, INT64_MAX);
+	CU_ASSERT_EQUAL(store.held_bytes, 0);
+	ledger_destroy(l);
+}
+
 /* Guards against using one ticket for two different requests. */
 static void test_ticket_is_bound_to_its_first_request(void)
 {
@@ -238,6 +272,8 @@
 	CU_add_test(s, "text keeps all fields", test_text_keeps_the_ticket);
 	CU_add_test(s, "changed text is refused", test_changed_text_is_refused);
 	CU_add_test(s, "ticket runs once", test_ticket_runs_once);
+	CU_add_test(s, "stored answers are bounded",
+		    test_stored_answers_are_bounded);
 	CU_add_test(s, "not run is final", test_not_run_is_final);
 	CU_add_test(s, "ticket is bound to its first request",
 		    test_ticket_is_bound_to_its_first_request);
