front: leave the administration API its descriptors

The connections of callers took 75 % of the descriptors, up to 64 of the administration API came on top, and workers, peers and the store had to share the rest. With 256 descriptors nothing was left. The 64 are taken off now; on the users' VMs, with 4100, the bound stays 3000.

--- a/fault/crowds_main.c
+++ b/fault/crowds_main.c
@@ -40,8 +40,9 @@
 /** Just short of 16 MiB, and of an answer's limit of 4 MiB. */
 #define SHORT_OF_16_MIB 16700000U
 #define LONG_ANSWER_BYTES 3900000U
-/** Offset of a port of the fleet that no other process uses. */
+/** Offsets of ports of the fleet that no other process uses. */
 #define PORT_READY 56
+#define PORT_ADMIN 57
 
 #define CONF(limits)                                                    \
 	"[limits]\nbody_bytes = 67108864\nheader_bytes = 65536\n"       \
@@ -620,6 +621,12 @@
 	connect_only(r, peer_port(r->fleet, 0));
 }
 
+/* The same at the port of the administration API. */
+static void admin_connections(struct run *r)
+{
+	connect_only(r, (uint16_t)(r->fleet->first_port + PORT_ADMIN));
+}
+
 /* Long records at the port for other daemons, by clients without its key. */
 static void peer_records(struct run *r)
 {
@@ -712,6 +719,8 @@
 	  health_connections },
 	{ "peer-connections", SMALLEST_VM_MB, 256, 0, CONF(""),
 	  peer_connections },
+	{ "admin-connections", SMALLEST_VM_MB, 256, 0, CONF(""),
+	  admin_connections },
 	{ "peer-records", SMALLEST_VM_MB, 0, 0, CONF(""), peer_records },
 };
 
@@ -799,8 +808,10 @@
 	r.good = true;
 	fleet_init(&fleet, o->bin, o->daemon, port);
 	snprintf(settings, sizeof(settings),
-		 "memory_mb = %u\nready = 127.0.0.1:%u\n", c->memory_mb,
-		 (unsigned int)port + PORT_READY);
+		 "memory_mb = %u\nready = 127.0.0.1:%u\n"
+		 "admin = 127.0.0.1:%u\nadmin_token = token\n",
+		 c->memory_mb, (unsigned int)port + PORT_READY,
+		 (unsigned int)port + PORT_ADMIN);
 	fleet_start(&fleet, &fo);
 	c->run(&r);
 	expect_ordinary(&r, "beside the crowd");
--- a/front/front.c
+++ b/front/front.c
@@ -12,10 +12,11 @@
 #define MEMORY_BYTES_DEFAULT (256ULL << 20)
 #define DESCRIPTORS_DEFAULT 4096
 /* Connections of callers: so many of the descriptors, as the rest is for
- * workers, peers and the store; and so much of the memory, at the memory that
- * an idle connection takes. */
+ * workers, peers and the store, without those of the administration API; and
+ * so much of the memory, at the memory that an idle connection takes. */
 #define CONNECTIONS_MAX 3000
 #define DESCRIPTORS_SHARE_PERCENT 75
+#define DESCRIPTORS_ADMIN 64
 #define MEMORY_SHARE_DIVISOR 16
 #define CONNECTION_BYTES 10240
 #define ACCEPT_PAUSE_US (100 * US_PER_MS)
@@ -203,10 +204,13 @@
 
 static uint32_t connections_max(uint64_t memory_bytes, uint32_t descriptors)
 {
-	uint64_t max = memory_bytes / MEMORY_SHARE_DIVISOR / CONNECTION_BYTES;
+	uint64_t of_memory =
+		memory_bytes / MEMORY_SHARE_DIVISOR / CONNECTION_BYTES;
+	uint64_t of_descriptors =
+		(uint64_t)descriptors * DESCRIPTORS_SHARE_PERCENT / 100 -
+		DESCRIPTORS_ADMIN;
+	uint64_t max = of_memory < of_descriptors ? of_memory : of_descriptors;
 
-	if (max > (uint64_t)descriptors * DESCRIPTORS_SHARE_PERCENT / 100)
-		max = (uint64_t)descriptors * DESCRIPTORS_SHARE_PERCENT / 100;
 	return max > CONNECTIONS_MAX ? CONNECTIONS_MAX : (uint32_t)max;
 }
 
