--- a/fault/crowd_cases.c
+++ b/fault/crowd_cases.c
@@ -57,10 +57,10 @@
 
 	p->clients = clients;
 	p->head = POST_CHUNKED;
-	while (p->unit.len_bytes < UNIT_BYTES) {
+	do {
 		put_chunk(&p->unit, chunk_bytes);
 		chunks++;
-	}
+	} while (p->unit.len_bytes < UNIT_BYTES);
 	p->stream_bytes = body_bytes / ((uint64_t)chunk_bytes * chunks) *
 			  p->unit.len_bytes;
 	p->reads = true;
--- a/front/conn.c
+++ b/front/conn.c
@@ -952,22 +952,21 @@
 static void conn_expire(struct front_conn *c)
 {
 	int64_t idle_us = current_limits(c->front).idle_timeout_ms * US_PER_MS;
+	bool unsent = has_unsent(c);
+	bool unread =
+		unsent && c->front->duty.now_us - c->send.moved_us >= idle_us;
 
-	if (has_unsent(c) &&
-	    c->front->duty.now_us - c->send.moved_us >= idle_us) {
+	if (unread || c->phase == PHASE_LINGER ||
+	    (!c->first && !unsent && !is_receiving(c))) {
 		conn_close(c);
-	} else if (c->phase == PHASE_HEAD && c->head_input.len_bytes) {
-		refuse_and_stop_reading(c, exchange_new(c),
-					ERR_REQUEST_TIMEOUT);
-		send_answers(c);
-	} else if (c->phase == PHASE_BODY && c->receiving) {
-		refuse_and_stop_reading(c, c->receiving, ERR_REQUEST_TIMEOUT);
+	} else if (is_receiving(c)) {
+		refuse_and_stop_reading(
+			c, c->receiving ? c->receiving : exchange_new(c),
+			ERR_REQUEST_TIMEOUT);
 		send_answers(c);
-	} else if (c->phase == PHASE_LINGER || (!c->first && !has_unsent(c))) {
-		conn_close(c);
 	} else {
 		c->timeout_at_us = 0;
-		if (has_unsent(c))
+		if (unsent)
 			set_timeout(c, c->send.moved_us + idle_us);
 	}
 }
