front: an answer behind a long one is written when that one is sent

What callers saw: a caller that pipelines requests got no further answer after a long one that the socket had not taken at once, until it sent something more.

Cause: answers were written before the output was flushed, and nothing looked for the next one once the long body had gone.

Change: flush first, then write, until nothing more can be written.

--- a/front/conn.c
+++ b/front/conn.c
@@ -310,15 +310,17 @@
 {
 	int64_t moved_us = c->send.moved_us;
 	bool any = false;
+	bool wrote;
 
-	while (write_answers(c)) {
-		any = true;
-		c->used_us = c->front->duty.now_us;
+	/* Once a long body is sent, the answer after it can be written. */
+	do {
 		if (!flush(c))
 			return false;
-	}
-	if (!any && !flush(c))
-		return false;
+		wrote = write_answers(c);
+		any = any || wrote;
+	} while (wrote);
+	if (any)
+		c->used_us = c->front->duty.now_us;
 	if (c->phase == PHASE_NO_MORE_REQUESTS && !c->first && !has_unsent(c))
 		start_linger(c);
 	else if (!c->receive.active &&
--- a/front/front_test.c
+++ b/front/front_test.c
@@ -557,6 +557,80 @@
 	free(filling);
 }
 
+/* Sends an answer with a body of `bytes` that ends with `end`. */
+static void send_long_answer(int32_t fd, uint32_t bytes, const char *end)
+{
+	char *body = az_alloc(bytes);
+	char head[128];
+
+	memset(body, 'x', bytes);
+	memcpy(body + bytes - strlen(end), end, strlen(end));
+	snprintf(head, sizeof(head),
+		 "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n", bytes);
+	send_text(fd, head);
+	for (uint32_t sent = 0; sent < bytes;) {
+		ssize_t n = write(fd, body + sent, bytes - sent);
+
+		if (n <= 0)
+			abort();
+		sent += (uint32_t)n;
+	}
+	free(body);
+}
+
+/* Guards against an answer that waits for ever behind a long one, which the
+ * socket does not take at once: nothing but the end of the first one tells that
+ * the second can be written. */
+static void test_answer_follows_a_long_one(void)
+{
+	static const char *const names[] = { "one", "two", "three" };
+	uint32_t bytes = 3900000;
+	size_t size = 3 * bytes + 65536;
+	char *all = az_alloc(size);
+	int32_t fd = connect_caller();
+	char received[2048];
+	char text[1024];
+	char end[32];
+	int32_t worker_fd[3];
+	int buffer_bytes = 65536;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+		   sizeof(buffer_bytes));
+	snprintf(text, sizeof(text), GET_READ GET_READ GET_READ, names[0],
+		 names[1], names[2]);
+	send_text(fd, text);
+	for (uint32_t i = 0; i < 3; i++) {
+		uint32_t n = 0;
+
+		worker_fd[i] = accept(worker_listener, NULL, NULL);
+		*received = '\0';
+		CU_ASSERT(read_until(worker_fd[i], "\r\n\r\n", received,
+				     sizeof(received)));
+		while (n < 2 &&
+		       !strstr(received + strlen("GET /read/"), names[n]))
+			n++;
+		snprintf(end, sizeof(end), "end of %s", names[n]);
+		send_long_answer(worker_fd[i], bytes, end);
+	}
+	while (attempts_in_flight(attempts))
+		usleep(1000);
+	for (size_t used = 0;
+	     !strstr(used > 64 ? all + used - 64 : all, "end of three");) {
+		ssize_t n = read(fd, all + used, size - used - 1);
+
+		if (n <= 0)
+			break;
+		used += (size_t)n;
+	}
+	for (uint32_t i = 0; i < 3; i++) {
+		snprintf(end, sizeof(end), "end of %s", names[i]);
+		CU_ASSERT_PTR_NOT_NULL(strstr(all, end));
+		close(worker_fd[i]);
+	}
+	close(fd);
+	free(all);
+}
+
 /* Guards against reading a chunk that is announced beyond the limit: up to the
  * limit it would hold memory, and the caller learns of the refusal late. */
 static void test_long_chunk_is_refused_at_its_announcement(void)
@@ -795,6 +869,8 @@
 		    test_slow_reader_yields_before_a_reader);
 	CU_add_test(s, "idle connection holds little",
 		    test_idle_connection_holds_little);
+	CU_add_test(s, "answer follows a long one",
+		    test_answer_follows_a_long_one);
 	CU_add_test(s, "long chunk is refused at its announcement",
 		    test_long_chunk_is_refused_at_its_announcement);
 	/* The last tests, as the front stays in the state "stopping". */
