--- a/front/conn.c
+++ b/front/conn.c
@@ -17,8 +17,8 @@
 /** An empty buffer with a larger capacity is freed. An idle connection never
  * gives way, so that it must hold little. */
 #define KEPT_BUFFER_BYTES 2048
-/** Step in which a body grows while it is short, see grow_body(). */
-#define BODY_GROWTH_MIN_BYTES READ_BYTES
+/** Shortest step in which the buffer of a body grows. */
+#define BODY_GROWTH_MIN_BYTES 1024
 /** Time after the last answer in which further input is read and discarded.
  * Closing a connection with unread input resets it, and the caller could lose
  * the answer. */
@@ -452,20 +452,22 @@
 }
 
 /* Makes room for `n` more bytes. An announced length is not reserved, as the
- * caller may never send it; doubling would hold up to twice the length. */
+ * caller may never send it; a long body is not doubled, which would hold up to
+ * twice its length. */
 static void grow_body(struct exchange *x, size_t n)
 {
 	uint64_t need = x->body.len_bytes + n;
-	uint64_t step = x->body.cap_bytes / 4;
+	uint64_t cap = x->body.cap_bytes;
+	uint64_t step = cap < MEMORY_SHORT_BYTES ? cap : cap / 4;
 
-	if (need <= x->body.cap_bytes)
+	if (need <= cap)
 		return;
 	if (step < BODY_GROWTH_MIN_BYTES)
 		step = BODY_GROWTH_MIN_BYTES;
 	if (step > MEMORY_GROWTH_MAX_BYTES)
 		step = MEMORY_GROWTH_MAX_BYTES;
-	if (need < x->body.cap_bytes + step)
-		need = x->body.cap_bytes + step;
+	if (need < cap + step)
+		need = cap + step;
 	if (need > x->head.announced_body_bytes)
 		need = x->head.announced_body_bytes;
 	buf_reserve(&x->body, (uint32_t)need);
