--- a/front/conn.c
+++ b/front/conn.c
@@ -152,7 +152,6 @@
 
 	if (c->receives_long_body)
 		held += LONG_RECEIVE_BUFFER_BYTES;
-
 	for (const struct exchange *x = c->first; x; x = x->next)
 		held += exchange_held_bytes(x);
 	if (c->sending)
@@ -839,7 +838,6 @@
 static void conn_ready(struct poll_handler *h, int16_t events)
 {
 	struct front_conn *c = az_container_of(h, struct front_conn, poll);
-
 	struct front *f = c->front;
 
 	if ((events & APR_POLLOUT) && !send_answers(c))
