--- a/upstream/upstream_test.c
+++ b/upstream/upstream_test.c
@@ -284,6 +284,18 @@
 	request_free(q);
 }
 
+/* Sends a request for each of the five answers, on connections of their own. */
+static void expect_malformed(const char *const answers[5])
+{
+	struct scripted_worker s;
+
+	script_start(&s, answers, 5);
+	for (uint32_t i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(send_and_wait(&s, get), UPSTREAM_TRUNCATED);
+	CU_ASSERT_EQUAL(s.connections, 5);
+	script_stop(&s);
+}
+
 /* Guards against reporting part of an answer as a complete answer. */
 static void test_truncated_answers_are_faults(void)
 {
@@ -297,13 +309,8 @@
 		"HTTP/1.1 200 OK\r\nContent-Le",
 		"no HTTP at all",
 	};
-	struct scripted_worker s;
 
-	script_start(&s, answers, 5);
-	for (uint32_t i = 0; i < 5; i++)
-		CU_ASSERT_EQUAL(send_and_wait(&s, get), UPSTREAM_TRUNCATED);
-	CU_ASSERT_EQUAL(s.connections, 5);
-	script_stop(&s);
+	expect_malformed(answers);
 }
 
 /* Guards against passing on an answer whose status is none: 000 came as an
@@ -317,13 +324,8 @@
 		"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nhalf",
 		"HTTP/1.1 999 OK\r\nContent-Length: 4\r\n\r\nhalf",
 	};
-	struct scripted_worker s;
 
-	script_start(&s, answers, 5);
-	for (uint32_t i = 0; i < 5; i++)
-		CU_ASSERT_EQUAL(send_and_wait(&s, get), UPSTREAM_TRUNCATED);
-	CU_ASSERT_EQUAL(s.connections, 5);
-	script_stop(&s);
+	expect_malformed(answers);
 }
 
 /* Guards against taking surplus bytes after an answer for the answer to the
