relay: log whose claim a daemon takes its state from

One line for each sender and position: state confirmed by a claim, with the sender, the age of its confirmation, the claimed position and the held one.

--- a/feed/relay.c
+++ b/feed/relay.c
@@ -28,6 +28,12 @@
 	FETCH_FROM_COUNT,
 };
 
+/** What distinguishes a claim from the next one in the log. */
+struct logged_claim {
+	uint64_t incarnation; /**< of the sender */
+	uint64_t position;
+};
+
 struct relay {
 	struct duty duty;
 	struct relay_settings settings;
@@ -43,6 +49,7 @@
 					own source */
 	int64_t sent_us; /**< when the position was last sent */
 	int64_t sent_confirmed_us; /**< local.confirmed_us at that time */
+	struct logged_claim logged; /**< the last claim that was logged */
 	struct counter *takeovers;
 	struct counter *fetches;
 	struct counter *fetch_failures;
@@ -295,6 +302,26 @@
 	return c;
 }
 
+/* Logs on whose word this daemon takes its state for the source's: one line for
+ * each sender and position, not for each claim. */
+static void log_claim(struct relay *r, const struct member *m,
+		      const struct position_datagram *d)
+{
+	const struct logged_claim c = { m->incarnation, d->position };
+
+	if (c.incarnation == r->logged.incarnation &&
+	    c.position == r->logged.position)
+		return;
+	r->logged = c;
+	log_write(LOG_INFO, "relay",
+		  "state confirmed by a claim from=%u.%u.%u.%u age_ms=%u "
+		  "claimed=%u,%u held=%u,%u",
+		  m->ip >> 24, m->ip >> 16 & 255, m->ip >> 8 & 255, m->ip & 255,
+		  d->age_ms, (uint32_t)(d->position >> 32),
+		  (uint32_t)d->position, (uint32_t)(r->local.position >> 32),
+		  (uint32_t)r->local.position);
+}
+
 static void on_datagram(struct relay *r, const struct position_datagram *d)
 {
 	const struct member_view *v = membership_view(r->settings.membership);
@@ -303,10 +330,13 @@
 	if (m && m->incarnation == d->incarnation && m->dc == r->settings.dc) {
 		struct peer_target target = target_of(m);
 		struct relay_position claim = claim_of(r, d);
+		int64_t before_us = r->role.confirmed_us;
 
 		r->role.rank = own_rank(r, v);
 		relay_on_claim(&r->role, rank_of(v, m), r->local.position,
 			       &claim);
+		if (r->role.confirmed_us != before_us)
+			log_claim(r, m, d);
 		if (!r->fetching[FETCH_FROM_WATCHER] &&
 		    feed_position_is_ahead(r->local.position, d->position))
 			fetch(r, FETCH_FROM_WATCHER, &target);
