--- a/cmd/azhd/azhd.c
+++ b/cmd/azhd/azhd.c
@@ -300,27 +300,28 @@
 
 	membership_set_digest(d->membership, position);
 	if (d->relay)
-		relay_set_local_position(d->relay, position, 0);
+		relay_set_local_position(d->relay, position);
 }
 
-static void on_source_confirmed(struct platform_listener *l, uint64_t position,
-				int64_t confirmed_us)
+static void on_feed_position_raised(struct feed_listener *l, uint64_t position)
 {
-	struct azhd *d = az_container_of(l, struct azhd, platform_listener);
+	struct azhd *d = az_container_of(l, struct azhd, feed_listener);
 
-	if (d->relay)
-		relay_set_local_position(d->relay, position, confirmed_us);
+	platform_source_advance_to(d->platform_source, position);
 }
 
-static void on_feed_position_raised(struct feed_listener *l, uint64_t position)
+static void on_feed_confirmed(struct feed_listener *l,
+			      const struct feed_known *known,
+			      int64_t confirmed_us)
 {
 	struct azhd *d = az_container_of(l, struct azhd, feed_listener);
 
-	platform_source_advance_to(d->platform_source, position);
+	if (d->relay)
+		relay_set_confirmed(d->relay, known, confirmed_us);
 }
 
 static const struct feed_listener_ops feed_listener_ops = {
-	on_feed_position_raised
+	on_feed_position_raised, on_feed_confirmed
 };
 
 static void set_source_watch(struct relay_source *s, enum relay_watch watch)
@@ -338,7 +339,7 @@
 static const struct relay_source_ops relay_source_ops = { set_source_watch };
 
 static const struct platform_listener_ops platform_listener_ops = {
-	on_fleet_key, on_source_progress, on_source_confirmed
+	on_fleet_key, on_source_progress
 };
 
 /* With a platform the digests of the members are positions; see
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -3,6 +3,8 @@
  * The feed duty: applies updates of the configuration and the workers, and
  * builds snapshots.
  */
+#include <pthread.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -35,11 +37,13 @@
 	/** A state named a worker as unchanged that the table lacks, so that
 	 * the next one must have all workers. */
 	bool workers_incomplete;
-	uint64_t listed_revision; /**< of the last list of the source: nothing
-				     made until then is missing from the workers
-				     or too much; 0: none */
+	uint32_t as_of; /**< last 32 bits of the source's revision of which the
+			   workers are; 0: unknown */
+	uint64_t
+		listed_revision; /**< of the last list of the source; 0: none */
 	int64_t listed_us; /**< when it was applied */
-	struct feed_known known; /**< atomic fields, for other threads */
+	pthread_mutex_t known_lock;
+	struct feed_known known; /**< for other threads, under known_lock */
 	bool build_pending; /**< a snapshot must be built when the timer expires
 			     */
 	int64_t timer_at_us; /**< when the timer expires, to build or to drop
@@ -124,9 +128,10 @@
 
 enum feed_msg_kind {
 	FEED_MSG_CONFIGURATION,
-	FEED_MSG_PUT_WORKERS,
+	FEED_MSG_CHANGE_WORKERS,
 	FEED_MSG_REPLACE_WORKERS,
-	FEED_MSG_REMOVE_WORKER,
+	FEED_MSG_CONFIRM,
+	FEED_MSG_AGREE,
 	FEED_MSG_SOURCE_UNREACHABLE,
 	FEED_MSG_SOURCE_RECOVERED,
 	FEED_MSG_SET_POSITION,
@@ -138,11 +143,13 @@
 	struct msg msg;
 	enum feed_msg_kind kind;
 	uint64_t version; /**< of the configuration; SET_POSITION: the position,
-			     REPLACE_WORKERS: the revision of the list */
-	char *text; /**< CONFIGURATION: the configuration, REMOVE_WORKER: the
-		       worker's name */
-	struct feed_worker *workers;
-	uint32_t count;
+			     else the revision of the source */
+	uint64_t hash; /**< AGREE: of the other daemon's state */
+	int64_t confirmed_us; /**< CONFIRM */
+	char *text; /**< CONFIGURATION */
+	struct feed_worker *workers; /**< REPLACE_WORKERS */
+	struct feed_change *changes; /**< CHANGE_WORKERS */
+	uint32_t count; /**< of either */
 	struct feed_state state;
 	struct feed_known known; /**< SEND_STATE: what the receiver holds */
 	struct reply_to *reply;
@@ -153,6 +160,7 @@
 	feed_state_free(&fm->state);
 	free(fm->text);
 	free(fm->workers);
+	free(fm->changes);
 	free(fm);
 }
 
@@ -204,6 +212,7 @@
 	struct feed_state_source s = {
 		.position = f->position,
 		.version = f->version,
+		.as_of = f->as_of,
 		.text = f->text,
 		.packed = &f->packed,
 		.base_text = find_older_text(f, known->version),
@@ -264,58 +273,111 @@
 	return true;
 }
 
+/* Daemons of older versions do not send the revision of their workers. It is at
+ * least that of their position, which may be lower than this daemon's although
+ * its own revision is unknown. */
+static bool is_newer(const struct feed *f, const struct feed_state *s)
+{
+	if (s->as_of)
+		return feed_revision_is_ahead(f->as_of, s->as_of);
+	return feed_revision_is_ahead(f->as_of, (uint32_t)s->position) &&
+	       !feed_revision_is_ahead((uint32_t)s->position,
+				       (uint32_t)f->position);
+}
+
 /* Returns false if the state leaves out a worker that this daemon lacks, or is
- * not imported. */
+ * not imported. Then nothing of it is used: the workers would be those of no
+ * revision. */
 static bool import_workers(struct feed *f, struct feed_state *s)
 {
-	bool changed = false;
-
-	if (f->listed_revision &&
-	    !feed_revision_is_ahead((uint32_t)f->listed_revision,
-				    (uint32_t)s->position))
+	if (!is_newer(f, s))
 		return import_older_workers(f, s);
 	f->workers_incomplete = !feed_state_complete_workers(s, f->workers);
-	if (!f->workers_incomplete)
-		changed = feed_table_replace(f->workers, s->workers, s->count,
-					     0, f->duty.now_us);
-	for (uint32_t i = 0; f->workers_incomplete && i < s->count; i++)
-		changed |= feed_table_put(f->workers, &s->workers[i]);
-	if (changed)
+	if (f->workers_incomplete)
+		return false;
+	f->as_of = s->as_of ? s->as_of : (uint32_t)s->position;
+	if (feed_table_replace(f->workers, s->workers, s->count, 0,
+			       f->duty.now_us))
 		schedule_build(f);
-	return !f->workers_incomplete;
+	return true;
+}
+
+static struct feed_known current_known(const struct feed *f)
+{
+	char version[24];
+
+	snprintf(version, sizeof(version), "%llu",
+		 (unsigned long long)f->version);
+	return (struct feed_known){
+		.position = f->workers_incomplete ? f->position >> 32 << 32 :
+						    f->position,
+		.version = f->version,
+		.decodes_all = true,
+		.decodes_as_of = true,
+		.as_of = f->as_of,
+		.hash = f->workers->hash + hash_string(version),
+	};
+}
+
+static void publish_known(struct feed *f)
+{
+	struct feed_known known = current_known(f);
+
+	pthread_mutex_lock(&f->known_lock);
+	f->known = known;
+	pthread_mutex_unlock(&f->known_lock);
+}
+
+struct feed_known feed_get_known(struct feed *f)
+{
+	struct feed_known known;
+
+	pthread_mutex_lock(&f->known_lock);
+	known = f->known;
+	pthread_mutex_unlock(&f->known_lock);
+	return known;
+}
+
+static void tell_position(struct feed *f)
+{
+	struct feed_listener *l = f->settings.listener;
+
+	publish_known(f);
+	if (l)
+		l->ops->on_position_raised(l, f->position);
 }
 
 /* Each half of the position is taken over if it is higher than this daemon's,
- * also if the other one is lower. */
+ * also if the other one is lower. The position may stay the same although the
+ * workers are others: a list does not show the revision of a removal. */
 static void import_state(struct feed *f, struct feed_msg *fm)
 {
 	struct feed_state *s = &fm->state;
-	struct feed_listener *l = f->settings.listener;
 	uint64_t position = s->position;
 	uint64_t before = f->position;
+	uint32_t as_of = f->as_of;
 
 	if (!import_configuration(f, fm))
 		position = (uint32_t)position;
-	if (feed_revision_is_ahead((uint32_t)position, (uint32_t)f->position) ||
-	    !import_workers(f, s))
+	if (!import_workers(f, s))
 		position = position >> 32 << 32;
 	f->position = feed_position_max(f->position, position);
 	f->position = feed_position_max(f->position,
 					(uint32_t)f->workers->missing_revision);
-	if (l && f->position != before)
-		l->ops->on_position_raised(l, f->position);
+	if (f->position != before || f->as_of != as_of)
+		tell_position(f);
 }
 
 /* The objects of a list do not show the revision of a removal. Without it the
- * other daemons would not notice the removal and go on using the worker. */
+ * members of other data centres would not notice that they have missed one. */
 static void replace_workers(struct feed *f, const struct feed_msg *fm)
 {
-	struct feed_listener *l = f->settings.listener;
 	uint64_t before = f->position;
 
 	f->workers_incomplete = false;
 	f->listed_revision = fm->version;
 	f->listed_us = f->duty.now_us;
+	f->as_of = (uint32_t)fm->version;
 	if (feed_table_replace(f->workers, fm->workers, fm->count, fm->version,
 			       f->duty.now_us))
 		schedule_build(f);
@@ -326,42 +388,68 @@
 	log_write(LOG_INFO, "feed",
 		  "workers are missing from the list revision=%llu",
 		  (unsigned long long)fm->version);
-	if (l)
-		l->ops->on_position_raised(l, f->position);
+	tell_position(f);
 }
 
-static void put_workers(struct feed *f, const struct feed_msg *fm)
+static void put_worker(struct feed *f, const struct feed_worker *w)
 {
-	for (uint32_t i = 0; i < fm->count; i++) {
-		const struct feed_worker *w = &fm->workers[i];
-
-		if (!feed_table_put(f->workers, w))
-			continue;
-		log_write(LOG_INFO, "feed",
-			  "worker updated worker=%s service=%s leaving=%s "
-			  "revision=%llu",
-			  w->name, w->service, w->leaving ? "yes" : "no",
-			  (unsigned long long)w->revision);
+	if (!feed_table_put(f->workers, w))
+		return;
+	log_write(
+		LOG_INFO, "feed",
+		"worker updated worker=%s service=%s leaving=%s revision=%llu",
+		w->name, w->service, w->leaving ? "yes" : "no",
+		(unsigned long long)w->revision);
+	schedule_build(f);
+}
+
+static void remove_worker(struct feed *f, const char *name)
+{
+	log_write(LOG_INFO, "feed", "worker removed worker=%s", name);
+	if (feed_table_remove(f->workers, name))
 		schedule_build(f);
+}
+
+/* Until the workers are listed or imported their revision stays unknown. */
+static void raise_as_of(struct feed *f, uint32_t revision)
+{
+	if (f->as_of && feed_revision_is_ahead(f->as_of, revision))
+		f->as_of = revision;
+}
+
+static void change_workers(struct feed *f, const struct feed_msg *fm)
+{
+	if (!feed_revision_is_ahead(f->as_of, (uint32_t)fm->version))
+		return;
+	for (uint32_t i = 0; i < fm->count; i++) {
+		const struct feed_change *c = &fm->changes[i];
+
+		if (c->removed)
+			remove_worker(f, c->worker.name);
+		else
+			put_worker(f, &c->worker);
 	}
+	raise_as_of(f, (uint32_t)fm->version);
 }
 
-static void publish_known(struct feed *f)
+/* All changes up to the revision have been passed to the feed before, in the
+ * order of its ring. */
+static void confirm(struct feed *f, const struct feed_msg *fm)
 {
-	uint64_t position =
-		f->workers_incomplete ? f->position >> 32 << 32 : f->position;
+	struct feed_listener *l = f->settings.listener;
+	struct feed_known known;
 
-	__atomic_store_n(&f->known.position, position, __ATOMIC_RELAXED);
-	__atomic_store_n(&f->known.version, f->version, __ATOMIC_RELAXED);
+	raise_as_of(f, (uint32_t)fm->version);
+	known = current_known(f);
+	if (l)
+		l->ops->on_confirmed(l, &known, fm->confirmed_us);
 }
 
-struct feed_known feed_get_known(struct feed *f)
+static void agree(struct feed *f, const struct feed_msg *fm)
 {
-	return (struct feed_known){
-		__atomic_load_n(&f->known.position, __ATOMIC_RELAXED),
-		__atomic_load_n(&f->known.version, __ATOMIC_RELAXED),
-		true,
-	};
+	if (current_known(f).hash == fm->hash &&
+	    feed_revision_is_ahead(f->as_of, (uint32_t)fm->version))
+		f->as_of = (uint32_t)fm->version;
 }
 
 static void feed_msg_run(struct msg *m, struct duty *to)
@@ -374,17 +462,17 @@
 	case FEED_MSG_CONFIGURATION:
 		apply_configuration(f, fm);
 		break;
-	case FEED_MSG_PUT_WORKERS:
-		put_workers(f, fm);
+	case FEED_MSG_CHANGE_WORKERS:
+		change_workers(f, fm);
 		break;
 	case FEED_MSG_REPLACE_WORKERS:
 		replace_workers(f, fm);
 		break;
-	case FEED_MSG_REMOVE_WORKER:
-		log_write(LOG_INFO, "feed", "worker removed worker=%s",
-			  fm->text);
-		if (feed_table_remove(f->workers, fm->text))
-			schedule_build(f);
+	case FEED_MSG_CONFIRM:
+		confirm(f, fm);
+		break;
+	case FEED_MSG_AGREE:
+		agree(f, fm);
 		break;
 	case FEED_MSG_SOURCE_UNREACHABLE:
 		feed_table_source_unreachable(f->workers);
@@ -441,43 +529,62 @@
 	duty_send(&f->duty, &fm->msg);
 }
 
-static void post_workers(struct feed *f, enum feed_msg_kind k,
-			 const struct feed_worker *list, uint32_t count,
-			 uint64_t revision)
+void feed_set_configuration(struct feed *f, uint64_t version, const char *text)
 {
-	struct feed_msg *fm = feed_msg_new(k, NULL);
+	struct feed_msg *fm = feed_msg_new(FEED_MSG_CONFIGURATION, text);
 
-	fm->version = revision;
-	fm->workers = az_alloc((count + 1) * sizeof(*list));
-	fm->count = count;
-	if (count)
-		memcpy(fm->workers, list, count * sizeof(*list));
+	fm->version = version;
 	post(f, fm);
 }
 
-void feed_set_configuration(struct feed *f, uint64_t version, const char *text)
+/* Returns a copy of an array. */
+static void *copy_array(const void *list, uint32_t count, size_t item_bytes)
 {
-	struct feed_msg *fm = feed_msg_new(FEED_MSG_CONFIGURATION, text);
+	void *copy = az_alloc((count + 1) * item_bytes);
 
-	fm->version = version;
-	post(f, fm);
+	if (count)
+		memcpy(copy, list, count * item_bytes);
+	return copy;
 }
 
-void feed_put_workers(struct feed *f, const struct feed_worker *list,
-		      uint32_t count)
+void feed_change_workers(struct feed *f, const struct feed_change *list,
+			 uint32_t count, uint64_t revision)
 {
-	post_workers(f, FEED_MSG_PUT_WORKERS, list, count, 0);
+	struct feed_msg *fm = feed_msg_new(FEED_MSG_CHANGE_WORKERS, NULL);
+
+	fm->version = revision;
+	fm->changes = copy_array(list, count, sizeof(*list));
+	fm->count = count;
+	post(f, fm);
 }
 
 void feed_replace_workers(struct feed *f, const struct feed_worker *list,
 			  uint32_t count, uint64_t revision)
 {
-	post_workers(f, FEED_MSG_REPLACE_WORKERS, list, count, revision);
+	struct feed_msg *fm = feed_msg_new(FEED_MSG_REPLACE_WORKERS, NULL);
+
+	fm->version = revision;
+	fm->workers = copy_array(list, count, sizeof(*list));
+	fm->count = count;
+	post(f, fm);
+}
+
+void feed_confirm(struct feed *f, uint64_t revision, int64_t confirmed_us)
+{
+	struct feed_msg *fm = feed_msg_new(FEED_MSG_CONFIRM, NULL);
+
+	fm->version = revision;
+	fm->confirmed_us = confirmed_us;
+	post(f, fm);
 }
 
-void feed_remove_worker(struct feed *f, const char *name)
+void feed_agree(struct feed *f, uint64_t hash, uint32_t as_of)
 {
-	post(f, feed_msg_new(FEED_MSG_REMOVE_WORKER, name));
+	struct feed_msg *fm = feed_msg_new(FEED_MSG_AGREE, NULL);
+
+	fm->version = as_of;
+	fm->hash = hash;
+	post(f, fm);
 }
 
 void feed_set_position(struct feed *f, uint64_t position)
@@ -530,6 +637,7 @@
 	struct feed *f = az_alloc(sizeof(*f));
 
 	f->settings = *s;
+	pthread_mutex_init(&f->known_lock, NULL);
 	f->workers = feed_table_create();
 	if (duty_init(&f->duty, &duty_ops, RING_SLOTS, timers) == AZ_OK)
 		return f;
--- a/feed/feed.h
+++ b/feed/feed.h
@@ -50,6 +50,8 @@
 
 struct feed_entry {
 	struct feed_worker worker;
+	uint64_t hash; /**< of the worker, as counted in the table's; 0: it is
+			  missing from the source's list and not counted */
 	bool in_new_list; /**< listed in the call of feed_table_replace() that
 			     is running */
 	int64_t expires_us; /**< missing from the source's list: dropped at this
@@ -60,6 +62,11 @@
 struct feed_table {
 	apr_pool_t *pool;
 	apr_hash_t *by_name;
+	/** Sum of the hashes of the workers that the source lists, so that it
+	 * does not depend on their order. Those that are kept for a while
+	 * although they are missing do not count: each daemon drops them at a
+	 * time of its own. */
+	uint64_t hash;
 	/** Of the last list of the source that lacked a worker of the table; 0:
 	 * none. */
 	uint64_t missing_revision;
@@ -73,6 +80,9 @@
 /** The worker of this name, or NULL. */
 const struct feed_worker *feed_table_find(const struct feed_table *t,
 					  const char *name);
+/** Hash of all that makes a difference to the users of a worker, and of its
+ * revision. The same in builds for other processors. */
+uint64_t feed_worker_hash(const struct feed_worker *w);
 /** Adds or updates a worker; true if the snapshot must be rebuilt. An entry
  * with a lower revision than the known one is ignored. */
 bool feed_table_put(struct feed_table *t, const struct feed_worker *w);
@@ -125,6 +135,16 @@
 	/** It decodes differences and compressed texts; daemons of older
 	 * versions do not. */
 	bool decodes_all;
+	/** It decodes `as_of` and the hash in a state; daemons of older
+	 * versions do not. */
+	bool decodes_as_of;
+	/** Last 32 bits of the source's revision of which the workers are
+	 * known to be; 0: unknown. Unlike the position it rises without a
+	 * change. */
+	uint32_t as_of;
+	/** Of the workers that the source lists and of `version`: equal in two
+	 * daemons that hold the same. Not sent with a request. */
+	uint64_t hash;
 };
 
 void feed_known_print(const struct feed_known *k, struct buf *out);
@@ -152,6 +172,10 @@
 struct feed_state {
 	uint64_t position;
 	uint64_t version; /**< of the configuration */
+	uint32_t as_of; /**< see struct feed_known; 0: unknown, or the sender is
+			   of an older version */
+	uint64_t
+		workers_hash; /**< see struct feed_table; if `as_of` is known */
 	struct feed_difference difference;
 	char *text; /**< the configuration, or the part that differs; owned,
 		       NULL: none, or the receiver has this version */
@@ -166,6 +190,7 @@
 struct feed_state_source {
 	uint64_t position;
 	uint64_t version;
+	uint32_t as_of;
 	const char *text; /**< NULL: no configuration */
 	const struct feed_packed *packed; /**< the same text; NULL: not
 					     compressed */
@@ -186,21 +211,32 @@
 bool feed_state_complete_text(struct feed_state *s, uint64_t base_version,
 			      const char *base);
 /** Adds the unchanged workers to `workers`, as the table has them. False if the
- * table lacks one. */
+ * table lacks one, or has another one than the sender. */
 bool feed_state_complete_workers(struct feed_state *s,
 				 const struct feed_table *t);
 
 /* ---- the duty ---- */
 
+/** A worker that is new, changed or gone. */
+struct feed_change {
+	struct feed_worker worker; /**< if `removed`, only the name is used */
+	bool removed;
+};
+
 struct feed;
 
 struct feed_listener;
 
 struct feed_listener_ops {
-	/** Called in the feed's thread after the feed's position was raised by
-	 * another daemon's state, or by a list of the source that lacks workers
-	 * which were known. */
+	/** Called in the feed's thread after another daemon's state was
+	 * imported, or the feed's position was raised by it or by a list of the
+	 * source that lacks workers which were known. */
 	void (*on_position_raised)(struct feed_listener *l, uint64_t position);
+	/** Called in the feed's thread after feed_confirm(), with what the feed
+	 * holds: no change made until `confirmed_us` is missing from it. */
+	void (*on_confirmed)(struct feed_listener *l,
+			     const struct feed_known *known,
+			     int64_t confirmed_us);
 };
 
 struct feed_listener {
@@ -221,14 +257,24 @@
 /** Replaces the configuration, an INI text without workers, if `version` is
  * above the current one. Any thread. */
 void feed_set_configuration(struct feed *f, uint64_t version, const char *text);
-/** The next three apply what the source delivers about workers: some that are
- * new or changed, the whole list as of its `revision`, or one that is gone. Any
- * thread. */
-void feed_put_workers(struct feed *f, const struct feed_worker *list,
-		      uint32_t count);
+/** Applies changes of workers which the source delivers, in their order: all
+ * that were made up to its `revision` and not delivered before. They are
+ * ignored if the workers are of that revision or of a later one already, by
+ * another daemon's state. Any thread. */
+void feed_change_workers(struct feed *f, const struct feed_change *list,
+			 uint32_t count, uint64_t revision);
+/** Applies the source's whole list of workers as of its `revision`. Any thread.
+ */
 void feed_replace_workers(struct feed *f, const struct feed_worker *list,
 			  uint32_t count, uint64_t revision);
-void feed_remove_worker(struct feed *f, const char *name);
+/** To be called when the source has confirmed, as of its `revision`, that no
+ * change of any kind made until `confirmed_us` (by clock_now_us()) is missing
+ * from what was passed to the feed. Any thread. */
+void feed_confirm(struct feed *f, uint64_t revision, int64_t confirmed_us);
+/** To be called when the daemon whose state has the hash `hash` is known to be
+ * complete as of `as_of`. Has no effect if this daemon's state has another
+ * hash. Any thread. */
+void feed_agree(struct feed *f, uint64_t hash, uint32_t as_of);
 /** Raises the feed's position, after all changes of the
  * source up to it were passed to the feed. Any thread. */
 void feed_set_position(struct feed *f, uint64_t position);
@@ -240,9 +286,9 @@
 void feed_send_state(struct feed *f, const struct buf *request,
 		     struct reply_to *reply);
 /** Imports the answer of another daemon's feed_send_state(). The configuration
- * is ignored if its version is not above this daemon's, the workers if their
- * half of the position is below this daemon's. AZ_INVALID if the data is
- * malformed. Any thread. */
+ * is ignored if its version is not above this daemon's, the workers if they are
+ * not of a later revision of the source. AZ_INVALID if the data is malformed.
+ * Any thread. */
 enum az_status feed_import_state(struct feed *f, const struct buf *data);
 /** To be called when the source of workers stops answering, and when it answers
  * again. Any thread. */
--- a/feed/feed_test.c
+++ b/feed/feed_test.c
@@ -1,3 +1,5 @@
+#include <pthread.h>
+#include <stdio.h>
 #include <string.h>
 #include <time.h>
 #include <CUnit/Basic.h>
@@ -180,6 +182,20 @@
 	return has;
 }
 
+static void put_worker(const struct feed_worker *w, uint64_t revision)
+{
+	const struct feed_change c = { .worker = *w };
+
+	feed_change_workers(feed, &c, 1, revision);
+}
+
+static void remove_worker(const struct feed_worker *w, uint64_t revision)
+{
+	const struct feed_change c = { .worker = *w, .removed = true };
+
+	feed_change_workers(feed, &c, 1, revision);
+}
+
 /* Guards against an older configuration that replaces a newer one, an invalid
  * one that stops updates of workers, and updates that are lost. Version 4 is
  * older, version 6 is invalid. */
@@ -188,17 +204,17 @@
 	struct feed_worker w[2] = { worker("w1", 1, 1), worker("w2", 2, 2) };
 
 	feed_set_configuration(feed, 5, base);
-	feed_put_workers(feed, w, 1);
+	put_worker(&w[0], 1);
 	CU_ASSERT(wait_for_workers("stock", 1));
 	feed_set_configuration(feed, 4, "[service other]\n");
 	feed_set_configuration(feed, 6, "[nonsense\n");
-	feed_put_workers(feed, &w[1], 1);
+	put_worker(&w[1], 2);
 	CU_ASSERT(wait_for_workers("stock", 2));
 	CU_ASSERT(!has_service("other"));
 	feed_set_configuration(feed, 7,
 			       "[data_centre a1]\nregion = a\n"
 			       "[service other]\n[service stock]\n");
-	feed_remove_worker(feed, "w2");
+	remove_worker(&w[1], 3);
 	CU_ASSERT(wait_for_workers("stock", 1));
 	CU_ASSERT(wait_for_workers("other", 0));
 	feed_replace_workers(feed, w, 2, 2);
@@ -261,7 +277,42 @@
 	__atomic_store_n(&raised_position, position, __ATOMIC_RELEASE);
 }
 
-static const struct feed_listener_ops listener_ops = { note_raised };
+static struct feed_known confirmed; /* with confirmed_us, under known_lock */
+static int64_t confirmed_us;
+static pthread_mutex_t known_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void note_confirmed(struct feed_listener *l,
+			   const struct feed_known *known, int64_t us)
+{
+	(void)l;
+	pthread_mutex_lock(&known_lock);
+	confirmed = *known;
+	confirmed_us = us;
+	pthread_mutex_unlock(&known_lock);
+}
+
+/* Has the source confirm the feed's state, and returns what was confirmed. */
+static struct feed_known confirm(uint64_t revision, int64_t us)
+{
+	struct feed_known known = { 0 };
+	bool done = false;
+
+	feed_confirm(feed, revision, us);
+	for (uint32_t i = 0; i < 1000 && !done; i++) {
+		struct timespec ts = { 0, 10000000 };
+
+		pthread_mutex_lock(&known_lock);
+		done = confirmed_us == us;
+		known = confirmed;
+		pthread_mutex_unlock(&known_lock);
+		nanosleep(&ts, NULL);
+	}
+	CU_ASSERT(done);
+	return known;
+}
+
+static const struct feed_listener_ops listener_ops = { note_raised,
+						       note_confirmed };
 static struct feed_listener listener = { &listener_ops };
 
 /* Guards against daemons that go on using a worker which was removed while the
@@ -319,6 +370,129 @@
 	CU_ASSERT(wait_for_workers("stock", 2));
 }
 
+static uint64_t hash_of(const struct feed_worker *w, uint32_t count)
+{
+	uint64_t hash = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		hash += feed_worker_hash(&w[i]);
+	return hash;
+}
+
+static enum az_status import_as_of(const char *head, const char *workers,
+				   uint32_t as_of, uint64_t hash)
+{
+	char state[512];
+
+	snprintf(state, sizeof(state), "%s 0 0 0 0 0 %u %llu\n%s", head, as_of,
+		 (unsigned long long)hash, workers);
+	return import(state);
+}
+
+/* Guards against daemons that go on using a worker which was removed while both
+ * watchers were down (review/10). These list without it when they have started,
+ * and their position is that of the newest worker that is left: the position of
+ * the daemons that have missed the removal. */
+static void test_newer_state_at_the_same_position_is_imported(void)
+{
+	struct feed_worker w[3] = { worker("w1", 1, 100), worker("w2", 2, 101),
+				    worker("w3", 3, 102) };
+	struct feed_known before;
+
+	feed_replace_workers(feed, w, 3, 110);
+	feed_set_position(feed, 0x1500000066);
+	CU_ASSERT(wait_for_workers("stock", 3));
+	before = confirm(110, 1);
+	CU_ASSERT_EQUAL(before.as_of, 110);
+	/* Of an earlier revision, and of the same one. */
+	import_as_of("90194313318 20 0 2", "=w1\n=w3\n", 109, 1);
+	import_as_of("90194313318 20 0 2", "=w1\n=w3\n", 110, 1);
+	CU_ASSERT_EQUAL(confirm(110, 2).hash, before.hash);
+	/* The hash is not that of the workers: they are asked for as a whole.
+	 */
+	import_as_of("90194313318 20 0 2", "=w1\n=w3\n", 111, 1);
+	CU_ASSERT_EQUAL(confirm(110, 3).hash, before.hash);
+	CU_ASSERT_EQUAL(feed_get_known(feed).position, 0x1500000000);
+	w[1] = w[2];
+	import_as_of("90194313318 20 0 2", "=w1\n=w3\n", 111, hash_of(w, 2));
+	CU_ASSERT(wait_for_workers("stock", 2));
+	CU_ASSERT_EQUAL(feed_get_known(feed).position, 0x1500000066);
+	CU_ASSERT_EQUAL(feed_get_known(feed).as_of, 111);
+	/* An answer of its own watch that was late. */
+	before = feed_get_known(feed);
+	w[1] = worker("w2", 2, 101);
+	put_worker(&w[1], 111);
+	CU_ASSERT_EQUAL(confirm(111, 4).hash, before.hash);
+}
+
+/* Guards against a state that is older than what the daemon has agreed to, and
+ * replaces it: another daemon holds a worker that was added and removed since
+ * this one was last told (found by spec/position.pml). */
+static void test_agreed_revision_refuses_older_states(void)
+{
+	struct feed_worker w[2] = { worker("w1", 1, 100),
+				    worker("w2", 2, 121) };
+	struct feed_known known;
+
+	feed_replace_workers(feed, w, 1, 120);
+	CU_ASSERT(wait_for_workers("stock", 1));
+	known = confirm(120, 5);
+	feed_agree(feed, known.hash + 1, 130);
+	CU_ASSERT_EQUAL(confirm(120, 6).as_of, 120);
+	feed_agree(feed, known.hash, 125);
+	CU_ASSERT_EQUAL(confirm(120, 7).as_of, 125);
+	import_as_of("90194313337 20 0 2",
+		     "=w1\nw2 stock a1 2130706433 2 6 0 1 0 121\n", 122,
+		     hash_of(w, 2));
+	known = confirm(120, 8);
+	CU_ASSERT_EQUAL(known.as_of, 125);
+	CU_ASSERT(wait_for_workers("stock", 1));
+}
+
+/* Guards against hashes that depend on the order in which workers were
+ * delivered, or on entries that a daemon keeps although they are missing:
+ * daemons with the same workers would ask the source, and fetch, all the time.
+ */
+static void test_hash_is_that_of_the_listed_workers(void)
+{
+	struct feed_table *a = feed_table_create();
+	struct feed_table *b = feed_table_create();
+	struct feed_worker w[2] = { worker("w1", 1, 5), worker("w2", 2, 6) };
+	uint64_t one;
+	int64_t next_us;
+
+	CU_ASSERT_EQUAL(a->hash, 0);
+	feed_table_put(a, &w[0]);
+	one = a->hash;
+	CU_ASSERT_NOT_EQUAL(one, 0);
+	feed_table_put(a, &w[1]);
+	feed_table_put(b, &w[1]);
+	w[0].cold_ms = 300;
+	feed_table_put(b, &w[0]);
+	CU_ASSERT_EQUAL(a->hash, b->hash);
+	w[1].leaving = true;
+	w[1].revision = 7;
+	feed_table_put(b, &w[1]);
+	CU_ASSERT_NOT_EQUAL(a->hash, b->hash);
+	feed_table_put(a, &w[1]);
+	CU_ASSERT_EQUAL(a->hash, b->hash);
+	/* a keeps the missing worker for a while, b does not. */
+	feed_table_source_unreachable(a);
+	feed_table_source_recovered(a, US_PER_S);
+	feed_table_replace(a, w, 1, 9, US_PER_S);
+	feed_table_replace(b, w, 1, 9, US_PER_S);
+	CU_ASSERT_EQUAL(feed_table_size(a), 2);
+	CU_ASSERT_EQUAL(a->hash, one);
+	CU_ASSERT_EQUAL(b->hash, one);
+	feed_table_expire(a, US_PER_S + FEED_MISSING_GRACE_US, &next_us);
+	CU_ASSERT_EQUAL(feed_table_size(a), 1);
+	CU_ASSERT_EQUAL(a->hash, one);
+	feed_table_remove(a, "w1");
+	CU_ASSERT_EQUAL(a->hash, 0);
+	feed_table_destroy(a);
+	feed_table_destroy(b);
+}
+
 /* Guards against a worker whose entry has lapsed at the source and that other
  * daemons keep for good, because they were not told that it is to be dropped:
  * the drop itself does not raise the position. */
@@ -327,7 +501,9 @@
 	struct feed_table *sender = feed_table_create();
 	struct feed_table *receiver = feed_table_create();
 	struct feed_worker w[2] = { worker("w1", 1, 5), worker("w2", 2, 6) };
-	const struct feed_known known = { 6, 0, true };
+	const struct feed_known known = { .position = 6,
+					  .version = 0,
+					  .decodes_all = true };
 	struct feed_state_source source = { .position = 9,
 					    .workers = sender,
 					    .now_us = 2 * US_PER_S };
@@ -390,6 +566,10 @@
 	CU_add_test(s, "removal",
 		    test_removal_found_in_a_list_raises_the_position);
 	CU_add_test(s, "older state", test_older_state_does_not_replace_a_list);
+	CU_add_test(s, "newer state",
+		    test_newer_state_at_the_same_position_is_imported);
+	CU_add_test(s, "agreed", test_agreed_revision_refuses_older_states);
+	CU_add_test(s, "hash", test_hash_is_that_of_the_listed_workers);
 	CU_add_test(s, "expiry", test_expiry_is_part_of_the_state);
 	CU_basic_run_tests();
 	feed_stop(feed);
--- a/feed/relay.c
+++ b/feed/relay.c
@@ -13,8 +13,8 @@
 #define RING_SLOTS 1024
 #define MAGIC 0x415a4e31U /* "AZN1" */
 #define DATAGRAM_MAX_BYTES 64
-/* Age of a position that was never confirmed, and of one from a daemon of an
- * older version, which sends none. */
+/* Age of a state that was never confirmed, and of one from a daemon of an older
+ * version, which sends none. */
 #define AGE_UNKNOWN UINT32_MAX
 /* Time until the deadline of a fetch. */
 #define FETCH_TIMEOUT_US (800 * US_PER_MS)
@@ -30,8 +30,9 @@
 
 /** What distinguishes a claim from the next one in the log. */
 struct logged_claim {
-	uint64_t incarnation; /**< of the sender */
-	uint64_t position;
+	uint64_t incarnation; /**< of the sender; 0: not a watcher */
+	uint64_t hash;
+	uint64_t own_hash; /**< of what this daemon held */
 };
 
 struct relay {
@@ -47,9 +48,12 @@
 	struct relay_position local; /**< changes of the source up to it are
 					applied in this daemon; confirmed by its
 					own source */
+	struct relay_claim claim; /**< what its own source has confirmed */
 	int64_t sent_us; /**< when the position was last sent */
 	int64_t sent_confirmed_us; /**< local.confirmed_us at that time */
-	struct logged_claim logged; /**< the last claim that was logged */
+	/** The last claims that were logged: of each watcher, and of the other
+	 * daemons together. */
+	struct logged_claim logged[RELAY_WATCHERS + 1];
 	struct counter *takeovers;
 	struct counter *fetches;
 	struct counter *fetch_failures;
@@ -61,8 +65,10 @@
 	uint64_t member;
 	uint64_t incarnation;
 	uint64_t position;
-	uint32_t age_ms; /**< time since the position was confirmed, or
-			    AGE_UNKNOWN */
+	uint32_t age_ms; /**< time since the hash was confirmed, or AGE_UNKNOWN
+			  */
+	uint64_t hash; /**< see struct relay_claim; the position may be later */
+	uint32_t as_of;
 };
 
 static bool xdr_position(XDR *x, struct position_datagram *d)
@@ -72,6 +78,11 @@
 	       xdr_uint64_t(x, &d->position);
 }
 
+static bool xdr_claim(XDR *x, struct position_datagram *d)
+{
+	return xdr_uint64_t(x, &d->hash) && xdr_uint32_t(x, &d->as_of);
+}
+
 static uint32_t encode(const struct position_datagram *d,
 		       const struct fleet_keys *k,
 		       uint8_t out[DATAGRAM_MAX_BYTES])
@@ -84,29 +95,38 @@
 		return 0;
 	xdrmem_create(&x, (char *)out + FLEET_PAYLOAD_OFFSET,
 		      DATAGRAM_MAX_BYTES - FLEET_PAYLOAD_OFFSET, XDR_ENCODE);
-	if (!xdr_position(&x, &copy) || !xdr_uint32_t(&x, &copy.age_ms))
+	if (!xdr_position(&x, &copy) || !xdr_uint32_t(&x, &copy.age_ms) ||
+	    !xdr_claim(&x, &copy))
 		return 0;
 	len_bytes = FLEET_PAYLOAD_OFFSET + xdr_getpos(&x);
 	fleet_sign_datagram(k, MAGIC, out, len_bytes);
 	return len_bytes;
 }
 
+/* Daemons of older versions end the datagram after the position, or after the
+ * age. */
 static bool decode(const uint8_t *data, uint32_t len_bytes,
 		   const struct fleet_keys *k, struct position_datagram *out)
 {
+	uint32_t payload_bytes;
 	XDR x;
 
 	if (fleet_verify_datagram(k, MAGIC, data, len_bytes) != AZ_OK)
 		return false;
-	xdrmem_create(&x, (char *)data + FLEET_PAYLOAD_OFFSET,
-		      len_bytes - FLEET_PAYLOAD_OFFSET, XDR_DECODE);
+	payload_bytes = len_bytes - FLEET_PAYLOAD_OFFSET;
+	xdrmem_create(&x, (char *)data + FLEET_PAYLOAD_OFFSET, payload_bytes,
+		      XDR_DECODE);
+	memset(out, 0, sizeof(*out));
 	if (!xdr_position(&x, out))
 		return false;
 	out->age_ms = AGE_UNKNOWN;
-	if (xdr_getpos(&x) == len_bytes - FLEET_PAYLOAD_OFFSET)
+	if (xdr_getpos(&x) == payload_bytes)
 		return true;
-	return xdr_uint32_t(&x, &out->age_ms) &&
-	       xdr_getpos(&x) == len_bytes - FLEET_PAYLOAD_OFFSET;
+	if (!xdr_uint32_t(&x, &out->age_ms))
+		return false;
+	if (xdr_getpos(&x) == payload_bytes)
+		return true;
+	return xdr_claim(&x, out) && xdr_getpos(&x) == payload_bytes;
 }
 
 /* ---- sending positions ---- */
@@ -124,8 +144,14 @@
 {
 	const struct relay_settings *s = &r->settings;
 	const struct member_view *v = membership_view(s->membership);
-	struct position_datagram d = { s->member_id, s->incarnation,
-				       r->local.position, local_age_ms(r) };
+	struct position_datagram d = {
+		.member = s->member_id,
+		.incarnation = s->incarnation,
+		.position = r->local.position,
+		.age_ms = local_age_ms(r),
+		.hash = r->claim.hash,
+		.as_of = r->claim.as_of,
+	};
 	uint8_t data[DATAGRAM_MAX_BYTES];
 	uint32_t len_bytes = encode(&d, &r->keys, data);
 
@@ -292,54 +318,77 @@
 	return (struct peer_target){ m->ip, m->peer_port, m->incarnation };
 }
 
-static struct relay_position claim_of(const struct relay *r,
-				      const struct position_datagram *d)
+static struct relay_claim claim_of(const struct relay *r,
+				   const struct position_datagram *d)
 {
-	struct relay_position c = { .position = d->position };
+	struct relay_claim c = { .hash = d->hash, .as_of = d->as_of };
 
 	if (d->age_ms != AGE_UNKNOWN)
 		c.confirmed_us = r->duty.now_us - d->age_ms * US_PER_MS;
 	return c;
 }
 
-/* Logs on whose word this daemon takes its state for the source's: one line for
- * each sender and position, not for each claim. */
-static void log_claim(struct relay *r, const struct member *m,
-		      const struct position_datagram *d)
+/* Logs on whose word this daemon takes its state for the source's, and whose
+ * newer state differs: a line for each watcher and pair of hashes, not for each
+ * claim. Daemons that ask in place of the watchers share a line, as there may
+ * be many of them. An age of -1 is unknown. */
+static void log_claim(struct relay *r, uint32_t rank, const struct member *m,
+		      const struct position_datagram *d,
+		      const struct feed_known *ours)
 {
-	const struct logged_claim c = { m->incarnation, d->position };
+	bool is_watcher = rank < RELAY_WATCHERS;
+	struct logged_claim *last =
+		&r->logged[is_watcher ? rank : RELAY_WATCHERS];
+	const struct logged_claim c = { is_watcher ? m->incarnation : 0,
+					d->hash, ours->hash };
 
-	if (c.incarnation == r->logged.incarnation &&
-	    c.position == r->logged.position)
+	if (!memcmp(&c, last, sizeof(c)))
 		return;
-	r->logged = c;
+	*last = c;
 	log_write(LOG_INFO, "relay",
-		  "state confirmed by a claim from=%u.%u.%u.%u age_ms=%u "
-		  "claimed=%u,%u held=%u,%u",
+		  "%s from=%u.%u.%u.%u rank=%u age_ms=%d claimed=%016llx "
+		  "claimed_as_of=%u holds=%016llx as_of=%u held=%u,%u",
+		  d->hash == ours->hash ? "state confirmed by a claim" :
+					  "claim is of another state",
 		  m->ip >> 24, m->ip >> 16 & 255, m->ip >> 8 & 255, m->ip & 255,
-		  d->age_ms, (uint32_t)(d->position >> 32),
-		  (uint32_t)d->position, (uint32_t)(r->local.position >> 32),
+		  rank, (int32_t)d->age_ms, (unsigned long long)d->hash,
+		  d->as_of, (unsigned long long)ours->hash, ours->as_of,
+		  (uint32_t)(r->local.position >> 32),
 		  (uint32_t)r->local.position);
 }
 
+/* If both hold the same, what the sender's source has confirmed is true of this
+ * daemon's state. Its revision is raised too, so that an older state is not
+ * imported afterwards. */
+static void on_claim(struct relay *r, uint32_t rank, const struct member *m,
+		     const struct position_datagram *d)
+{
+	const struct relay_claim claim = claim_of(r, d);
+	const struct feed_known ours = feed_get_known(r->settings.feed);
+	const struct peer_target target = target_of(m);
+	int64_t before_us = r->role.confirmed_us;
+
+	relay_on_claim(&r->role, rank, &ours, &claim);
+	if (r->role.confirmed_us != before_us ||
+	    relay_claim_is_newer(&ours, &claim))
+		log_claim(r, rank, m, d, &ours);
+	if (claim.as_of && claim.hash == ours.hash &&
+	    feed_revision_is_ahead(ours.as_of, claim.as_of))
+		feed_agree(r->settings.feed, claim.hash, claim.as_of);
+	if (!r->fetching[FETCH_FROM_WATCHER] &&
+	    (feed_position_is_ahead(r->local.position, d->position) ||
+	     relay_claim_is_newer(&ours, &claim)))
+		fetch(r, FETCH_FROM_WATCHER, &target);
+}
+
 static void on_datagram(struct relay *r, const struct position_datagram *d)
 {
 	const struct member_view *v = membership_view(r->settings.membership);
 	const struct member *m = member_view_by_id(v, d->member);
 
 	if (m && m->incarnation == d->incarnation && m->dc == r->settings.dc) {
-		struct peer_target target = target_of(m);
-		struct relay_position claim = claim_of(r, d);
-		int64_t before_us = r->role.confirmed_us;
-
 		r->role.rank = own_rank(r, v);
-		relay_on_claim(&r->role, rank_of(v, m), r->local.position,
-			       &claim);
-		if (r->role.confirmed_us != before_us)
-			log_claim(r, m, d);
-		if (!r->fetching[FETCH_FROM_WATCHER] &&
-		    feed_position_is_ahead(r->local.position, d->position))
-			fetch(r, FETCH_FROM_WATCHER, &target);
+		on_claim(r, rank_of(v, m), m, d);
 		update_watch(r);
 	}
 	member_view_release(v);
@@ -365,13 +414,18 @@
 
 /* ---- positions from other parts of this daemon ---- */
 
+enum position_msg_kind {
+	POSITION_LOCAL, /**< reached by this daemon */
+	POSITION_CONFIRMED, /**< the same, and confirmed by its own source */
+	POSITION_REMOTE, /**< reached by another daemon */
+};
+
 struct position_msg {
 	struct msg msg;
+	enum position_msg_kind kind;
 	uint64_t position;
-	int64_t confirmed_us; /**< by this daemon's own source; 0: not */
-	bool is_remote; /**< reached by another daemon, not this one */
-	/* If is_remote: */
-	struct peer_target from; /**< that daemon */
+	struct relay_claim claim; /**< POSITION_CONFIRMED */
+	struct peer_target from; /**< POSITION_REMOTE: the other daemon */
 	bool same_dc; /**< it is of this daemon's data centre */
 };
 
@@ -392,9 +446,13 @@
 static void on_local_position(struct relay *r, const struct position_msg *pm)
 {
 	const struct relay_position reached = { pm->position,
-						pm->confirmed_us };
+						pm->claim.confirmed_us };
+	const struct feed_known ours = feed_get_known(r->settings.feed);
 	bool risen = relay_position_raise(&r->local, &reached);
 
+	if (pm->kind == POSITION_CONFIRMED)
+		r->claim = pm->claim;
+	relay_on_local_state(&r->role, &ours);
 	relay_on_local_position(&r->role, r->local.position, r->duty.now_us);
 	if (!relay_should_send(&r->role, r->duty.now_us))
 		return;
@@ -409,7 +467,7 @@
 	struct position_msg *pm = az_container_of(m, struct position_msg, msg);
 	struct relay *r = az_container_of(to, struct relay, duty);
 
-	if (pm->is_remote)
+	if (pm->kind == POSITION_REMOTE)
 		on_remote_position(r, pm);
 	else
 		on_local_position(r, pm);
@@ -425,25 +483,38 @@
 						 position_msg_run,
 						 position_msg_drop };
 
-void relay_set_local_position(struct relay *r, uint64_t position,
-			      int64_t confirmed_us)
+static struct position_msg *position_msg_new(enum position_msg_kind k,
+					     uint64_t position)
 {
 	struct position_msg *pm = az_alloc(sizeof(*pm));
 
 	pm->msg.ops = &position_msg_ops;
+	pm->kind = k;
 	pm->position = position;
-	pm->confirmed_us = confirmed_us;
+	return pm;
+}
+
+void relay_set_local_position(struct relay *r, uint64_t position)
+{
+	duty_send(&r->duty, &position_msg_new(POSITION_LOCAL, position)->msg);
+}
+
+void relay_set_confirmed(struct relay *r, const struct feed_known *known,
+			 int64_t confirmed_us)
+{
+	struct position_msg *pm =
+		position_msg_new(POSITION_CONFIRMED, known->position);
+
+	pm->claim =
+		(struct relay_claim){ known->hash, known->as_of, confirmed_us };
 	duty_send(&r->duty, &pm->msg);
 }
 
 void relay_observe_remote_position(struct relay *r, uint64_t position,
 				   const struct member *from)
 {
-	struct position_msg *pm = az_alloc(sizeof(*pm));
+	struct position_msg *pm = position_msg_new(POSITION_REMOTE, position);
 
-	pm->msg.ops = &position_msg_ops;
-	pm->position = position;
-	pm->is_remote = true;
 	pm->from = target_of(from);
 	pm->same_dc = from->dc == r->settings.dc;
 	duty_send(&r->duty, &pm->msg);
--- a/feed/relay.h
+++ b/feed/relay.h
@@ -3,8 +3,10 @@
  * Reduces calls to the source of configuration and workers. RELAY_WATCHERS
  * daemons of each data centre watch the source, and the first of them has it
  * confirm each second that nothing has changed. They send their position
- * (feed.h) to the others of the data centre, with the time since it was
- * confirmed; the others fetch the state from a watcher that is ahead of them.
+ * (feed.h) to the others of the data centre, with the hash of what they hold,
+ * its revision and the time since it was confirmed; the others fetch the state
+ * from a watcher that is ahead of them or holds something else as of a later
+ * revision.
  * While there is no recent confirmation, the next daemons of the data centre
  * ask the source for one. A daemon that stays behind the fleet watches the
  * source itself and also fetches the state from any member that is ahead.
@@ -56,6 +58,21 @@
 bool relay_position_raise(struct relay_position *p,
 			  const struct relay_position *to);
 
+/** What a daemon's own source has confirmed: as of `as_of` it had what the hash
+ * stands for (see struct feed_known), and no change made until `confirmed_us`
+ * is missing from that. */
+struct relay_claim {
+	uint64_t hash;
+	uint32_t as_of; /**< 0: the sender is of an older version, or does not
+			   know */
+	int64_t confirmed_us; /**< 0: not confirmed */
+};
+
+/** True if a daemon that holds `ours` has to fetch the state of the claim's
+ * sender. */
+bool relay_claim_is_newer(const struct feed_known *ours,
+			  const struct relay_claim *claim);
+
 struct relay_role {
 	uint32_t rank; /**< place of this daemon in the order in which those of
 			  its data centre watch and ask for confirmations */
@@ -63,9 +80,9 @@
 	int64_t confirmed_us; /**< time until which, by the claims of daemons of
 				 a lower rank, nothing is missing from this
 				 daemon's state; 0: never */
-	struct relay_position claim; /**< of a daemon of a lower rank, true of
-					this one when it reaches the position;
-					not confirmed: none */
+	struct relay_claim claim; /**< of a daemon of a lower rank, true of this
+				     one once it holds the same; not confirmed:
+				     none */
 	uint64_t fleet_position; /**< highest position that another daemon was
 				    ahead with */
 	uint64_t awaited_position; /**< fleet_position at behind_since_us; later
@@ -91,9 +108,13 @@
 /** True if this daemon must send its position to its data centre. */
 bool relay_should_send(const struct relay_role *r, int64_t now_us);
 /** To be called when the daemon of the data centre with the rank `rank` has
- * sent its position, and this daemon has reached `ours`. */
-void relay_on_claim(struct relay_role *r, uint32_t rank, uint64_t ours,
-		    const struct relay_position *claim);
+ * sent a claim, and this daemon holds `ours`. */
+void relay_on_claim(struct relay_role *r, uint32_t rank,
+		    const struct feed_known *ours,
+		    const struct relay_claim *claim);
+/** To be called when this daemon holds `ours`, after another daemon's state was
+ * imported. */
+void relay_on_local_state(struct relay_role *r, const struct feed_known *ours);
 /** True if this daemon has been behind for so long that it fetches the state
  * from any member that is ahead. For one of another data centre (`same_dc`
  * false) daemons that are not watchers wait longer: the watchers will have the
@@ -148,11 +169,14 @@
  * sent. Any thread. */
 void relay_set_keys(struct relay *r, const struct fleet_keys *keys);
 /** To be called when this daemon has applied all changes up to `position`,
- * delivered by the source or another daemon. If its own source has confirmed
- * that nothing made until `confirmed_us` is missing, that time, else 0. Calls
- * from several threads may come in any order. Any thread. */
-void relay_set_local_position(struct relay *r, uint64_t position,
-			      int64_t confirmed_us);
+ * delivered by the source or another daemon. Calls from several threads may
+ * come in any order. Any thread. */
+void relay_set_local_position(struct relay *r, uint64_t position);
+/** To be called when this daemon's own source has confirmed that no change made
+ * until `confirmed_us` is missing from what it holds. Always called from the
+ * same thread. */
+void relay_set_confirmed(struct relay *r, const struct feed_known *known,
+			 int64_t confirmed_us);
 /** To be called when the member `from`, possibly of another data centre, has
  * reached `position`. Any thread. */
 void relay_observe_remote_position(struct relay *r, uint64_t position,
--- a/feed/relay_test.c
+++ b/feed/relay_test.c
@@ -32,73 +32,127 @@
 	CU_ASSERT(watches(&r, US_PER_S));
 }
 
+/* What a daemon holds as of a revision at which its workers changed: the
+ * position and the hash are that revision. */
+static struct feed_known state_of(uint32_t revision)
+{
+	return (struct feed_known){ .position = revision,
+				    .as_of = revision,
+				    .hash = revision };
+}
+
+/* The claim of a daemon that holds state_of(revision). */
+static struct relay_claim claim_of(uint32_t revision, int64_t confirmed_us)
+{
+	return (struct relay_claim){ revision, revision, confirmed_us };
+}
+
+static void send_claim(struct relay_role *r, uint32_t rank, uint32_t ours,
+		       struct relay_claim claim)
+{
+	struct feed_known known = state_of(ours);
+
+	relay_on_claim(r, rank, &known, &claim);
+}
+
+static void reach(struct relay_role *r, uint32_t revision)
+{
+	struct feed_known known = state_of(revision);
+
+	relay_on_local_state(r, &known);
+}
+
 /* Guards against a data centre that uses an old configuration for as long as
  * the source is silent to its watchers, which go on sending their position
  * because no call has failed (review/5). */
 static void test_positions_without_confirmation_are_not_relied_on(void)
 {
 	struct relay_role r = { .rank = RELAY_WATCHERS };
-	const struct relay_position claim = { 5, US_PER_S };
 	int64_t silent_us = US_PER_S + RELAY_CONFIRMED_MAX_US + 1;
 
 	for (int64_t now_us = US_PER_S; now_us <= silent_us;
 	     now_us += RELAY_PERIOD_US) {
-		relay_on_claim(&r, 0, 5, &claim);
+		send_claim(&r, 0, 5, claim_of(5, US_PER_S));
 		CU_ASSERT(!watches(&r, now_us));
 	}
-	relay_on_claim(&r, 0, 5, &claim);
+	send_claim(&r, 0, 5, claim_of(5, US_PER_S));
 	CU_ASSERT_EQUAL(relay_choose_watch(&r, silent_us),
 			RELAY_WATCH_CONFIRMED);
 	CU_ASSERT(relay_should_send(&r, silent_us));
-	/* A daemon of an older version sends no age. */
-	relay_on_claim(&r, 0, 5, &(struct relay_position){ 5, 0 });
+	/* Daemons of older versions send no age, or no hash. */
+	send_claim(&r, 0, 5, claim_of(5, 0));
 	CU_ASSERT(watches(&r, silent_us));
-	relay_on_claim(&r, 1, 5, &(struct relay_position){ 5, silent_us });
+	send_claim(&r, 0, 0, claim_of(0, silent_us));
+	CU_ASSERT(watches(&r, silent_us));
+	send_claim(&r, 1, 5, claim_of(5, silent_us));
 	CU_ASSERT(!watches(&r, silent_us));
 	CU_ASSERT(!relay_should_send(&r, silent_us));
 }
 
-/* Guards against a daemon that takes the confirmation of a watcher's position
- * for that of its own, lower one, and so waits for a fetch that fails. */
-static void test_confirmation_counts_once_its_position_is_reached(void)
+/* Guards against a daemon that takes the confirmation of a watcher's state for
+ * that of its own, older one, and so waits for a fetch that fails. */
+static void test_confirmation_counts_once_its_state_is_held(void)
 {
 	struct relay_role r = { .rank = RELAY_WATCHERS,
 				.confirmed_us = US_PER_S };
-	const struct relay_position first = { 7, 2 * US_PER_S };
-	const struct relay_position second = { 9, 3 * US_PER_S };
 
-	relay_on_claim(&r, 0, 5, &first);
-	relay_on_claim(&r, 0, 5, &second);
-	relay_on_claim(&r, 1, 5,
-		       &(struct relay_position){ 7, 2 * US_PER_S + 1 });
+	send_claim(&r, 0, 5, claim_of(7, 2 * US_PER_S));
+	send_claim(&r, 0, 5, claim_of(9, 3 * US_PER_S));
+	send_claim(&r, 1, 5, claim_of(7, 2 * US_PER_S + 1));
 	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
-	relay_on_local_position(&r, 6, 3 * US_PER_S);
+	reach(&r, 6);
 	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
-	relay_on_local_position(&r, 7, 3 * US_PER_S);
+	reach(&r, 7);
 	CU_ASSERT_EQUAL(r.confirmed_us, 2 * US_PER_S + 1);
-	relay_on_claim(&r, 0, 9, &second);
+	send_claim(&r, 0, 9, claim_of(9, 3 * US_PER_S));
 	CU_ASSERT_EQUAL(r.confirmed_us, 3 * US_PER_S);
 }
 
 /* Guards against a daemon that goes on using a removed worker, as a watcher
  * that has seen neither its addition nor its removal confirms its own, lower
  * position (found by spec/position.pml). */
-static void test_confirmation_of_another_position_does_not_count(void)
+static void test_confirmation_of_another_state_does_not_count(void)
 {
 	struct relay_role r = { .rank = RELAY_WATCHERS,
 				.confirmed_us = US_PER_S };
-	const struct relay_position lower = { 7, 2 * US_PER_S };
-	const struct relay_position in_one_half = { 0x100000007, 2 * US_PER_S };
+	const struct relay_claim other_version = { 0x100000008, 8,
+						   2 * US_PER_S };
 
-	relay_on_claim(&r, 0, 8, &lower);
+	send_claim(&r, 0, 8, claim_of(7, 2 * US_PER_S));
+	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
+	send_claim(&r, 0, 5, claim_of(7, 2 * US_PER_S));
+	reach(&r, 8);
 	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
-	relay_on_claim(&r, 0, 5, &lower);
-	relay_on_local_position(&r, 8, 3 * US_PER_S);
+	send_claim(&r, 0, 8, other_version);
+	reach(&r, 8);
+	reach(&r, 9);
 	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
-	relay_on_claim(&r, 0, 8, &in_one_half);
-	relay_on_local_position(&r, 0x100000008, 3 * US_PER_S);
+	send_claim(&r, 0, 7, claim_of(7, 2 * US_PER_S));
+	CU_ASSERT_EQUAL(r.confirmed_us, 2 * US_PER_S);
+}
+
+/* Guards against daemons that go on using a worker which was removed while both
+ * watchers were down (review/10): the list of a daemon that has just started
+ * does not show the removal, so that its position is that of the others. */
+static void test_claim_of_a_started_daemon_is_for_its_set(void)
+{
+	struct relay_role r = { .rank = RELAY_WATCHERS,
+				.confirmed_us = US_PER_S };
+	const struct feed_known ours = { .position = 113,
+					 .as_of = 114,
+					 .hash = 12 };
+	const struct relay_claim without = { 11, 115, 2 * US_PER_S };
+	const struct relay_claim same = { 12, 115, 2 * US_PER_S };
+	const struct relay_claim older = { 11, 114, 2 * US_PER_S };
+
+	relay_on_claim(&r, 0, &ours, &without);
 	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
-	relay_on_claim(&r, 0, 7, &lower);
+	CU_ASSERT(relay_claim_is_newer(&ours, &without));
+	CU_ASSERT(!relay_claim_is_newer(&ours, &older));
+	/* Those that hold the same agree at any revision: a start of all
+	 * daemons makes nobody fetch. */
+	CU_ASSERT(!relay_claim_is_newer(&ours, &same));
+	relay_on_claim(&r, 0, &ours, &same);
 	CU_ASSERT_EQUAL(r.confirmed_us, 2 * US_PER_S);
 }
 
@@ -126,10 +180,10 @@
 			  2500 * US_PER_MS);
 	}
 	r.rank = 3;
-	relay_on_claim(&r, 4, 5, &(struct relay_position){ 5, 2 * US_PER_S });
-	relay_on_claim(&r, 3, 5, &(struct relay_position){ 5, 2 * US_PER_S });
+	send_claim(&r, 4, 5, claim_of(5, 2 * US_PER_S));
+	send_claim(&r, 3, 5, claim_of(5, 2 * US_PER_S));
 	CU_ASSERT_EQUAL(r.confirmed_us, US_PER_S);
-	relay_on_claim(&r, 2, 5, &(struct relay_position){ 5, 2 * US_PER_S });
+	send_claim(&r, 2, 5, claim_of(5, 2 * US_PER_S));
 	CU_ASSERT_EQUAL(r.confirmed_us, 2 * US_PER_S);
 }
 
@@ -333,7 +387,9 @@
 	struct feed_worker w = {
 		.name = "w1", .service = "a", .data_centre = "a1", .revision = 5
 	};
-	const struct feed_known known = { 0x300000006, 8, true };
+	const struct feed_known known = { .position = 0x300000006,
+					  .version = 8,
+					  .decodes_all = true };
 	struct feed_state_source source = { .position = 0x400000009,
 					    .version = 9,
 					    .text = next,
@@ -378,7 +434,9 @@
 static void test_compressed_text_is_restored(void)
 {
 	struct feed_table *none = feed_table_create();
-	const struct feed_known known = { 0, 0, true };
+	const struct feed_known known = { .position = 0,
+					  .version = 0,
+					  .decodes_all = true };
 	struct feed_packed packed = { 0 };
 	struct feed_state_source source = { .version = 9,
 					    .packed = &packed,
@@ -416,20 +474,33 @@
  * compressed text, which it cannot decode. It asks with an empty body. */
 static void test_empty_request_is_for_the_whole_state(void)
 {
-	struct feed_known known = { 1, 1, true };
+	struct feed_known known = { .position = 1,
+				    .version = 1,
+				    .decodes_all = true };
 	struct buf request = { 0 };
 
 	feed_known_parse(&request, &known);
 	CU_ASSERT_EQUAL(known.position, 0);
 	CU_ASSERT_EQUAL(known.version, 0);
 	CU_ASSERT(!known.decodes_all);
-	known = (struct feed_known){ 0x300000006, 8, true };
+	CU_ASSERT(!known.decodes_as_of);
+	known = (struct feed_known){ 0x300000006, 8, true, true, 7, 0 };
 	feed_known_print(&known, &request);
 	known = (struct feed_known){ 0 };
 	feed_known_parse(&request, &known);
 	CU_ASSERT_EQUAL(known.position, 0x300000006);
 	CU_ASSERT_EQUAL(known.version, 8);
+	CU_ASSERT_EQUAL(known.as_of, 7);
+	CU_ASSERT(known.decodes_all);
+	CU_ASSERT(known.decodes_as_of);
+	buf_free(&request);
+	/* Of a daemon that does not know the revision of workers. */
+	buf_printf(&request, "%llu %u\n", 0x300000006ULL, 8);
+	feed_known_parse(&request, &known);
+	CU_ASSERT_EQUAL(known.position, 0x300000006);
+	CU_ASSERT_EQUAL(known.version, 8);
 	CU_ASSERT(known.decodes_all);
+	CU_ASSERT(!known.decodes_as_of);
 	buf_free(&request);
 }
 
@@ -474,11 +545,20 @@
 {
 	struct node *n = az_container_of(l, struct node, listener);
 
-	relay_set_local_position(n->relay, position, 0);
+	relay_set_local_position(n->relay, position);
 	__atomic_store_n(&n->raised_position, position, __ATOMIC_RELEASE);
 }
 
-static const struct feed_listener_ops listener_ops = { on_raised };
+static void on_confirmed(struct feed_listener *l,
+			 const struct feed_known *known, int64_t confirmed_us)
+{
+	struct node *n = az_container_of(l, struct node, listener);
+
+	relay_set_confirmed(n->relay, known, confirmed_us);
+}
+
+static const struct feed_listener_ops listener_ops = { on_raised,
+						       on_confirmed };
 
 /* Starts the parts of a daemon that does not reach the source. */
 static void start_node(struct node *n, uint64_t id,
@@ -585,9 +665,11 @@
 	CU_add_test(s, "not confirmed",
 		    test_positions_without_confirmation_are_not_relied_on);
 	CU_add_test(s, "confirmed when reached",
-		    test_confirmation_counts_once_its_position_is_reached);
-	CU_add_test(s, "another position",
-		    test_confirmation_of_another_position_does_not_count);
+		    test_confirmation_counts_once_its_state_is_held);
+	CU_add_test(s, "another state",
+		    test_confirmation_of_another_state_does_not_count);
+	CU_add_test(s, "started watchers",
+		    test_claim_of_a_started_daemon_is_for_its_set);
 	CU_add_test(s, "steps", test_others_watch_in_steps);
 	CU_add_test(s, "start", test_started_daemon_waits_for_its_watchers);
 	CU_add_test(s, "any order",
--- a/feed/role.c
+++ b/feed/role.c
@@ -86,30 +86,42 @@
 		r->confirmed_us = confirmed_us;
 }
 
-static bool is_same(uint64_t a, uint64_t b)
+bool relay_claim_is_newer(const struct feed_known *ours,
+			  const struct relay_claim *claim)
 {
-	return !feed_position_is_ahead(a, b) && !feed_position_is_ahead(b, a);
+	return claim->hash != ours->hash &&
+	       feed_revision_is_ahead(ours->as_of, claim->as_of);
 }
 
 /* Only claims of daemons of a lower rank count: two daemons that ask in place
  * of the first watcher would each stop because of the other. A claim is true of
- * a daemon at the same position only: a lower position may be that of a list,
- * which does not show what was added and removed before it. The first position
- * that is ahead of this daemon is kept until it has been reached, as higher
- * ones may come faster than states are fetched. */
-void relay_on_claim(struct relay_role *r, uint32_t rank, uint64_t ours,
-		    const struct relay_position *claim)
-{
-	if (rank >= r->rank || !claim->confirmed_us)
+ * a daemon that holds the same only: positions do not show it, as that of a
+ * daemon which has just started lacks the removals that it did not see. The
+ * first claim that is ahead of this daemon is kept until its state has been
+ * fetched, as later ones may come faster. */
+void relay_on_claim(struct relay_role *r, uint32_t rank,
+		    const struct feed_known *ours,
+		    const struct relay_claim *claim)
+{
+	if (rank >= r->rank || !claim->confirmed_us || !claim->as_of)
 		return;
-	if (is_same(ours, claim->position))
+	if (claim->hash == ours->hash)
 		confirm(r, claim->confirmed_us);
-	else if (!feed_position_is_ahead(ours, claim->position))
+	else if (!relay_claim_is_newer(ours, claim))
 		return;
-	else if (!r->claim.confirmed_us)
+	else if (!r->claim.confirmed_us ||
+		 (claim->hash == r->claim.hash &&
+		  claim->confirmed_us > r->claim.confirmed_us))
 		r->claim = *claim;
-	else if (is_same(r->claim.position, claim->position))
-		relay_position_raise(&r->claim, claim);
+}
+
+void relay_on_local_state(struct relay_role *r, const struct feed_known *ours)
+{
+	if (r->claim.confirmed_us && r->claim.hash == ours->hash)
+		confirm(r, r->claim.confirmed_us);
+	else if (relay_claim_is_newer(ours, &r->claim))
+		return;
+	r->claim = (struct relay_claim){ 0 };
 }
 
 static void begin_to_wait(struct relay_role *r, int64_t now_us)
@@ -132,11 +144,6 @@
 void relay_on_local_position(struct relay_role *r, uint64_t ours,
 			     int64_t now_us)
 {
-	if (!feed_position_is_ahead(ours, r->claim.position)) {
-		if (is_same(ours, r->claim.position))
-			confirm(r, r->claim.confirmed_us);
-		r->claim = (struct relay_position){ 0 };
-	}
 	if (!r->behind_since_us ||
 	    feed_position_is_ahead(ours, r->awaited_position))
 		return;
--- a/feed/state.c
+++ b/feed/state.c
@@ -2,10 +2,10 @@
  * @file
  * Encoding of a feed's state as text: a header line (position, version, bytes
  * of the configuration, number of workers, difference, bytes before
- * compression), a line for each worker, then the configuration: whole,
- * compressed, or the part in which it differs from the receiver's. Small VMs
- * have links of 10 Mbit/s, which a text of 300 KB for each member of the data
- * centre fills for seconds.
+ * compression, revision and hash of the workers), a line for each worker, then
+ * the configuration: whole, compressed, or the part in which it differs from
+ * the receiver's. Small VMs have links of 10 Mbit/s, which a text of 300 KB for
+ * each member of the data centre fills for seconds.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -25,8 +25,8 @@
 
 void feed_known_print(const struct feed_known *k, struct buf *out)
 {
-	buf_printf(out, "%llu %llu\n", (unsigned long long)k->position,
-		   (unsigned long long)k->version);
+	buf_printf(out, "%llu %llu %u\n", (unsigned long long)k->position,
+		   (unsigned long long)k->version, k->as_of);
 }
 
 void feed_known_parse(const struct buf *data, struct feed_known *out)
@@ -35,14 +35,17 @@
 	unsigned long long version;
 	char text[64];
 	uint32_t n = data->len_bytes;
+	int fields;
 
 	memset(out, 0, sizeof(*out));
 	if (!n || n >= sizeof(text))
 		return;
 	memcpy(text, data->data, n);
 	text[n] = '\0';
-	if (sscanf(text, "%llu %llu", &position, &version) != 2)
+	fields = sscanf(text, "%llu %llu %u", &position, &version, &out->as_of);
+	if (fields < 2)
 		return;
+	out->decodes_as_of = fields == 3;
 	out->position = position;
 	out->version = version;
 	out->decodes_all = true;
@@ -179,6 +182,9 @@
 			   e.difference.prefix_bytes, e.difference.suffix_bytes,
 			   (unsigned long long)e.difference.hash,
 			   e.unpacked_bytes);
+	if (known->decodes_as_of)
+		buf_printf(out, " %u %llu", s->as_of,
+			   (unsigned long long)s->workers->hash);
 	buf_append(out, "\n", 1);
 	for (i = apr_hash_first(NULL, s->workers->by_name); i;
 	     i = apr_hash_next(i))
@@ -239,7 +245,8 @@
 	uint32_t unpacked_bytes; /**< 0: not compressed */
 };
 
-/* Daemons of older versions end the header after the number of workers. */
+/* Daemons of older versions end the header after the number of workers, or
+ * before the revision of the workers. */
 static bool parse_header(const char *line, struct feed_state *out,
 			 struct header *h)
 {
@@ -247,18 +254,20 @@
 	unsigned long long version;
 	unsigned long long base_version = 0;
 	unsigned long long hash = 0;
+	unsigned long long workers_hash = 0;
 	int n;
 
 	memset(h, 0, sizeof(*h));
-	n = sscanf(line, "%llu %llu %u %u %llu %u %u %llu %u", &position,
-		   &version, &h->bytes, &h->lines, &base_version,
+	n = sscanf(line, "%llu %llu %u %u %llu %u %u %llu %u %u %llu",
+		   &position, &version, &h->bytes, &h->lines, &base_version,
 		   &out->difference.prefix_bytes, &out->difference.suffix_bytes,
-		   &hash, &h->unpacked_bytes);
+		   &hash, &h->unpacked_bytes, &out->as_of, &workers_hash);
 	out->position = position;
 	out->version = version;
 	out->difference.base_version = base_version;
 	out->difference.hash = hash;
-	return (n == 4 || n == 9) && h->lines <= WORKERS_MAX &&
+	out->workers_hash = workers_hash;
+	return (n == 4 || n == 9 || n == 11) && h->lines <= WORKERS_MAX &&
 	       h->bytes <= TEXT_MAX_BYTES &&
 	       h->unpacked_bytes <= TEXT_MAX_BYTES;
 }
@@ -355,6 +364,17 @@
 	return true;
 }
 
+/* The hash that a table with the state's workers has. */
+static uint64_t hash_listed(const struct feed_state *s)
+{
+	uint64_t hash = 0;
+
+	for (uint32_t i = 0; i < s->count; i++)
+		if (!s->workers[i].expires_ms)
+			hash += feed_worker_hash(&s->workers[i]);
+	return hash;
+}
+
 bool feed_state_complete_workers(struct feed_state *s,
 				 const struct feed_table *t)
 {
@@ -366,5 +386,5 @@
 			return false;
 		s->workers[s->count++] = *w;
 	}
-	return true;
+	return !s->as_of || hash_listed(s) == s->workers_hash;
 }
--- a/feed/table.c
+++ b/feed/table.c
@@ -2,6 +2,7 @@
  * @file
  * The table of workers that the source has delivered.
  */
+#include <endian.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -46,8 +47,30 @@
 	return e ? &e->worker : NULL;
 }
 
+uint64_t feed_worker_hash(const struct feed_worker *w)
+{
+	const uint64_t numbers[] = {
+		htobe64(w->ip),	     htobe64(w->port), htobe64(w->slots),
+		htobe64(w->leaving), htobe64(w->boot), htobe64(w->revision),
+	};
+	uint64_t hash = hash_bytes(numbers, sizeof(numbers), 0);
+
+	hash = hash_bytes(w->name, strlen(w->name) + 1, hash);
+	hash = hash_bytes(w->service, strlen(w->service) + 1, hash);
+	return hash_bytes(w->data_centre, strlen(w->data_centre) + 1, hash);
+}
+
+/* To be called after each change of an entry. */
+static void count_entry(struct feed_table *t, struct feed_entry *e)
+{
+	t->hash -= e->hash;
+	e->hash = e->expires_us ? 0 : feed_worker_hash(&e->worker);
+	t->hash += e->hash;
+}
+
 static void drop_entry(struct feed_table *t, struct feed_entry *e)
 {
+	t->hash -= e->hash;
 	apr_hash_set(t->by_name, e->worker.name, APR_HASH_KEY_STRING, NULL);
 	free(e);
 }
@@ -74,6 +97,7 @@
 		e->worker = *w;
 		apr_hash_set(t->by_name, e->worker.name, APR_HASH_KEY_STRING,
 			     e);
+		count_entry(t, e);
 		return true;
 	}
 	if (w->revision < e->worker.revision)
@@ -84,6 +108,7 @@
 	e->worker = *w;
 	e->worker.cold_ms = cold_ms;
 	e->expires_us = 0;
+	count_entry(t, e);
 	return changed;
 }
 
@@ -103,8 +128,10 @@
 	struct feed_entry *e = find(t, w->name);
 
 	e->worker.expires_ms = 0;
-	if (w->expires_ms)
+	if (w->expires_ms) {
 		e->expires_us = now_us + w->expires_ms * US_PER_MS;
+		count_entry(t, e);
+	}
 }
 
 static bool is_in_list(const struct feed_worker *list, uint32_t count,
@@ -170,9 +197,11 @@
 	}
 	for (uint32_t i = 0; in_grace && i < n; i++)
 		if (!all[i]->in_new_list && !all[i]->expires_us &&
-		    have_lapsed(all, n, all[i]->worker.service))
+		    have_lapsed(all, n, all[i]->worker.service)) {
 			all[i]->expires_us =
 				t->source_recovered_us + FEED_MISSING_GRACE_US;
+			count_entry(t, all[i]);
+		}
 	for (uint32_t i = 0; i < n; i++)
 		if (!all[i]->in_new_list && !all[i]->expires_us) {
 			drop_entry(t, all[i]);
--- a/spec/position.pml
+++ b/spec/position.pml
@@ -1,24 +1,29 @@
 /*
- * Positions: daemons that watch the source tell others how far they have read
- * it and until when that was all; the others fetch the state of one that is
- * ahead. Code: platform/source.c, feed/feed.c (import_workers(),
- * replace_workers()), feed/role.c (relay_on_claim()), feed/relay.c.
+ * Positions and sets: daemons that watch the source tell others which workers
+ * it has, as of which revision, and until when that was all; the others fetch
+ * the state of one that is ahead. Code: platform/source.c, feed/feed.c
+ * (import_workers(), replace_workers()), feed/role.c (relay_on_claim()),
+ * feed/relay.c.
  *
  * One kind of objects: WORKERS workers, which are added and removed. The source
  * counts CHANGES revisions, some of which are of other kinds. Time is the
  * source's revision: "confirmed" at r means that the source made the answer as
- * of r. Each of two daemons watches, stops, lists again, or relies on the
- * other one's claim. A claim may be late, lost, or overtaken by changes.
+ * of r. Each of two daemons watches, stops, lists again, starts without a state,
+ * or relies on the other one's claim. A claim may be late, lost, or overtaken by
+ * changes, and so may a state that was fetched. The hash of a set in the code is
+ * the set itself here.
  *
- * Property: a daemon whose state is confirmed as of r has the workers of r or of
- * a later revision.
+ * Properties: a daemon whose state is confirmed as of r has the workers of r or
+ * of a later revision, and those of the revision that it takes its state for.
  *
- * FRESH: a daemon may also start without a state. Its list then hides removals
- * that others have missed. The code does this; it is rejected, see
- * docs/incidents/2026-12-05-removal-in-list.md.
+ * Broken variants: CLAIM_WITHOUT_AGE, CREDITED_AT_ONCE, OLDER_STATE_REPLACES,
+ * AS_OF_NOT_RAISED, AS_OF_IGNORED.
  *
- * Broken variants: CLAIM_WITHOUT_AGE, CREDITED_AT_ONCE, LOWER_CLAIM_COUNTS,
- * LIST_HIDES_REMOVAL, OLDER_STATE_REPLACES.
+ * CLAIM_OF_POSITION is the former rule: a claim names the revision of the last
+ * change that the sender knows, and counts at the same position. It is rejected
+ * if daemons start without a state (review/10), as their list hides removals that
+ * others have missed; without such starts (NO_START) two variants of it are
+ * rejected: LOWER_CLAIM_COUNTS, LIST_HIDES_REMOVAL.
  */
 #ifndef CHANGES
 #define CHANGES 4
@@ -36,13 +41,23 @@
 byte confirmed[DAEMONS]; /* 0: never */
 byte listed[DAEMONS]; /* revision of its last list; 0: none */
 byte read[DAEMONS]; /* revision up to which its watch has read */
+byte as_of[DAEMONS]; /* revision of which `state` has the workers; 0: unknown */
 bool watching[DAEMONS];
 /* A claim on its way to the daemon, and the one that it keeps until it has
  * reached the position. Position 0: none. */
 byte claim_position[DAEMONS];
 byte claim_confirmed[DAEMONS];
+byte claim_state[DAEMONS];
+byte claim_as_of[DAEMONS];
 byte kept_position[DAEMONS];
 byte kept_confirmed[DAEMONS];
+byte kept_state[DAEMONS];
+byte kept_as_of[DAEMONS];
+/* A state on its way to the daemon that has fetched it. */
+bool fetched[DAEMONS];
+byte fetched_state[DAEMONS];
+byte fetched_position[DAEMONS];
+byte fetched_as_of[DAEMONS];
 
 byte newest; /* of a list: highest revision of its objects */
 byte r;
@@ -75,6 +90,7 @@
 	state[d] = present[revision];
 	listed[d] = revision;
 	read[d] = revision;
+	as_of[d] = revision;
 	raise(confirmed[d], revision);
 	watching[d] = true
 }
@@ -89,18 +105,123 @@
 	:: else
 	fi;
 	read[d] = revision;
+	as_of[d] = revision;
 	raise(confirmed[d], revision)
 }
 
+inline clear_claim(d)
+{
+	claim_position[d] = 0;
+	claim_confirmed[d] = 0;
+	claim_state[d] = 0;
+	claim_as_of[d] = 0
+}
+
+inline clear_kept(d)
+{
+	kept_position[d] = 0;
+	kept_confirmed[d] = 0;
+	kept_state[d] = 0;
+	kept_as_of[d] = 0
+}
+
+inline clear_fetched(d)
+{
+	fetched[d] = false;
+	fetched_state[d] = 0;
+	fetched_position[d] = 0;
+	fetched_as_of[d] = 0
+}
+
+inline keep_claim(d)
+{
+	kept_position[d] = claim_position[d];
+	kept_confirmed[d] = claim_confirmed[d];
+	kept_state[d] = claim_state[d];
+	kept_as_of[d] = claim_as_of[d]
+}
+
+inline credit(d, us)
+{
+#ifdef CLAIM_WITHOUT_AGE
+	raise(confirmed[d], revision)
+#else
+	raise(confirmed[d], us)
+#endif
+}
+
+#ifndef CLAIM_OF_POSITION
 inline receive_claim(d)
 {
 	if
+#ifdef CREDITED_AT_ONCE
+	:: true ->
+#else
+	:: claim_state[d] == state[d] ->
+#endif
+		credit(d, claim_confirmed[d]);
+#ifndef AS_OF_NOT_RAISED
+		if
+		:: claim_state[d] == state[d] -> raise(as_of[d], claim_as_of[d])
+		:: else
+		fi;
+#endif
+#ifdef REACH_LOWER_CLAIM
+		assert(claim_position[d] >= position[d])
+#endif
 #ifndef CREDITED_AT_ONCE
+	:: claim_state[d] != state[d] && claim_as_of[d] > as_of[d] &&
+		!kept_as_of[d] -> keep_claim(d)
+	:: else
+#endif
+	fi;
+	clear_claim(d)
+}
+
+inline use_kept(d)
+{
+	if
+	:: kept_as_of[d] && kept_state[d] == state[d] ->
+		credit(d, kept_confirmed[d]);
+		raise(as_of[d], kept_as_of[d]);
+		clear_kept(d)
+	:: kept_as_of[d] && kept_state[d] != state[d] &&
+		kept_as_of[d] <= as_of[d] -> clear_kept(d)
+	:: else
+	fi
+}
+
+/* Imports a state that is newer than the daemon's own. */
+inline import(d)
+{
+	if
+#ifdef OLDER_STATE_REPLACES
+	:: true ->
+#else
+#ifdef AS_OF_IGNORED
+	:: fetched_position[d] >= position[d] ->
+#else
+	:: fetched_as_of[d] > as_of[d] ->
+#endif
+#endif
+		state[d] = fetched_state[d];
+		as_of[d] = fetched_as_of[d]
+#ifndef OLDER_STATE_REPLACES
+	:: else
+#endif
+	fi;
+	raise(position[d], fetched_position[d]);
+	clear_fetched(d);
+	use_kept(d)
+}
+
+#else
+inline receive_claim(d)
+{
+	if
 	:: claim_position[d] > position[d] ->
 		if
-		:: !kept_position[d] ->
-			kept_position[d] = claim_position[d];
-			kept_confirmed[d] = claim_confirmed[d]
+		:: !kept_position[d] -> keep_claim(d)
 		:: else
 		fi
 #ifdef LOWER_CLAIM_COUNTS
@@ -109,16 +230,9 @@
 	:: claim_position[d] < position[d]
 	:: else ->
 #endif
-#else
-	:: true ->
-#endif
-#ifdef CLAIM_WITHOUT_AGE
-		raise(confirmed[d], revision)
-#else
-		raise(confirmed[d], claim_confirmed[d])
-#endif
+		credit(d, claim_confirmed[d])
 	fi;
-	claim_position[d] = 0
+	clear_claim(d)
 }
 
 inline use_kept(d)
@@ -128,37 +242,38 @@
 #ifndef LOWER_CLAIM_COUNTS
 		if
 		:: kept_position[d] == position[d] ->
-			raise(confirmed[d], kept_confirmed[d])
+			credit(d, kept_confirmed[d])
 		:: else
 		fi;
 #else
-		raise(confirmed[d], kept_confirmed[d]);
+		credit(d, kept_confirmed[d]);
 #endif
-		kept_position[d] = 0
+		clear_kept(d)
 	:: else
 	fi
 }
 
-/* Imports the other daemon's state, of an equal or higher position. */
-inline fetch(d)
+/* Imports a state of an equal or higher position. */
+inline import(d)
 {
 	if
-#ifndef OLDER_STATE_REPLACES
-	:: listed[d] && position[1 - d] <= listed[d] ->
+	:: listed[d] && fetched_position[d] <= listed[d] ->
 		if
-		:: state[1 - d] & ~state[d] -> raise(position[d], listed[d])
+		:: fetched_state[d] & ~state[d] -> raise(position[d], listed[d])
 		:: else
 		fi;
-		raise(position[d], position[1 - d])
-	:: else ->
-#else
-	:: true ->
-#endif
-		state[d] = state[1 - d];
-		position[d] = position[1 - d]
+		raise(position[d], fetched_position[d])
+	:: !(listed[d] && fetched_position[d] <= listed[d]) &&
+		fetched_position[d] >= position[d] ->
+		state[d] = fetched_state[d];
+		as_of[d] = fetched_as_of[d];
+		position[d] = fetched_position[d]
+	:: else
 	fi;
+	clear_fetched(d);
 	use_kept(d)
 }
+#endif
 
 proctype source()
 {
@@ -200,15 +315,23 @@
 	:: atomic { watching[d] -> watching[d] = false }
 	:: atomic { confirmed[d] && !claim_position[1 - d] && position[d] ->
 		claim_position[1 - d] = position[d];
-		claim_confirmed[1 - d] = confirmed[d] }
+		claim_confirmed[1 - d] = confirmed[d];
+		claim_state[1 - d] = state[d];
+		claim_as_of[1 - d] = as_of[d] }
 	:: atomic { claim_position[d] -> receive_claim(d) }
-	:: atomic { claim_position[d] -> claim_position[d] = 0 }
-	:: atomic { position[1 - d] >= position[d] && !watching[d] -> fetch(d) }
-#ifdef FRESH
-	:: atomic { position[d] ->
+	:: atomic { claim_position[d] -> clear_claim(d) }
+	:: atomic { as_of[1 - d] && !fetched[d] ->
+		fetched[d] = true;
+		fetched_state[d] = state[1 - d];
+		fetched_position[d] = position[1 - d];
+		fetched_as_of[d] = as_of[1 - d] }
+	:: atomic { fetched[d] -> import(d) }
+	:: atomic { fetched[d] -> clear_fetched(d) }
+#ifndef NO_START
+	:: atomic { as_of[d] ->
 		state[d] = 0; position[d] = 0; confirmed[d] = 0; listed[d] = 0;
-		read[d] = 0; watching[d] = false; claim_position[d] = 0;
-		kept_position[d] = 0; kept_confirmed[d] = 0 }
+		read[d] = 0; as_of[d] = 0; watching[d] = false;
+		clear_claim(d); clear_kept(d); clear_fetched(d) }
 #endif
 	:: atomic { confirmed[d] ->
 		found = false;
@@ -219,6 +342,9 @@
 		assert(found);
 		found = false;
 		k = 0 }
+#ifndef CLAIM_OF_POSITION
+	:: atomic { as_of[d] -> assert(state[d] == present[as_of[d]]) }
+#endif
 	od
 }
 
@@ -234,6 +360,8 @@
 		state[1] = 1;
 		position[0] = 1;
 		position[1] = 1;
+		as_of[0] = 1;
+		as_of[1] = 1;
 		run source();
 		run daemon(0);
 		run daemon(1)
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -37,7 +37,9 @@
 leaving:three requests:safety::pass
 grant:work that must not repeat:safety::pass
 grant:read with a second copy:safety:-DREAD:pass
-position:two daemons, four changes:safety::pass
+position:two daemons, four changes:safety:-DNO_START:pass
+position:daemons start without a state:safety:-DCHANGES=3:pass
+position:reach a claim of a lower position:safety:-DCHANGES=3 -DREACH_LOWER_CLAIM:claim_position
 ticket:reach a second call that runs:safety:-DREACH_RETRY:forward\[1\]==0
 ticket:reach a forward after its seal:safety:-DREACH_SEAL:call_state\[c\]!=6
 ticket:a call is sent twice:safety:-DSEND_TWICE:runs\[
@@ -87,12 +89,14 @@
 grant:repeat after a lost answer:safety:-DRETRY_ON_DOUBT:runs<=1
 grant:refusal after a lost answer:safety:-DREFUSE_ON_DOUBT:runs==0|answer!=
 grant:last result decides for all attempts:safety:-DREAD -DLAST_COPY_SPEAKS:runs==0|answer!=
-position:claim without its age:safety:-DCLAIM_WITHOUT_AGE:found
-position:claim counts before it is reached:safety:-DCREDITED_AT_ONCE:found
-position:claim of a lower position counts:safety:-DLOWER_CLAIM_COUNTS:found
-position:removal hidden by a list:safety:-DLIST_HIDES_REMOVAL:found
-position:older state replaces a list:safety:-DOLDER_STATE_REPLACES:found
-position:list of a daemon without a state:safety:-DFRESH -DCHANGES=3:found
+position:claim without its age:safety:-DCLAIM_WITHOUT_AGE -DNO_START:found
+position:claim counts before it is reached:safety:-DCREDITED_AT_ONCE -DNO_START:found
+position:older state replaces a list:safety:-DOLDER_STATE_REPLACES -DNO_START:found
+position:revision agreed to is not raised:safety:-DAS_OF_NOT_RAISED -DCHANGES=3:found
+position:states compared by position:safety:-DAS_OF_IGNORED -DCHANGES=3:found
+position:claim of a position:safety:-DCLAIM_OF_POSITION -DCHANGES=3:found
+position:claim of a lower position counts:safety:-DCLAIM_OF_POSITION -DNO_START -DLOWER_CLAIM_COUNTS:found
+position:removal hidden by a list:safety:-DCLAIM_OF_POSITION -DNO_START -DLIST_HIDES_REMOVAL:found
 floor:homes exclude by themselves:safety:-DHOMES_EXCLUDE:unknown_leaving
 floor:leaving not counted as out:safety:-DLEAVING_NOT_COUNTED:not_excluded
 floor:floor of the workers that stay:safety:-DFLOOR_OF_THE_REST:not_excluded
