soak: kill daemons around changes of workers at a platform's stand-in

make soak-watch starts platform/stand_in_main (the platform's store, and workers that write down what they run) and real daemons of one data centre, and kills both watchers, one, one after the other, twice in a row, all or some daemons, while entries of workers are removed, drained, moved to another service, written again, and the store drops its history. Judged: no daemon that was left alone for 4 s sends a request to a worker more than 2.5 s after the acknowledgement of its leaving, and each daemon serves at the end.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 MEASURES = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_measure.c))
 SLOPES = $(patsubst %.c,$(BUILD)/%,$(wildcard */*_slopes.c))
 PROGRAMS = $(patsubst %_main.c,$(BUILD)/%_main,$(wildcard fake/*_main.c \
-	fault/*_main.c soak/*_main.c)) $(patsubst cmd/%,$(BUILD)/bin/%,$(wildcard cmd/*))
+	fault/*_main.c platform/*_main.c soak/*_main.c)) $(patsubst cmd/%,$(BUILD)/bin/%,$(wildcard cmd/*))
 FILES = $(wildcard */*.c */*.h cmd/*/*.c cmd/*/*.h)
 
 all: $(PROGRAMS) $(TESTS) $(MEASURES) $(SLOPES)
@@ -31,7 +31,8 @@
 	@echo "make faults    run the process-level failure tests"
 	@echo "make crowds    run crowds of clients that misbehave, one case at a time"
 	@echo "make soak      inject random faults into real processes: SEEDS=50 FIRST=1"
-	@echo "make soak-regression  run the seeds in soak/seeds.txt, which failed once"
+	@echo "make soak-watch  kill real daemons while workers of a platform's stand-in leave"
+	@echo "make soak-regression  run the seeds in soak/*seeds.txt, which failed once"
 	@echo "make conf-check  test azhctl with the simulated store and three daemons"
 	@echo "make models    check the Promela models and their broken variants"
 	@echo "make measure   measure in simulated time; prints 'name value unit' lines"
@@ -68,11 +69,12 @@
 		$(BUILD)/fault/%.o $(FAULT_OBJ) $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
 
-SOAK_OBJ = $(BUILD)/soak/plan.o $(BUILD)/soak/run.o
+SOAK_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_main.c %_test.c,$(wildcard soak/*.c)))
 $(BUILD)/soak/soak_main: $(BUILD)/soak/soak_main.o $(SOAK_OBJ) $(FAULT_OBJ) $(BUILD)/libaz.a
 	$(CC) -o $@ $^ $(LIBS)
 
 $(BUILD)/soak/plan_test: $(BUILD)/soak/plan.o
+$(BUILD)/soak/watch_test: $(BUILD)/soak/watch_plan.o
 
 define program
 $(BUILD)/bin/$(1): $(patsubst %.c,$(BUILD)/%.o,$(wildcard cmd/$(1)/*.c)) $(BUILD)/libaz.a
@@ -110,11 +112,17 @@
 soak: all
 	$(BUILD)/soak/soak_main --seed $(FIRST) --count $(SEEDS)
 
-# Runs the seeds that have failed once; soak/seeds.txt has their causes.
+soak-watch: all
+	$(BUILD)/soak/soak_main --watch --seed $(FIRST) --count $(SEEDS)
+
+# Runs the seeds that have failed once; the lists have their causes.
 soak-regression: all
-	@sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt | \
-		xargs -P 3 -n 1 $(BUILD)/soak/soak_main --seed 2>$(BUILD)/soak/errors || \
-		{ cat $(BUILD)/soak/errors; exit 1; }
+	@for l in "seeds.txt:--seed" "watch_seeds.txt:--watch --seed"; do \
+		sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/$${l%%:*} | \
+			xargs -P 3 -n 1 $(BUILD)/soak/soak_main $${l#*:} \
+			2>$(BUILD)/soak/errors || \
+			{ cat $(BUILD)/soak/errors; exit 1; }; \
+	done
 
 conf-check: all
 	sh conf/e2e.sh
@@ -143,6 +151,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help setup check check-memory demo faults crowds soak soak-regression conf-check models measure \
+.PHONY: all help setup check check-memory demo faults crowds soak soak-watch soak-regression conf-check models measure \
 	slopes bench format reformat lint clean
 .SECONDARY:
--- a/fault/fault.h
+++ b/fault/fault.h
@@ -72,10 +72,24 @@
 	pid_t pid; /**< 0: not running */
 	char log_path[2 * TEXT_BYTES]; /**< file of its output */
 	int64_t log_start_bytes; /**< length of that file before the start */
-	bool exited; /**< was seen to exit; not set by kill_process() */
+	bool exited; /**< was seen to exit; not set by process_kill() */
 	int32_t status; /**< wait status of waitpid() */
 };
 
+/** Starts a program with its output appended to the file `log`;
+ * `descriptors_max` is its RLIMIT_NOFILE, 0: that of this process. Only for the
+ * main thread: the process is killed when the thread that started it ends. */
+void process_start(struct process *p, const char *log, char *const *argv,
+		   uint32_t descriptors_max);
+/** Sends SIGKILL and waits for the end. */
+void process_kill(struct process *p);
+/** False if the process has not exited after `limit_ms`. */
+bool process_wait_exit(struct process *p, uint32_t limit_ms);
+/** Waits for the first log line of the process. Before it a daemon may not
+ * handle signals yet; a signal could even reach the forked child before its
+ * exec. */
+void process_wait_output(const struct process *p);
+
 struct daemon {
 	struct process process;
 	uint64_t incarnation; /**< of its last start, as in its tickets */
@@ -135,6 +149,8 @@
  * daemons; NULL: the one in `bin`. `port` is the first of FLEET_PORTS. */
 void fleet_init(struct fleet *f, const char *bin, const char *daemon,
 		uint16_t port);
+/** Removes a folder with its files. */
+void folder_remove(const char *path);
 /** Removes the folder of the fleet with its files. */
 void fleet_remove(const struct fleet *f);
 /** Port of daemon `n` for requests of callers. */
--- a/fault/fleet.c
+++ b/fault/fleet.c
@@ -94,10 +94,8 @@
 	return stat(path, &st) ? 0 : st.st_size;
 }
 
-/* Only for the main thread: PR_SET_PDEATHSIG kills the child when the thread
- * that started it ends. */
-static void spawn(struct process *p, const char *log, char *const *argv,
-		  uint32_t descriptors_max)
+void process_start(struct process *p, const char *log, char *const *argv,
+		   uint32_t descriptors_max)
 {
 	const struct rlimit descriptors = { descriptors_max, descriptors_max };
 	pid_t parent = getpid();
@@ -130,7 +128,7 @@
 	return !p->pid;
 }
 
-static bool wait_exit(struct process *p, uint32_t limit_ms)
+bool process_wait_exit(struct process *p, uint32_t limit_ms)
 {
 	for (uint32_t ms = 0; !has_exited(p); ms += POLL_MS) {
 		if (ms >= limit_ms)
@@ -140,7 +138,7 @@
 	return true;
 }
 
-static void kill_process(struct process *p)
+void process_kill(struct process *p)
 {
 	if (!p->pid)
 		return;
@@ -250,14 +248,11 @@
 
 	snprintf(log, sizeof(log), "%s/d%u.log", f->dir, n);
 	__atomic_store_n(&d->started_us, clock_now_us(), __ATOMIC_RELEASE);
-	spawn(&d->process, log, argv, f->options.descriptors_max);
+	process_start(&d->process, log, argv, f->options.descriptors_max);
 	__atomic_store_n(&d->stopping, 0, __ATOMIC_RELEASE);
 }
 
-/* Waits for the first log line of the process. Before it a daemon may not
- * handle signals yet; a signal could even reach the forked child before its
- * exec. */
-static void wait_first_output(const struct process *p)
+void process_wait_output(const struct process *p)
 {
 	for (uint32_t ms = 0; file_size(p->log_path) <= p->log_start_bytes &&
 			      ms < HANG_TIMEOUT_MS;
@@ -271,7 +266,7 @@
 
 	if (p->pid <= 0)
 		return;
-	wait_first_output(p);
+	process_wait_output(p);
 	kill(p->pid, sig);
 }
 
@@ -280,7 +275,7 @@
 	if (f->killed_count < KILLED_MAX)
 		f->killed_incarnations[f->killed_count++] =
 			f->daemons[n].incarnation;
-	kill_process(&f->daemons[n].process);
+	process_kill(&f->daemons[n].process);
 }
 
 bool was_killed(const struct fleet *f, uint64_t incarnation)
@@ -301,9 +296,9 @@
 {
 	struct process *p = &f->daemons[n].process;
 
-	if (!wait_exit(p, STOP_TIMEOUT_MS)) {
+	if (!process_wait_exit(p, STOP_TIMEOUT_MS)) {
 		report_failure(f, "d%u did not exit in time after SIGTERM", n);
-		kill_process(p);
+		process_kill(p);
 		return false;
 	}
 	if (!WIFEXITED(p->status) || WEXITSTATUS(p->status)) {
@@ -451,12 +446,12 @@
 	snprintf(service, sizeof(service), "%u", f->options.service_ms);
 	snprintf(answer, sizeof(answer), "%u", f->options.answer_bytes);
 	w->starts++;
-	spawn(&w->process, log, argv, 0);
+	process_start(&w->process, log, argv, 0);
 }
 
 void worker_kill(struct fleet *f, uint32_t n)
 {
-	kill_process(&f->workers[n].process);
+	process_kill(&f->workers[n].process);
 }
 
 /* Sends a control request to a stand-in; tries again while it starts. */
@@ -515,7 +510,7 @@
 		 f->first_port + PORT_PEER_BIND + n);
 	snprintf(control_address, sizeof(control_address), "127.0.0.1:%u",
 		 f->first_port + PORT_TCP_RELAY_CONTROL + n);
-	spawn(&f->daemons[n].tcp_relay, log, argv, 0);
+	process_start(&f->daemons[n].tcp_relay, log, argv, 0);
 }
 
 void fleet_start(struct fleet *f, const struct fleet_options *o)
@@ -588,11 +583,11 @@
 void fleet_abort(struct fleet *f)
 {
 	for (uint32_t i = 0; i < DAEMONS_MAX; i++) {
-		kill_process(&f->daemons[i].process);
-		kill_process(&f->daemons[i].tcp_relay);
+		process_kill(&f->daemons[i].process);
+		process_kill(&f->daemons[i].tcp_relay);
 	}
 	for (uint32_t i = 0; i < WORKERS_MAX; i++)
-		kill_process(&f->workers[i].process);
+		process_kill(&f->workers[i].process);
 }
 
 /* Reads the runs of an earlier process of worker `n` from its run log, as the
--- a/fault/judge.c
+++ b/fault/judge.c
@@ -119,9 +119,8 @@
 	}
 }
 
-void fleet_remove(const struct fleet *f)
+void folder_remove(const char *path)
 {
-	const char *path = f->dir;
 	DIR *d = opendir(path);
 	struct dirent *e;
 
@@ -136,3 +135,8 @@
 		closedir(d);
 	rmdir(path);
 }
+
+void fleet_remove(const struct fleet *f)
+{
+	folder_remove(f->dir);
+}
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -62,6 +62,8 @@
 struct soak_options {
 	const char *bin; /**< build folder of the programs */
 	const char *daemon; /**< program of the daemons; NULL: bin/azhd */
+	const char *other_daemon; /**< program of every second one in
+				     watch_run(); NULL: the same */
 	uint32_t daemons;
 	uint32_t length_ms;
 	bool keep; /**< keep the logs also of a seed that passes */
