relay: send a claim as soon as its hash has changed

A daemon that hears of a change by its position fetches at once, and the claim with the new hash came up to 0.5 s later.

A confirmed hash that differs from the one sent last is sent without waiting for the interval: 92 bytes more, with headers, to each daemon of the data centre for a change.

--- a/feed/relay.c
+++ b/feed/relay.c
@@ -51,6 +51,7 @@
 	struct relay_claim claim; /**< what its own source has confirmed */
 	int64_t sent_us; /**< when the position was last sent */
 	int64_t sent_confirmed_us; /**< local.confirmed_us at that time */
+	uint64_t sent_hash; /**< claim.hash at that time */
 	/** The last claims that were logged: of each watcher, and of the other
 	 * daemons together. */
 	struct logged_claim logged[RELAY_WATCHERS + 1];
@@ -165,6 +166,7 @@
 	member_view_release(v);
 	r->sent_us = r->duty.now_us;
 	r->sent_confirmed_us = r->local.confirmed_us;
+	r->sent_hash = r->claim.hash;
 }
 
 /* A position without a recent confirmation is not sent at the interval, so that
@@ -443,6 +445,14 @@
 	update_watch(r);
 }
 
+/* A new hash is not left to the next interval: by then the receivers, which
+ * fetch at once, may hold a later state, and the claim would not count. */
+static bool has_news(const struct relay *r)
+{
+	return r->claim.hash != r->sent_hash ||
+	       r->local.confirmed_us - r->sent_confirmed_us >= RELAY_PERIOD_US;
+}
+
 static void on_local_position(struct relay *r, const struct position_msg *pm)
 {
 	const struct relay_position reached = { pm->position,
@@ -456,9 +466,7 @@
 	relay_on_local_position(&r->role, r->local.position, r->duty.now_us);
 	if (!relay_should_send(&r->role, r->duty.now_us))
 		return;
-	if (risen ||
-	    (has_recent_position(r) &&
-	     r->local.confirmed_us - r->sent_confirmed_us >= RELAY_PERIOD_US))
+	if (risen || (has_recent_position(r) && has_news(r)))
 		send_position_to_dc(r);
 }
 
