feed: entries that have lapsed outlast the state of a started daemon

Since a claim of another set as of a later revision is fetched at any position, a daemon that had not listed yet would take that watcher's state and lose all workers of a service until they register again, for up to 2 s; before, it did so only if the watcher's position was ahead.

A state that is imported while the daemon's own source has not answered since an outage counts as the end of the outage, so that more than 30 % of a service that are missing from it are kept for the same 2.5 s.

feed_test "lapsed at a started daemon" fails without the change in feed/ (1 assertion).

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -296,6 +296,9 @@
 	if (f->workers_incomplete)
 		return false;
 	f->as_of = s->as_of ? s->as_of : (uint32_t)s->position;
+	/* The sender has reached the source since. It may have started during
+	 * the outage, and then does not know which entries have lapsed. */
+	feed_table_source_recovered(f->workers, f->duty.now_us);
 	if (feed_table_replace(f->workers, s->workers, s->count, 0,
 			       f->duty.now_us))
 		schedule_build(f);
--- a/feed/feed_test.c
+++ b/feed/feed_test.c
@@ -449,6 +449,30 @@
 	CU_ASSERT(wait_for_workers("stock", 1));
 }
 
+/* Guards against a service that loses its workers when the source recovers: the
+ * first state comes from a daemon that has started during the outage, and which
+ * does not know the entries that have lapsed. Once another daemon's state has
+ * shown that the outage is over, workers that are missing have left. */
+static void test_lapsed_entries_outlast_the_state_of_a_started_daemon(void)
+{
+	struct feed_worker w[3] = { worker("w1", 1, 100), worker("w2", 2, 101),
+				    worker("w3", 3, 102) };
+
+	feed_replace_workers(feed, w, 3, 140);
+	feed_set_position(feed, 0x1500000066);
+	CU_ASSERT(wait_for_workers("stock", 3));
+	feed_source_unreachable(feed);
+	import_as_of("90194313318 20 0 1", "=w1\n", 141, hash_of(w, 1));
+	CU_ASSERT_EQUAL(confirm(141, 9).as_of, 141);
+	nanosleep(&(struct timespec){ 0, 200000000 }, NULL);
+	CU_ASSERT(wait_for_workers("stock", 3));
+	CU_ASSERT(wait_for_workers("stock", 1));
+	feed_replace_workers(feed, w, 3, 142);
+	CU_ASSERT(wait_for_workers("stock", 3));
+	import_as_of("90194313318 20 0 1", "=w1\n", 143, hash_of(w, 1));
+	CU_ASSERT(wait_for_workers("stock", 1));
+}
+
 /* Guards against hashes that depend on the order in which workers were
  * delivered, or on entries that a daemon keeps although they are missing:
  * daemons with the same workers would ask the source, and fetch, all the time.
@@ -569,6 +593,8 @@
 	CU_add_test(s, "newer state",
 		    test_newer_state_at_the_same_position_is_imported);
 	CU_add_test(s, "agreed", test_agreed_revision_refuses_older_states);
+	CU_add_test(s, "lapsed at a started daemon",
+		    test_lapsed_entries_outlast_the_state_of_a_started_daemon);
 	CU_add_test(s, "hash", test_hash_is_that_of_the_listed_workers);
 	CU_add_test(s, "expiry", test_expiry_is_part_of_the_state);
 	CU_basic_run_tests();
