--- a/soak/watch.c
+++ b/soak/watch.c
@@ -36,7 +36,7 @@
 static const char *const services[WATCH_SERVICES] = { "stock", "press" };
 
 /** From when to when a worker's entry names it as one of a service. */
-struct membership_span {
+struct service_span {
 	uint32_t worker;
 	uint32_t service;
 	int64_t from_ms;
@@ -45,8 +45,7 @@
 
 struct watch_daemon {
 	struct process process;
-	int64_t disturbed_ms; /**< last kill or start */
-	/** Kills and starts, for the judgement of requests before the last. */
+	/** Kills and starts. */
 	int64_t disturbances_ms[WATCH_STEPS_MAX];
 	uint32_t disturbance_count;
 	bool is_watcher;
@@ -72,7 +71,7 @@
 	struct client clients[DAEMONS_MAX];
 	int32_t stop; /**< atomic */
 	struct watch_plan plan;
-	struct membership_span spans[WATCH_STEPS_MAX + WATCH_WORKERS];
+	struct service_span spans[WATCH_STEPS_MAX + WATCH_WORKERS];
 	uint32_t span_count;
 	int64_t start_ms;
 	int64_t last_ms; /**< longest time after the acknowledgement at which a
@@ -101,7 +100,7 @@
 	http_answer_free(&a);
 }
 
-static struct membership_span *open_span(struct watch_soak *s, uint32_t worker)
+static struct service_span *open_span(struct watch_soak *s, uint32_t worker)
 {
 	for (uint32_t i = s->span_count; i-- > 0;)
 		if (s->spans[i].worker == worker)
@@ -115,7 +114,7 @@
 static void set_worker(struct watch_soak *s, uint32_t worker, uint32_t service,
 		       const char *state)
 {
-	struct membership_span *open = open_span(s, worker);
+	struct service_span *open = open_span(s, worker);
 	char target[128];
 	int64_t from_ms = now_ms();
 
@@ -128,8 +127,8 @@
 		open->until_ms = now_ms();
 	if (!strcmp(state, "ready"))
 		s->spans[s->span_count++] =
-			(struct membership_span){ worker, service, from_ms,
-						  INT64_MAX };
+			(struct service_span){ worker, service, from_ms,
+					       INT64_MAX };
 }
 
 static void start_stand_in(struct watch_soak *s)
@@ -194,9 +193,8 @@
 
 static void note_disturbance(struct watch_daemon *d)
 {
-	d->disturbed_ms = now_ms();
 	if (d->disturbance_count < WATCH_STEPS_MAX)
-		d->disturbances_ms[d->disturbance_count++] = d->disturbed_ms;
+		d->disturbances_ms[d->disturbance_count++] = now_ms();
 }
 
 static void start_daemon(struct watch_soak *s, uint32_t n)
@@ -386,7 +384,7 @@
 	int64_t least_ms = INT64_MAX;
 
 	for (uint32_t i = 0; i < s->span_count; i++) {
-		const struct membership_span *m = &s->spans[i];
+		const struct service_span *m = &s->spans[i];
 
 		if (m->worker == worker && m->service == service &&
 		    at_ms >= m->from_ms && at_ms - m->until_ms < least_ms)
