--- a/feed/feed.c
+++ b/feed/feed.c
@@ -39,8 +39,7 @@
 	bool workers_incomplete;
 	uint32_t as_of; /**< last 32 bits of the source's revision of which the
 			   workers are; 0: unknown */
-	uint64_t
-		listed_revision; /**< of the last list of the source; 0: none */
+	uint64_t listed_revision; /**< of the source's last list; 0: none */
 	int64_t listed_us; /**< when it was applied */
 	pthread_mutex_t known_lock;
 	struct feed_known known; /**< for other threads, under known_lock */
--- a/feed/feed.h
+++ b/feed/feed.h
@@ -174,8 +174,7 @@
 	uint64_t version; /**< of the configuration */
 	uint32_t as_of; /**< see struct feed_known; 0: unknown, or the sender is
 			   of an older version */
-	uint64_t
-		workers_hash; /**< see struct feed_table; if `as_of` is known */
+	uint64_t workers_hash; /**< of the table; only if `as_of` is known */
 	struct feed_difference difference;
 	char *text; /**< the configuration, or the part that differs; owned,
 		       NULL: none, or the receiver has this version */
