--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -1149,10 +1149,18 @@
 	if (body_bytes || strcmp(method, "GET"))
 		append(&t, "Content-Length: %d\r\n", body_bytes);
 	append(&t, "\r\n");
-	for (int i = 0; i < body_bytes; i++)
-		append(&t, "b");
+	if (body_bytes < 4096)
+		for (int i = 0; i < body_bytes; i++)
+			append(&t, "b");
 	ok = send_all(c->fd, t.data, t.n);
 	free(t.data);
+	if (ok && body_bytes >= 4096) {
+		char *body = malloc((size_t)body_bytes);
+
+		memset(body, 'b', (size_t)body_bytes);
+		ok = send_all(c->fd, body, (size_t)body_bytes);
+		free(body);
+	}
 	return ok;
 }
 
