--- a/review/stand-3/drill.c
+++ b/review/stand-3/drill.c
@@ -15,7 +15,9 @@
 #define DAEMONS 3
 #define CONSUMERS 9
 #define HEARTBEAT_MS 1500
+#define COLD_PINGS 3
 #define AWAY_MS 1000
+#define BACK_BEFORE_PING_MS 20
 #define STABLE_WINDOW_MS 4000
 #define DRAIN_MS 2500
 /* "at times many seconds" after the report */
@@ -85,9 +87,19 @@
 	return NULL;
 }
 
+/* The new workers ping, the first of them at `at`. */
+static void ping_all(int64_t at, int cold_left_ms)
+{
+	for (int i = 0; i < NEW_WORKERS; i++) {
+		sleep_ms(at + i * 100 - now_ms());
+		worker_enter(&workers[OLD_WORKERS + i], cold_left_ms);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	pthread_t threads[CONSUMERS];
+	int64_t joined;
 	int64_t back;
 
 	stand_begin(argc, argv);
@@ -135,27 +147,23 @@
 		pthread_create(&threads[i], NULL, consume, (void *)(intptr_t)i);
 	sleep_ms(6000);
 	store_copy();
-	/* Workers are added. While a worker is cold, its entry changes with each
-	 * of its pings. */
-	for (int left = 2 * HEARTBEAT_MS; left >= 0; left -= HEARTBEAT_MS) {
-		for (int i = 0; i < NEW_WORKERS; i++) {
-			worker_enter(&workers[OLD_WORKERS + i], left);
-			sleep_ms(100);
-		}
-		sleep_ms(left ? HEARTBEAT_MS - 300 : 500);
-	}
+	/* Workers are added, 100 ms apart. Each pings every 1.5 s, and its entry
+	 * changes with each ping while it is cold. */
+	joined = now_ms();
+	for (int ping = 0; ping < COLD_PINGS; ping++)
+		ping_all(joined + ping * HEARTBEAT_MS,
+			 (COLD_PINGS - 1 - ping) * HEARTBEAT_MS);
+	back = joined + COLD_PINGS * HEARTBEAT_MS - BACK_BEFORE_PING_MS;
+	sleep_ms(back - AWAY_MS - now_ms());
 	if (stand_trouble()) {
 		store_set_away(true);
 		store_restore();
-		sleep_ms(AWAY_MS);
-		store_set_away(false);
-		/* Each worker whose entry is gone writes it again at its next
-		 * ping. */
-		for (int i = 0; i < NEW_WORKERS; i++) {
-			sleep_ms(HEARTBEAT_MS / NEW_WORKERS);
-			worker_enter(&workers[OLD_WORKERS + i], 0);
-		}
 	}
+	sleep_ms(back - now_ms());
+	if (stand_trouble())
+		store_set_away(false);
+	/* Each worker whose entry is gone writes it again at its next ping. */
+	ping_all(joined + COLD_PINGS * HEARTBEAT_MS, 0);
 	back = now_ms();
 	/* The store is stable again, and all machines are in touch. */
 	sleep_ms(2 * STABLE_WINDOW_MS);
