--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
 # run. With TROUBLE=0 there is no disruption. Writes record.txt.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x build/review-3/split ] && [ -x target/bin/azhd ] || exit 2
-exec build/review-3/split target/bin/azhd review/15/record.txt
+[ -x build/review-3/seeds ] && [ -x target/bin/azhd ] || exit 2
+exec build/review-3/seeds target/bin/azhd review/15/record.txt
