--- a/review/stand-3/drill.c
+++ b/review/stand-3/drill.c
@@ -10,12 +10,13 @@
 
 #include "stand.h"
 
-#define OLD_WORKERS 4
+#define OLD_WORKERS 10
 #define NEW_WORKERS 3
 #define DAEMONS 3
-#define CONSUMERS 9
+#define CONSUMERS 18
 #define HEARTBEAT_MS 1500
 #define COLD_PINGS 3
+#define JOIN_GAP_MS 250
 #define AWAY_MS 1000
 #define BACK_BEFORE_PING_MS 20
 #define STABLE_WINDOW_MS 4000
@@ -91,7 +92,7 @@
 static void ping_all(int64_t at, int cold_left_ms)
 {
 	for (int i = 0; i < NEW_WORKERS; i++) {
-		sleep_ms(at + i * 100 - now_ms());
+		sleep_ms(at + i * JOIN_GAP_MS - now_ms());
 		worker_enter(&workers[OLD_WORKERS + i], cold_left_ms);
 	}
 }
@@ -147,7 +148,7 @@
 		pthread_create(&threads[i], NULL, consume, (void *)(intptr_t)i);
 	sleep_ms(6000);
 	store_copy();
-	/* Workers are added, 100 ms apart. Each pings every 1.5 s, and its entry
+	/* Workers are added over half a second. Each pings every 1.5 s, and its entry
 	 * changes with each ping while it is cold. */
 	joined = now_ms();
 	for (int ping = 0; ping < COLD_PINGS; ping++)
