--- a/review/stand-3/key.c
+++ b/review/stand-3/key.c
@@ -22,6 +22,7 @@
 #define MEASURE_MS 14000
 #define COPY_AGE_MS 4000
 #define AWAY_MS 1000
+#define TRAFFIC_AT_MS 8000
 
 static struct worker workers[WORKERS];
 static struct daemon daemons[DAEMONS];
@@ -155,8 +156,6 @@
 		start(i, "1,2,3");
 	for (int i = 0; i < FIRST; i++)
 		wait_ready(i);
-	for (int i = 0; i < CONSUMERS; i++)
-		pthread_create(&threads[i], NULL, consume, (void *)(intptr_t)i);
 	sleep_ms(copied + COPY_AGE_MS - now_ms());
 	if (stand_trouble()) {
 		store_set_away(true);
@@ -164,6 +163,10 @@
 		sleep_ms(AWAY_MS);
 		store_set_away(false);
 	}
+	/* Traffic starts 8 s after the machines do. */
+	sleep_ms(copied + TRAFFIC_AT_MS - now_ms());
+	for (int i = 0; i < CONSUMERS; i++)
+		pthread_create(&threads[i], NULL, consume, (void *)(intptr_t)i);
 	/* The store is stable again. */
 	sleep_ms(2 * STABLE_WINDOW_MS);
 	for (int i = FIRST; i < DAEMONS; i++)
